Set down the workspace and the core types

Cause: everything that follows needs one vocabulary of machines, zones, links, contracts and ledger, and one set of formatter and linter rules.

--- /dev/null
+++ b/crates/core/src/contract.rs
@@ -0,0 +1,9 @@
+//! Contracts: what callers and operators are promised.
+
+pub mod class;
+pub mod configuration;
+pub mod job;
+pub mod kind;
+pub mod request;
+pub mod task;
+pub mod team;
--- /dev/null
+++ b/crates/core/src/ledger/fleet.rs
@@ -0,0 +1,77 @@
+//! The fleet stream: losses of workers, which every instance reads.
+//!
+//! A controller renews leases on a worker only while it can show that no loss of its epoch is in
+//! force. One record covers all attempts on the worker, so that a lost rack costs a few records.
+
+use crate::clock::Millis;
+use crate::ledger::record::{Change, Record, Register};
+use crate::ledger::{Offset, Verdict, judge};
+use crate::machine::worker::Epoch;
+use crate::name::Name;
+use serde::{Deserialize, Serialize};
+
+/// The loss of a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loss {
+    /// The lost worker.
+    pub worker: Name,
+    /// Version of the worker's register.
+    pub version: u64,
+    /// Last epoch that is lost.
+    pub epoch: Epoch,
+    /// Where the loss is recorded.
+    pub offset: Offset,
+    /// When it was recorded, by its writer's clock.
+    pub at: Millis,
+}
+
+/// All losses that are in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// Offset of the next record to be read.
+    pub next: Offset,
+    /// Sorted by worker.
+    losses: Vec<Loss>,
+}
+
+impl Fleet {
+    /// Takes in the record at `offset`.
+    pub fn apply(&mut self, offset: Offset, record: &Record) -> Verdict {
+        self.next = offset + 1;
+        let (Register::Worker(worker), Change::Lost { epoch }) = (&record.register, &record.change)
+        else {
+            return Verdict::Illegal;
+        };
+        let found = self.losses.binary_search_by(|l| l.worker.cmp(worker));
+        let (version, last) = found.map_or((0, None), |i| {
+            let loss = &self.losses[i];
+            (loss.version, Some(loss.epoch))
+        });
+        let verdict = judge(record.expect, version, last.is_none_or(|last| *epoch > last));
+        if verdict == Verdict::Accepted {
+            let (worker, epoch, at) = (worker.clone(), *epoch, record.at);
+            let loss = Loss { worker, version: version + 1, epoch, offset, at };
+            match found {
+                Ok(i) => self.losses[i] = loss,
+                Err(i) => self.losses.insert(i, loss),
+            }
+        }
+        verdict
+    }
+
+    /// Returns the last loss of a worker.
+    pub fn loss(&self, worker: &str) -> Option<&Loss> {
+        let found = self.losses.binary_search_by(|l| l.worker.as_str().cmp(worker));
+        found.ok().map(|i| &self.losses[i])
+    }
+
+    /// Returns the loss that covers an attempt on `worker` under `epoch`.
+    pub fn covers(&self, worker: &str, epoch: Epoch) -> Option<&Loss> {
+        self.loss(worker).filter(|loss| loss.epoch >= epoch)
+    }
+
+    /// Returns all losses, sorted by worker.
+    pub fn losses(&self) -> &[Loss] {
+        &self.losses
+    }
+}
--- /dev/null
+++ b/crates/core/src/link.rs
@@ -0,0 +1,3 @@
+//! Links: connections to peers and to runners, with their budgets.
+
+pub mod slot;
--- /dev/null
+++ b/crates/core/src/machine/capacity.rs
@@ -0,0 +1,93 @@
+//! Capacity of a machine, and what a task needs of it.
+
+use crate::finding::List;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// An amount of each resource.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct Capacity {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory in mebibytes.
+    pub memory_mib: u64,
+    /// Number of accelerators.
+    #[serde(default)]
+    pub accelerators: u64,
+}
+
+impl Capacity {
+    /// Nothing of any resource.
+    pub const ZERO: Self = Self { cpu_milli: 0, memory_mib: 0, accelerators: 0 };
+
+    /// Returns an amount of `cpu_milli` thousandths of a core, `memory_mib` mebibytes and
+    /// `accelerators` accelerators.
+    pub const fn new(cpu_milli: u64, memory_mib: u64, accelerators: u64) -> Self {
+        Self { cpu_milli, memory_mib, accelerators }
+    }
+
+    /// Returns whether `need` fits in this amount, for every resource.
+    pub const fn holds(&self, need: &Self) -> bool {
+        need.cpu_milli <= self.cpu_milli
+            && need.memory_mib <= self.memory_mib
+            && need.accelerators <= self.accelerators
+    }
+
+    /// Returns what is left after `need` is taken, `None` if it doesn't fit.
+    pub const fn checked_sub(&self, need: &Self) -> Option<Self> {
+        if self.holds(need) { Some(self.saturating_sub(need)) } else { None }
+    }
+
+    /// Returns what is left after `need` is taken, zero where there is less.
+    pub const fn saturating_sub(&self, need: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(need.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(need.memory_mib),
+            accelerators: self.accelerators.saturating_sub(need.accelerators),
+        }
+    }
+
+    /// Returns the sum, saturating.
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns the amount multiplied by `count`, saturating.
+    pub const fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
+    /// Checks that a need or a size is not zero in processors and memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns a finding for each resource that is zero.
+    pub fn check(&self) -> Result<(), List> {
+        let mut findings = List::new();
+        if self.cpu_milli == 0 {
+            findings.note("cpu_milli", "must be at least 1 thousandth of a core");
+        }
+        if self.memory_mib == 0 {
+            findings.note("memory_mib", "must be at least 1 MiB");
+        }
+        findings.into_result()
+    }
+}
+
+impl fmt::Display for Capacity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { cpu_milli, memory_mib, accelerators } = self;
+        write!(f, "{cpu_milli} mcpu, {memory_mib} MiB, {accelerators} accelerators")
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/bin/pimentovalve.rs
@@ -0,0 +1,3 @@
+//! The command line for callers and operators.
+
+fn main() {}
