Set down the messages and HTTP at the borders

Cause: stand-ins, daemon and command line need one definition of what goes over the wire before they can be built side by side. Conclusion: decisions stay in core, encodings in wire.

--- /dev/null
+++ b/crates/wire/src/http/server.rs
@@ -0,0 +1,173 @@
+//! A bounded HTTP server.
+//!
+//! Bounds on connections, header time, body size and request time hold for every listener. A
+//! stop lets requests in flight finish and closes idle connections.
+
+use super::{Handler, Request, Response};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::finding::List;
+use serde::{Deserialize, Serialize};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Pause after a failed `accept`, which is most often a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds of one listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Most connections at once; further ones wait in the listen queue.
+    pub connections: usize,
+    /// Greatest size of a request's head, in bytes.
+    pub header_bytes: usize,
+    /// Greatest size of a request's body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request's head to arrive.
+    pub header_ms: Millis,
+    /// Longest time for a request's body to arrive and the request to be answered.
+    pub request_ms: Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 512,
+            header_bytes: 16 * 1024,
+            body_bytes: 256 * 1024,
+            header_ms: Millis::from_secs(10),
+            request_ms: Millis::from_secs(75),
+        }
+    }
+}
+
+/// Serves a listener until `stop` is cancelled, then waits for the requests in flight.
+pub async fn serve(
+    listener: TcpListener,
+    limits: Limits,
+    handler: Arc<dyn Handler>,
+    stop: CancellationToken,
+) {
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    let tracker = TaskTracker::new();
+    loop {
+        let permit = tokio::select! {
+            () = stop.cancelled() => break,
+            permit = Arc::clone(&permits).acquire_owned() => permit,
+        };
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = connection(stream, limits, Arc::clone(&handler), stop.clone());
+                tracker.spawn(async move {
+                    connection.await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a connection could not be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    tracker.close();
+    tracker.wait().await;
+}
+
+async fn connection(
+    stream: TcpStream,
+    limits: Limits,
+    handler: Arc<dyn Handler>,
+    stop: CancellationToken,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "TCP_NODELAY could not be set");
+    }
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(answer(request, limits, &*handler).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from(limits.header_ms))
+        .max_buf_size(limits.header_bytes.max(8192))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "a connection ended early");
+    }
+}
+
+async fn answer(
+    request: hyper::Request<Incoming>,
+    limits: Limits,
+    handler: &dyn Handler,
+) -> hyper::Response<Full<Bytes>> {
+    let limit = Duration::from(limits.request_ms);
+    let response = match tokio::time::timeout(limit, whole(request, limits, handler)).await {
+        Ok(response) => response,
+        Err(_) => Response::findings(408, &List::one("request", "took too long")),
+    };
+    encode(response)
+}
+
+async fn whole(
+    request: hyper::Request<Incoming>,
+    limits: Limits,
+    handler: &dyn Handler,
+) -> Response {
+    let (head, body) = request.into_parts();
+    let body = match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let message = format!("must be at most {} bytes", limits.body_bytes);
+            return Response::findings(413, &List::one("body", message));
+        }
+        Err(error) => {
+            return Response::findings(400, &List::one("body", error.to_string()));
+        }
+    };
+    let authorization = head.headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let request = Request {
+        method: head.method.as_str(),
+        path: head.uri.path(),
+        query: head.uri.query().unwrap_or_default(),
+        key: authorization.and_then(|v| v.strip_prefix("Bearer ")),
+        body: &body,
+    };
+    handler.handle(request).await
+}
+
+fn encode(response: Response) -> hyper::Response<Full<Bytes>> {
+    let mut encoded = hyper::Response::new(Full::new(Bytes::from(response.body)));
+    *encoded.status_mut() = hyper::StatusCode::from_u16(response.status)
+        .unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = encoded.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(response.content.media_type()));
+    if let Some(after) = response.retry_after {
+        headers.insert(RETRY_AFTER, HeaderValue::from(after.get().div_ceil(1000)));
+    }
+    encoded
+}
