Check settings as a whole

Cause: a settings file with several mistakes must name all of them with their place; serde stops at the first. Change: a file is parsed as far as it can be, walked section by section with the line of each key, and its values are checked against each other. Defaults as the fields say. Conclusion: 13 tests, among them three mistakes in one file, faults of the TOML itself, an empty file, wrong types, zero, negative and huge sizes, addresses given twice and times that don't fit.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,16 +1,26 @@
 //! Settings of one daemon, from a TOML file, checked as a whole.
 //!
 //! A process learns its addresses and its place from its settings; everything else that may
-//! change while it runs is configuration, which comes through the log.
+//! change while it runs is configuration, which comes through the log. A file is read section by
+//! section, so that all of its mistakes are reported together, each with its place.
+
+mod raw;
+mod relations;
+mod section;
+#[cfg(test)]
+mod tests;
+
+pub use raw::Raw;
 
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::finding::List;
 use pimentovalve_core::machine::lease;
 use pimentovalve_core::name::Name;
 use pimentovalve_core::zone::Place;
 use pimentovalve_wire::http::server;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Checked settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,6 +54,34 @@
     pub peer_key: Option<PathBuf>,
 }
 
+impl Settings {
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns everything that is wrong with it, each with its key and its line.
+    pub fn parse(text: &str) -> Result<Self, List> {
+        Self::try_from(Raw::from(text))
+    }
+
+    /// Reads and checks a settings file. Relative paths in it are taken from its folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns everything that is wrong with it, each with its key and its line, or that it can't
+    /// be read.
+    pub fn read(path: &Path) -> Result<Self, List> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| List::one("file", format!("can't be read: {e}")))?;
+        let mut settings = Self::parse(&text)?;
+        let folder = path.parent().unwrap_or_else(|| Path::new(""));
+        for file in [&mut settings.timeline, &mut settings.operator_keys, &mut settings.peer_key] {
+            *file = file.as_ref().map(|file| folder.join(file));
+        }
+        Ok(settings)
+    }
+}
+
 /// Addresses on which a daemon listens, each an IP number and a port.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listen {
@@ -90,3 +128,18 @@
     /// Time between the first sign of draining and the close of the callers' listener.
     pub drain_ms: Millis,
 }
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            list_ms: Millis::from_secs(1),
+            ping_ms: Millis(500),
+            suspicion_ms: Millis(2500),
+            heartbeat_ms: Millis::from_secs(5),
+            loss_ms: Millis::from_secs(20),
+            log_ms: Millis::from_secs(2),
+            term_ms: Millis::from_secs(10),
+            drain_ms: Millis(500),
+        }
+    }
+}
