Add the time line, its merge, JSON-line logs and named keys

Cause: an inspector must see what happened over all processes although their clocks differ, and operators and peers must show a key.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,7 +3,7 @@
 //! The folders mirror the world that is scheduled: [`machine`] (workers, runners, leases),
 //! [`zone`] (regions, failure domains, racks, membership), [`link`] (connections and budgets) and
 //! [`contract`] (kinds of work, jobs, tasks, requests, teams, configuration). The [`ledger`]
-//! holds the one rule by which instances agree. Every decision object takes borrowed views and
+//! holds the one rule by which instances agree, the [`timeline`] what happened. Every decision object takes borrowed views and
 //! the time, changes only itself and returns effects; a daemon or another front end carries the
 //! effects out.
 
@@ -14,4 +14,5 @@
 pub mod link;
 pub mod machine;
 pub mod name;
+pub mod timeline;
 pub mod zone;
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -2,6 +2,7 @@
 //! tells "never sent" from "may have run".
 
 pub mod client;
+pub mod keys;
 pub mod server;
 
 use pimentovalve_core::clock::Millis;
