--- a/src/bin/pimentovalve.rs
+++ b/src/bin/pimentovalve.rs
@@ -1,3 +1,8 @@
 //! The command line for callers and operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    pimentovalve::commands::main(&arguments)
+}
