Write the steward, the controller and their duties

Cause: the path from submission to worker needs its decisions before its sockets. Change: pure steward (accepts, places, claims) and controller (adopts, reserves, orders) that return effects; rings, duties with an actor each, platform traits; ledger, gossip and control duties.

--- /dev/null
+++ b/crates/core/src/contract/steward/ask.rs
@@ -0,0 +1,219 @@
+//! Questions of entry instances, and the verdicts that answer them.
+
+use super::{Ask, Steward, Ticket, Told};
+use crate::clock::Millis;
+use crate::contract::job::{self, Job};
+use crate::contract::request::{self, Answer, Reason, Request};
+use crate::contract::status::{self, Refusal};
+use crate::contract::task;
+use crate::finding::List;
+use crate::ledger::Verdict;
+use crate::ledger::book::Key;
+use crate::ledger::record::{Change, Record, Register};
+use crate::name::Name;
+use crate::zone::stewardship;
+
+/// When to come back after a refusal that isn't the policy's.
+const RETRY_AFTER: Millis = Millis::from_secs(2);
+
+/// Returns the hash of a request's content.
+pub fn digest(request: &Request) -> u64 {
+    stewardship::hash(&[request.team.as_str(), request.service.as_str(), &request.body])
+}
+
+impl Steward {
+    /// Takes in a question. It is answered by an effect, now or when a record's verdict is known.
+    pub fn ask(&mut self, ticket: Ticket, ask: Ask, now: Millis) {
+        let Some(i) = self.partition_of(ask.team()) else {
+            self.tell(ticket, Told::Elsewhere);
+            return;
+        };
+        match ask {
+            Ask::Submit(job) => self.submit(i, ticket, job, now),
+            Ask::Status { job, .. } => {
+                let told = self.job(i, &job).map_or(Told::Nothing, Told::Job);
+                self.tell(ticket, told);
+            }
+            Ask::Cancel { job, .. } => self.cancel(i, ticket, &job, now),
+            Ask::Answered { request, .. } => {
+                let key = self.partitions[i].book.key(request.as_str());
+                let told = key.map_or(Told::Nothing, |key| Told::Answer(known(key)));
+                self.tell(ticket, told);
+            }
+            Ask::Claim { request } => self.claim(i, ticket, &request, now),
+            Ask::Settle { request, answer, .. } => self.settle(i, ticket, request, answer, now),
+            Ask::Release { task, attempt, operator, .. } => {
+                self.release(i, ticket, task, attempt, operator, now);
+            }
+        }
+    }
+
+    fn job(&self, i: usize, id: &job::Id) -> Option<status::Job> {
+        self.partitions[i].book.job(id.as_str()).map(status::Job::from)
+    }
+
+    fn submit(&mut self, i: usize, ticket: Ticket, job: Job, now: Millis) {
+        if let Some(entry) = self.partitions[i].book.job(job.id.as_str()) {
+            let told = same_job(entry.job == job, entry.into());
+            self.tell(ticket, told);
+            return;
+        }
+        if let Err(reason) = self.open.clone() {
+            let refusal = Refusal::not_run(reason, RETRY_AFTER);
+            self.tell(ticket, Told::Refused(refusal));
+            return;
+        }
+        let mut findings = List::new();
+        let kind = self.configuration.kind(job.kind.as_str()).cloned();
+        if kind.is_none() {
+            findings.note("kind", format!("there is no kind of work {}", job.kind));
+        }
+        if self.configuration.team(job.team.as_str()).is_none() {
+            findings.note("team", format!("there is no team {}", job.team));
+        }
+        let Some(kind) = kind.filter(|_| findings.is_empty()) else {
+            self.tell(ticket, Told::Refused(Refusal::wrong(&findings)));
+            return;
+        };
+        if let Err(refusal) = self.planner.admit(&job, &kind, &self.configuration, now) {
+            self.tell(ticket, Told::Refused(refusal));
+            return;
+        }
+        let register = Register::Job(job.id.clone());
+        let partition = self.partitions[i].index;
+        self.append(partition, register, 0, Change::Submit { job, kind }, Some(ticket), now);
+    }
+
+    fn cancel(&mut self, i: usize, ticket: Ticket, id: &job::Id, now: Millis) {
+        let Some(entry) = self.partitions[i].book.job(id.as_str()) else {
+            self.tell(ticket, Told::Nothing);
+            return;
+        };
+        let status = status::Job::from(entry);
+        if entry.cancelled || status.ended {
+            self.tell(ticket, Told::Job(status));
+            return;
+        }
+        let (expect, partition) = (entry.version, self.partitions[i].index);
+        let register = Register::Job(id.clone());
+        self.append(partition, register, expect, Change::Cancel, Some(ticket), now);
+    }
+
+    fn claim(&mut self, i: usize, ticket: Ticket, request: &Request, now: Millis) {
+        let digest = digest(request);
+        if let Some(key) = self.partitions[i].book.key(request.id.as_str()) {
+            let told = same_request(key, digest);
+            self.tell(ticket, told);
+            return;
+        }
+        if let Err(reason) = self.open.clone() {
+            let refusal = Refusal::not_run(reason, RETRY_AFTER);
+            self.tell(ticket, Told::Refused(refusal));
+            return;
+        }
+        let register = Register::Key(request.id.clone());
+        let partition = self.partitions[i].index;
+        self.append(partition, register, 0, Change::Claim { digest }, Some(ticket), now);
+    }
+
+    fn settle(
+        &mut self,
+        i: usize,
+        ticket: Ticket,
+        request: request::Id,
+        answer: Answer,
+        now: Millis,
+    ) {
+        let Some(key) = self.partitions[i].book.key(request.as_str()) else {
+            self.tell(ticket, Told::Nothing);
+            return;
+        };
+        if key.answer.is_some() {
+            self.tell(ticket, Told::Settled);
+            return;
+        }
+        let (expect, partition) = (key.version, self.partitions[i].index);
+        let change = Change::Answer(answer);
+        self.append(partition, Register::Key(request), expect, change, Some(ticket), now);
+    }
+
+    fn release(
+        &mut self,
+        i: usize,
+        ticket: Ticket,
+        task: task::Id,
+        attempt: task::Attempt,
+        operator: Name,
+        now: Millis,
+    ) {
+        let Some(found) = self.partitions[i].book.task(&task) else {
+            self.tell(ticket, Told::Nothing);
+            return;
+        };
+        if found.placement().is_none() || found.attempt != attempt {
+            let message = format!("attempt {attempt} of {task} is not placed");
+            let refusal = Refusal::wrong(&List::one("attempt", message));
+            self.tell(ticket, Told::Refused(refusal));
+            return;
+        }
+        let (expect, partition) = (found.version, self.partitions[i].index);
+        let change = Change::Release { operator, attempt };
+        self.append(partition, Register::Task(task), expect, change, Some(ticket), now);
+    }
+
+    /// Takes the verdict on a record of this instance, and answers whoever waits for it.
+    pub(super) fn settle_pending(&mut self, i: usize, record: &Record, verdict: Verdict) {
+        let Ok(found) = self.pending.binary_search_by(|p| p.id.cmp(&record.id)) else {
+            return;
+        };
+        let pending = self.pending.remove(found);
+        if let (Register::Task(task), Change::Attempt { .. }) = (&record.register, &record.change)
+            && verdict != Verdict::Accepted
+        {
+            self.overtaken(i, task);
+        }
+        if let Some(ticket) = pending.ticket {
+            let told = self.verdict(i, record, verdict);
+            self.tell(ticket, told);
+        }
+    }
+
+    fn verdict(&self, i: usize, record: &Record, verdict: Verdict) -> Told {
+        let book = &self.partitions[i].book;
+        let accepted = verdict == Verdict::Accepted;
+        match (&record.register, &record.change) {
+            (Register::Job(id), Change::Submit { job, .. }) => book
+                .job(id.as_str())
+                .map_or(Told::Nothing, |entry| same_job(entry.job == *job, entry.into())),
+            (Register::Job(id), _) => self.job(i, id).map_or(Told::Nothing, Told::Job),
+            (Register::Key(_), Change::Claim { .. }) if accepted => Told::Claimed,
+            (Register::Key(id), Change::Claim { digest }) => {
+                book.key(id.as_str()).map_or(Told::Nothing, |key| same_request(key, *digest))
+            }
+            (Register::Key(_), _) => Told::Settled,
+            _ if accepted => Told::Settled,
+            _ => Told::Refused(Refusal::wrong(&List::one("task", "changed in the meantime"))),
+        }
+    }
+}
+
+fn same_job(same: bool, status: status::Job) -> Told {
+    if same {
+        Told::Job(status)
+    } else {
+        Told::Refused(Refusal::not_run(Reason::Mismatch, Millis::ZERO))
+    }
+}
+
+fn same_request(key: &Key, digest: u64) -> Told {
+    if key.digest == digest {
+        Told::Answer(known(key))
+    } else {
+        Told::Refused(Refusal::not_run(Reason::Mismatch, Millis::ZERO))
+    }
+}
+
+/// Returns what is known of a claimed request: its answer, or that it may have run.
+fn known(key: &Key) -> Answer {
+    key.answer.clone().unwrap_or_else(|| Answer::Unknown { request: key.request.clone() })
+}
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -2,10 +2,12 @@
 
 use crate::clock::Millis;
 use crate::contract::job::{self, Job};
+use crate::contract::kind::Kind;
 use crate::contract::request::{self, Answer};
 use crate::contract::task::{self, Attempt, State};
 use crate::ledger::record::{Change, End, Record, Register};
 use crate::ledger::{Offset, Verdict, judge};
+use crate::machine::capacity::Capacity;
 use crate::machine::worker::Epoch;
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
@@ -25,6 +27,8 @@
     pub result: String,
     /// When the last attempt was recorded.
     pub placed_at: Millis,
+    /// Capacity that the last attempt reserves; the declared need before the first.
+    pub needs: Capacity,
 }
 
 /// A job in the book.
@@ -34,8 +38,8 @@
     pub version: u64,
     /// The job itself.
     pub job: Job,
-    /// Attempts of a task that may fail before the task fails, as the kind said at submission.
-    pub attempts: u32,
+    /// Its kind of work as it was at acceptance.
+    pub kind: Kind,
     /// When it was accepted, by its writer's clock.
     pub at: Millis,
     /// Whether it was cancelled.
@@ -135,8 +139,8 @@
         let verdict = judge(record.expect, version, legal);
         if verdict == Verdict::Accepted {
             match (&record.change, found) {
-                (Change::Submit { job, attempts }, Err(i)) => {
-                    self.jobs.insert(i, Entry::new(job, *attempts, record.at));
+                (Change::Submit { job, kind }, Err(i)) => {
+                    self.jobs.insert(i, Entry::new(job, kind, record.at));
                 }
                 (_, Ok(i)) => self.jobs[i].cancel(),
                 (_, Err(_)) => {}
@@ -149,14 +153,14 @@
         let Ok(i) = self.job_position(id.job.as_str()) else {
             return judge(record.expect, 0, false);
         };
-        let Entry { attempts, cancelled, tasks, .. } = &mut self.jobs[i];
+        let Entry { kind, cancelled, tasks, .. } = &mut self.jobs[i];
         let Some(task) = tasks.get_mut(id.index as usize) else {
             return judge(record.expect, 0, false);
         };
         let verdict = judge(record.expect, task.version, task.permits(&record.change));
         if verdict == Verdict::Accepted {
             task.version += 1;
-            task.apply(&record.change, record.at, *attempts, *cancelled);
+            task.apply(&record.change, record.at, kind.attempts, *cancelled);
         }
         verdict
     }
@@ -195,7 +199,7 @@
 }
 
 impl Entry {
-    fn new(job: &Job, attempts: u32, at: Millis) -> Self {
+    fn new(job: &Job, kind: &Kind, at: Millis) -> Self {
         let task = Task {
             version: 0,
             state: State::Waiting,
@@ -203,11 +207,12 @@
             failures: 0,
             result: String::new(),
             placed_at: Millis::ZERO,
+            needs: job.needs,
         };
         Self {
             version: 1,
             job: job.clone(),
-            attempts,
+            kind: kind.clone(),
             at,
             cancelled: false,
             tasks: vec![task; job.tasks as usize],
@@ -253,8 +258,9 @@
 
     fn apply(&mut self, change: &Change, at: Millis, attempts: u32, cancelled: bool) {
         match change {
-            Change::Attempt { attempt, worker, epoch, .. } => {
+            Change::Attempt { attempt, worker, epoch, needs, .. } => {
                 self.attempt = *attempt;
+                self.needs = *needs;
                 self.placed_at = at;
                 self.state = State::Placed { worker: worker.clone(), epoch: *epoch };
             }
--- a/crates/core/src/ledger/record.rs
+++ b/crates/core/src/ledger/record.rs
@@ -3,8 +3,10 @@
 use crate::clock::Millis;
 use crate::contract::configuration::Patch;
 use crate::contract::job::{self, Job};
+use crate::contract::kind::Kind;
 use crate::contract::{request, task};
 use crate::ledger::Offset;
+use crate::machine::capacity::Capacity;
 use crate::machine::worker::Epoch;
 use crate::name::Name;
 use serde::{Deserialize, Serialize};
@@ -56,8 +58,8 @@
     Submit {
         /// The job.
         job: Job,
-        /// Attempts of a task that may fail before the task fails, as the kind has it now.
-        attempts: u32,
+        /// Its kind of work as it is at acceptance; later patches don't change an accepted job.
+        kind: Kind,
     },
     /// A job is cancelled.
     Cancel,
@@ -69,6 +71,8 @@
         worker: Name,
         /// Epoch of the worker's controller; the start order carries it.
         epoch: Epoch,
+        /// Capacity that is reserved on the worker.
+        needs: Capacity,
         /// The loss whose fence has passed, if the attempt before was not known to be over.
         fence: Option<Offset>,
     },
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -2,6 +2,7 @@
 
 pub mod arbiter;
 pub mod capacity;
+pub mod controller;
 pub mod lease;
 pub mod runner;
 pub mod worker;
--- a/crates/core/src/machine/arbiter.rs
+++ b/crates/core/src/machine/arbiter.rs
@@ -204,7 +204,8 @@
                 self.remove(i, ending, now);
                 Reply::Done
             }
-            _ => Reply::Refused(Refusal::Absent),
+            // A start order that is still under way must not start what was stopped.
+            _ => self.refuse(order, Refusal::Absent),
         }
     }
 
--- /dev/null
+++ b/crates/core/src/machine/controller/hold.rs
@@ -0,0 +1,246 @@
+//! One controlled worker: its inventory, reservations and orders.
+
+use super::{Heard, Outcome, Pulse};
+use crate::clock::Millis;
+use crate::contract::task;
+use crate::machine::capacity::Capacity;
+use crate::machine::worker::{
+    Action, Ended, Epoch, Holding, Inventory, Order, Refusal, Reply, Start,
+};
+use crate::name::Name;
+
+/// Attempts that are remembered as never to be started.
+const REMEMBERED: usize = 1024;
+
+/// Capacity that is held for an attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation {
+    pub task: task::Id,
+    pub attempt: task::Attempt,
+    pub needs: Capacity,
+    pub until: Millis,
+}
+
+/// An order that is to be sent, or whose answer is awaited.
+#[derive(Clone, Debug)]
+struct Waiting {
+    order: Order,
+    sent: bool,
+}
+
+/// The state of a controlled worker.
+#[derive(Clone, Debug)]
+pub(super) struct Hold {
+    pub epoch: Epoch,
+    pub inventory: Inventory,
+    revision: u64,
+    /// Sorted by task.
+    pub reservations: Vec<Reservation>,
+    waiting: Vec<Waiting>,
+    /// Sequences that are recorded, above the acknowledged one. Sorted.
+    recorded: Vec<u64>,
+    acknowledged: u64,
+    /// Attempts that never start here, oldest first.
+    refused: Vec<(task::Id, task::Attempt)>,
+}
+
+impl Hold {
+    pub fn new(inventory: Inventory) -> Self {
+        Self {
+            epoch: inventory.epoch,
+            inventory,
+            revision: 0,
+            reservations: Vec::new(),
+            waiting: Vec::new(),
+            recorded: Vec::new(),
+            acknowledged: 0,
+            refused: Vec::new(),
+        }
+    }
+
+    /// Returns the capacity that is neither taken nor reserved.
+    pub fn free(&self) -> Capacity {
+        let reserved = self.reservations.iter().fold(Capacity::ZERO, |sum, r| sum.plus(&r.needs));
+        self.inventory.free().saturating_sub(&reserved)
+    }
+
+    /// Drops reservations that lapsed and have no start order waiting.
+    pub fn lapse(&mut self, now: Millis) {
+        let waiting = &self.waiting;
+        self.reservations
+            .retain(|r| r.until >= now || waiting.iter().any(|w| w.order.task == r.task));
+    }
+
+    pub fn runs(&self, task: &task::Id, attempt: task::Attempt) -> bool {
+        self.inventory
+            .running
+            .binary_search_by(|h| h.task.cmp(task))
+            .is_ok_and(|i| self.inventory.running[i].attempt == attempt)
+    }
+
+    pub fn has_ended(&self, task: &task::Id, attempt: task::Attempt) -> bool {
+        self.inventory.ended.iter().any(|e| e.task == *task && e.attempt == attempt)
+    }
+
+    pub fn is_refused(&self, task: &task::Id, attempt: task::Attempt) -> bool {
+        self.refused.iter().any(|(t, a)| t == task && *a >= attempt)
+    }
+
+    /// Never starts the attempt from now on.
+    pub fn refuse(&mut self, task: &task::Id, attempt: task::Attempt) {
+        self.refused.push((task.clone(), attempt));
+        if self.refused.len() > REMEMBERED {
+            self.refused.remove(0);
+        }
+    }
+
+    /// Adds an order, unless the same is waiting.
+    pub fn enqueue(&mut self, order: Order) {
+        let same = |w: &Waiting| {
+            w.order.task == order.task
+                && w.order.attempt == order.attempt
+                && std::mem::discriminant(&w.order.action) == std::mem::discriminant(&order.action)
+        };
+        if !self.waiting.iter().any(same) {
+            self.waiting.push(Waiting { order, sent: false });
+        }
+    }
+
+    /// Returns whether a start order for the task was sent and not answered.
+    pub fn is_starting(&self, task: &task::Id) -> bool {
+        let starts = |w: &Waiting| w.sent && matches!(w.order.action, Action::Start(_));
+        self.waiting.iter().any(|w| w.order.task == *task && starts(w))
+    }
+
+    /// Drops a start order that was not sent.
+    pub fn drop_start(&mut self, task: &task::Id) {
+        let starts = |w: &Waiting| matches!(w.order.action, Action::Start(_));
+        self.waiting.retain(|w| w.sent || w.order.task != *task || !starts(w));
+    }
+
+    /// Takes the orders that may be sent now. A start waits until it can be shown that no loss is
+    /// in force, and its lease never exceeds `until`.
+    pub fn orders(&mut self, proof: bool, until: Millis) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for waiting in self.waiting.iter_mut().filter(|w| !w.sent) {
+            if let Action::Start(Start { until: lease, .. }) = &mut waiting.order.action {
+                if !proof {
+                    continue;
+                }
+                *lease = until;
+            }
+            waiting.sent = true;
+            orders.push(waiting.order.clone());
+        }
+        orders
+    }
+
+    /// Takes in answers to orders. Returns whether this instance is still the controller.
+    pub fn ordered(&mut self, orders: &[Order], outcome: Outcome<Vec<Reply>>) -> bool {
+        let Outcome::Answered(replies) = outcome else {
+            // The orders may have taken effect. They are sent again when they are wished again.
+            self.waiting.retain(|w| !w.sent || !orders.contains(&w.order));
+            return true;
+        };
+        self.waiting.retain(|w| !w.sent || !orders.contains(&w.order));
+        for (order, reply) in orders.iter().zip(&replies) {
+            match (&order.action, reply) {
+                (_, Reply::Refused(Refusal::Epoch)) => return false,
+                (Action::Start(start), Reply::Done) => self.started(order, start),
+                (Action::Start(_), Reply::Refused(_)) => {
+                    self.refuse(&order.task, order.attempt);
+                    self.unreserve(&order.task);
+                }
+                _ => {}
+            }
+        }
+        true
+    }
+
+    fn started(&mut self, order: &Order, start: &Start) {
+        self.unreserve(&order.task);
+        let Err(i) = self.inventory.running.binary_search_by(|h| h.task.cmp(&order.task)) else {
+            return;
+        };
+        if self.has_ended(&order.task, order.attempt) {
+            return;
+        }
+        let holding = Holding {
+            task: order.task.clone(),
+            attempt: order.attempt,
+            epoch: start.epoch,
+            team: start.team.clone(),
+            kind: start.kind.clone(),
+            needs: start.needs,
+            until: start.until,
+            usage: Capacity::ZERO,
+        };
+        self.inventory.running.insert(i, holding);
+    }
+
+    pub fn unreserve(&mut self, task: &task::Id) {
+        self.reservations.retain(|r| r.task != *task);
+    }
+
+    /// Takes in the worker's answer to a sign of life.
+    pub fn hear(&mut self, heard: Heard) {
+        if let Some(inventory) = heard.inventory {
+            self.revision = heard.revision;
+            self.inventory = inventory;
+        }
+        self.inventory.ended = heard.ended;
+    }
+
+    /// Returns the ended attempts that are not recorded yet.
+    pub fn unrecorded(&self) -> impl Iterator<Item = &Ended> {
+        let recorded = &self.recorded;
+        self.inventory
+            .ended
+            .iter()
+            .filter(|e| e.sequence > self.acknowledged)
+            .filter(|e| recorded.binary_search(&e.sequence).is_err())
+    }
+
+    /// Notes that the ended attempt with this sequence is recorded.
+    pub fn record(&mut self, sequence: u64) {
+        if let Err(i) = self.recorded.binary_search(&sequence) {
+            self.recorded.insert(i, sequence);
+        }
+        let first_open = self.unrecorded().map(|e| e.sequence).next();
+        let last = self.inventory.ended.last().map_or(0, |e| e.sequence);
+        let done = first_open.map_or(last, |open| open - 1);
+        self.acknowledged = self.acknowledged.max(done);
+        let acknowledged = self.acknowledged;
+        self.recorded.retain(|s| *s > acknowledged);
+    }
+
+    /// Returns the new end of all leases when all may be renewed; else enqueues a renewal for each
+    /// attempt that may, and a stop for each that is lost.
+    pub fn renew(
+        &mut self,
+        loss: Epoch,
+        proof: bool,
+        held_kinds: &[Name],
+        until: Millis,
+    ) -> Option<Millis> {
+        let is_held = |h: &Holding| held_kinds.binary_search(&h.kind).is_ok();
+        let may = |h: &Holding| is_held(h) || (proof && h.epoch > loss);
+        if self.inventory.running.iter().all(may) {
+            return Some(until);
+        }
+        let (renewed, other): (Vec<Holding>, Vec<Holding>) =
+            self.inventory.running.iter().cloned().partition(may);
+        for Holding { task, attempt, .. } in renewed {
+            self.enqueue(Order { task, attempt, action: Action::Renew { until } });
+        }
+        for Holding { task, attempt, .. } in other.into_iter().filter(|h| h.epoch <= loss) {
+            self.enqueue(Order { task, attempt, action: Action::Stop });
+        }
+        None
+    }
+
+    pub const fn pulse(&self, renew_all: Option<Millis>) -> Pulse {
+        let Self { epoch, revision, acknowledged, .. } = self;
+        Pulse { epoch: *epoch, seen: *revision, acknowledged: *acknowledged, renew_all }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/duty/gossip.rs
@@ -0,0 +1,277 @@
+//! The gossip duty: reads the instance list, tells peers that this instance lives, and fetches
+//! from them what the log can't give.
+
+use crate::duty::Duty;
+use crate::duty::ledger::Command;
+use crate::platform::{Failure, List};
+use crate::ring::{self, Latest, Publisher, Sender};
+use crate::view::{self, Facts, Members};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::zone::membership::{Instance, Membership, Role, State};
+use pimentovalve_wire::http::Pending;
+use pimentovalve_wire::http::client::Client;
+use pimentovalve_wire::peer::{Ping, Pull, Pulled};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// The gossip duty.
+pub struct Gossip {
+    /// What is known of the entry instances.
+    pub membership: Membership,
+    /// The instance list.
+    pub list: Arc<dyn List>,
+    /// Time between two readings of the list.
+    pub list_every: Millis,
+    /// Longest time by which the list lags.
+    pub list_lag: Millis,
+    /// Time between two signs of life to each peer.
+    pub ping_every: Millis,
+    /// Greatest difference between clocks.
+    pub skew: Millis,
+    /// Key to show to peers, as `name:secret`.
+    pub key: Option<String>,
+    /// What the ledger duty publishes.
+    pub facts: Latest<Facts>,
+    /// The ledger duty.
+    pub ledger: Sender<Command>,
+    /// Where the view goes.
+    pub members: Publisher<Arc<Members>>,
+    /// Cancelled when the instance starts to drain.
+    pub drain: CancellationToken,
+}
+
+enum Event {
+    Listed(Result<Vec<Instance>, Failure>),
+    Pong { peer: Instance, asked: Millis, pong: Option<Ping> },
+    Pulled(Pulled),
+}
+
+/// What a peer last said.
+struct Word {
+    peer: Instance,
+    asked: Millis,
+    pong: Ping,
+}
+
+struct State {
+    duty: Gossip,
+    client: Arc<Client>,
+    events: Sender<Event>,
+    listed: Vec<Instance>,
+    list_read: Millis,
+    first_listed: Option<Millis>,
+    words: Vec<Word>,
+    pinging: Vec<Instance>,
+}
+
+impl Duty for Gossip {
+    fn name(&self) -> &'static str {
+        "gossip"
+    }
+
+    fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
+        Box::pin(async move {
+            let (events, received) = ring::ring(64);
+            let mut list_tick = tokio::time::interval(Duration::from(self.list_every));
+            let mut ping_tick = tokio::time::interval(Duration::from(self.ping_every));
+            let drain = self.drain.clone();
+            let mut state = State {
+                duty: *self,
+                client: Arc::new(Client::new()),
+                events,
+                listed: Vec::new(),
+                list_read: Millis::ZERO,
+                first_listed: None,
+                words: Vec::new(),
+                pinging: Vec::new(),
+            };
+            let mut draining = false;
+            loop {
+                tokio::select! {
+                    () = stop.cancelled() => break,
+                    () = drain.cancelled(), if !draining => {
+                        draining = true;
+                        state.duty.membership.drain();
+                        state.ping();
+                    }
+                    Some(event) = received.next() => state.event(event),
+                    _ = list_tick.tick() => state.list(),
+                    _ = ping_tick.tick() => state.ping(),
+                }
+                state.publish();
+            }
+        })
+    }
+}
+
+impl State {
+    fn list(&self) {
+        let (list, events) = (Arc::clone(&self.duty.list), self.events.clone());
+        tokio::spawn(async move {
+            let result = list.instances().await;
+            if events.push(Event::Listed(result)).await.is_err() {
+                tracing::debug!("the gossip duty has ended");
+            }
+        });
+    }
+
+    fn ping(&mut self) {
+        let peers: Vec<Instance> = self.duty.membership.peers().cloned().collect();
+        for peer in peers {
+            if self.pinging.iter().any(|p| p.name == peer.name) {
+                continue;
+            }
+            self.pinging.push(peer.clone());
+            self.ping_one(peer);
+        }
+    }
+
+    fn ping_one(&self, peer: Instance) {
+        let ping = self.word();
+        let (client, events) = (Arc::clone(&self.client), self.events.clone());
+        let (timeout, key) = (self.duty.ping_every.times(2), self.duty.key.clone());
+        let asked = view::now();
+        tokio::spawn(async move {
+            let call = client.exchange_with_key(
+                &peer.address,
+                "/peer/ping",
+                &ping,
+                timeout,
+                key.as_deref(),
+            );
+            let pong = call.await.ok();
+            if events.push(Event::Pong { peer, asked, pong }).await.is_err() {
+                tracing::debug!("the gossip duty has ended");
+            }
+        });
+    }
+
+    fn word(&self) -> Ping {
+        self.duty.facts.borrow().word(self.duty.membership.own())
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Listed(Ok(instances)) => self.listed(instances),
+            Event::Listed(Err(failure)) => {
+                tracing::debug!(?failure, "the instance list could not be read");
+            }
+            Event::Pong { peer, asked, pong } => {
+                self.pinging.retain(|p| p.name != peer.name);
+                if let Some(pong) = pong {
+                    self.pong(peer, asked, pong);
+                }
+            }
+            Event::Pulled(mut pulled) => {
+                pulled.fleet_as_of = pulled.fleet_as_of - self.duty.skew;
+                pulled.history_as_of = pulled.history_as_of - self.duty.skew;
+                self.command(Command::Merge(pulled));
+            }
+        }
+    }
+
+    fn listed(&mut self, instances: Vec<Instance>) {
+        let now = view::now();
+        self.list_read = now;
+        let own = &self.duty.membership.own().name;
+        if self.first_listed.is_none() && instances.iter().any(|i| i.name == *own) {
+            self.first_listed = Some(now);
+        }
+        self.duty.membership.listed(&instances, now);
+        self.listed = instances;
+    }
+
+    fn pong(&mut self, peer: Instance, asked: Millis, pong: Ping) {
+        self.duty.membership.heard(peer.name.as_str(), pong.draining, view::now());
+        let newer = {
+            let facts = self.duty.facts.borrow();
+            pong.history_next > facts.history.next
+                || pong.fleet_next > facts.fleet.next
+                || (facts.log_out
+                    && (pong.fleet_as_of > facts.fleet_as_of + self.duty.skew
+                        || pong.history_as_of > facts.history_as_of + self.duty.skew))
+        };
+        if newer {
+            self.pull(peer.clone());
+        }
+        match self.words.binary_search_by(|w| w.peer.name.cmp(&peer.name)) {
+            Ok(i) => self.words[i] = Word { peer, asked, pong },
+            Err(i) => self.words.insert(i, Word { peer, asked, pong }),
+        }
+        self.witness();
+    }
+
+    fn pull(&self, peer: Instance) {
+        let pull = {
+            let facts = self.duty.facts.borrow();
+            Pull { history_next: facts.history.next, fleet_next: facts.fleet.next }
+        };
+        let (client, events) = (Arc::clone(&self.client), self.events.clone());
+        let (timeout, key) = (self.duty.ping_every.times(4), self.duty.key.clone());
+        tokio::spawn(async move {
+            let call = client.exchange_with_key(
+                &peer.address,
+                "/peer/pull",
+                &pull,
+                timeout,
+                key.as_deref(),
+            );
+            if let Ok(pulled) = call.await
+                && events.push(Event::Pulled(pulled)).await.is_err()
+            {
+                tracing::debug!("the gossip duty has ended");
+            }
+        });
+    }
+
+    /// In an outage of the log: when every peer that could record a loss says that it has none
+    /// under way, the losses that are known are all there are. Model: `specs/attempt.tla`.
+    fn witness(&mut self) {
+        let membership = &self.duty.membership;
+        let peers: Vec<&Instance> = membership.peers().collect();
+        self.words.retain(|w| peers.iter().any(|p| p.name == w.peer.name));
+        let facts = self.duty.facts.borrow().clone();
+        let list_current = view::now().since(self.list_read) <= self.duty.list_lag;
+        let quiet = self.words.iter().all(|w| !w.pong.loss_pending);
+        if !facts.log_out || !list_current || !quiet || peers.len() != self.words.len() {
+            return;
+        }
+        let asked = self.words.iter().map(|w| w.asked).min().unwrap_or(self.list_read);
+        let as_of = asked.min(self.list_read);
+        let fleet_next = self.words.iter().map(|w| w.pong.fleet_next).max().unwrap_or(0);
+        if !facts.loss_pending {
+            self.command(Command::Witness { fleet_next, as_of });
+        }
+    }
+
+    fn command(&self, command: Command) {
+        if self.duty.ledger.offer(command).is_err() {
+            tracing::warn!("the ledger duty is behind; a peer's word is dropped");
+        }
+    }
+
+    fn publish(&self) {
+        let now = view::now();
+        let membership = &self.duty.membership;
+        let settled =
+            self.first_listed.is_some_and(|first| now.since(first) >= self.duty.list_lag);
+        let own = membership.own().clone();
+        let draining = own.state == State::Leaving;
+        let members = Members {
+            own,
+            listed: self.listed.iter().filter(|i| i.role != Role::Entry).cloned().collect(),
+            candidates: membership.candidates(now).into_iter().cloned().collect(),
+            peers: membership.peers().cloned().collect(),
+            settled,
+            draining,
+        };
+        self.duty.members.send_if_modified(|old| {
+            let changed = **old != members;
+            if changed {
+                *old = Arc::new(members);
+            }
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/http.rs
@@ -0,0 +1,180 @@
+//! The platform over HTTP.
+
+use super::{Failure, List, Log, Runner, Worker};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::ledger::Offset;
+use pimentovalve_core::zone::membership::Instance;
+use pimentovalve_wire::http::client::{self, Client, Error};
+use pimentovalve_wire::http::{Content, Pending};
+use pimentovalve_wire::log::{Append, Appended, Chunk, Gone, Read};
+use pimentovalve_wire::runner::{Call, Done};
+use pimentovalve_wire::worker::{Adopt, Adopted, Beat, Heartbeat, Orders, Replies};
+use pimentovalve_wire::{codec, log};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_bytes::ByteBuf;
+
+/// Status of a service that is out, and did nothing.
+const OUT: u16 = 503;
+/// Status of an offset that is no longer kept.
+const GONE: u16 = 410;
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        let message = error.to_string();
+        match error {
+            Error::Unsent { .. } => Self::Refused(message),
+            Error::Status { status, .. } if status == OUT || (400..500).contains(&status) => {
+                Self::Refused(message)
+            }
+            Error::Status { .. } | Error::Unknown { .. } => Self::Unknown(message),
+        }
+    }
+}
+
+/// The log service and the instance list at fixed addresses.
+#[derive(Debug)]
+pub struct Service {
+    client: Client,
+    log: String,
+    list: String,
+    timeout: Millis,
+}
+
+impl Service {
+    /// Returns the services at two socket addresses, with the longest time for a call.
+    pub fn new(log: impl ToString, list: impl ToString, timeout: Millis) -> Self {
+        Self { client: Client::new(), log: log.to_string(), list: list.to_string(), timeout }
+    }
+
+    async fn read_stream(&self, stream: &str, read: Read) -> Result<Chunk, Failure> {
+        let path = format!("/streams/{stream}/read");
+        let body = codec::pack(&read).map_err(|e| Failure::Refused(e.to_string()))?;
+        let timeout = self.timeout + read.wait_ms;
+        let reply = self.client.call(client::Call::post(&self.log, &path, &body, timeout)).await?;
+        let unreadable = |e: pimentovalve_core::finding::List| Failure::Unknown(e.to_string());
+        match reply.status {
+            200 => codec::unpack(&reply.body).map_err(unreadable),
+            GONE => {
+                let log::Gone { horizon } =
+                    codec::unpack::<Gone>(&reply.body).map_err(unreadable)?;
+                Err(Failure::Gone { horizon })
+            }
+            status => Err(Failure::Refused(format!("the log answered {status}"))),
+        }
+    }
+}
+
+impl Log for Service {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        entries: Vec<Vec<u8>>,
+    ) -> Pending<'a, Result<Offset, Failure>> {
+        Box::pin(async move {
+            let path = format!("/streams/{stream}");
+            let append = Append { entries: entries.into_iter().map(ByteBuf::from).collect() };
+            let appended: Appended =
+                self.client.exchange(&self.log, &path, &append, self.timeout).await?;
+            Ok(appended.first)
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: Offset,
+        max: u32,
+        wait: Millis,
+    ) -> Pending<'a, Result<Chunk, Failure>> {
+        Box::pin(self.read_stream(stream, Read { from, max, wait_ms: wait }))
+    }
+}
+
+impl List for Service {
+    fn instances(&self) -> Pending<'_, Result<Vec<Instance>, Failure>> {
+        Box::pin(async move {
+            let call = client::Call::get(&self.list, "/instances", self.timeout);
+            let reply = self.client.call(call).await?;
+            if reply.status != 200 {
+                return Err(Failure::Refused(format!("the list answered {}", reply.status)));
+            }
+            codec::from_json(&reply.body).map_err(|e| Failure::Refused(e.to_string()))
+        })
+    }
+}
+
+/// Workers and runners at the addresses in the instance list.
+#[derive(Debug)]
+pub struct Machine {
+    client: Client,
+    timeout: Millis,
+}
+
+impl Machine {
+    /// Returns access to machines, with the longest time for a call that doesn't wait.
+    pub const fn new(timeout: Millis) -> Self {
+        Self { client: Client::new(), timeout }
+    }
+
+    async fn exchange<T: Serialize + Sync, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        message: T,
+        wait: Millis,
+    ) -> Result<R, Failure> {
+        Ok(self.client.exchange(address, path, &message, self.timeout + wait).await?)
+    }
+}
+
+impl Worker for Machine {
+    fn adopt<'a>(
+        &'a self,
+        address: &'a str,
+        adopt: Adopt,
+    ) -> Pending<'a, Result<Adopted, Failure>> {
+        Box::pin(self.exchange(address, "/adopt", adopt, Millis::ZERO))
+    }
+
+    fn order<'a>(
+        &'a self,
+        address: &'a str,
+        orders: Orders,
+    ) -> Pending<'a, Result<Replies, Failure>> {
+        Box::pin(self.exchange(address, "/orders", orders, Millis::ZERO))
+    }
+
+    fn beat<'a>(
+        &'a self,
+        address: &'a str,
+        heartbeat: Heartbeat,
+    ) -> Pending<'a, Result<Beat, Failure>> {
+        let wait = heartbeat.wait_ms;
+        Box::pin(self.exchange(address, "/heartbeat", heartbeat, wait))
+    }
+}
+
+impl Runner for Machine {
+    fn serve<'a>(
+        &'a self,
+        address: &'a str,
+        call: Call,
+        fresh: bool,
+    ) -> Pending<'a, Result<Done, Failure>> {
+        Box::pin(async move {
+            let body = codec::to_json(&call).map_err(|e| Failure::Refused(e.to_string()))?;
+            let post = client::Call {
+                content: Content::Json,
+                fresh,
+                ..client::Call::post(address, "/serve", &body, call.budget_ms)
+            };
+            let reply = self.client.call(post).await?;
+            match reply.status {
+                200 => codec::from_json(&reply.body).map_err(|e| Failure::Unknown(e.to_string())),
+                OUT => Err(Failure::Refused("the runner is busy".into())),
+                status => Err(Failure::Unknown(format!("the runner answered {status}"))),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ring.rs
@@ -0,0 +1,97 @@
+//! Bounded rings between duties.
+//!
+//! Two rules keep duties from waiting for each other in a circle. A command to another duty is
+//! *offered*: when the ring is full it comes back at once, and ends in an honest refusal. Only
+//! what flows away from its source (rows of the log, reports, events of a duty's own calls) may
+//! be *pushed*, which waits for a place.
+
+use snafu::Snafu;
+use tokio::sync::{oneshot, watch};
+
+/// The ring is full, or its receiver has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("the ring is full or its receiver has ended"))]
+pub struct Full;
+
+/// The sending end.
+#[derive(Debug)]
+pub struct Sender<T>(async_channel::Sender<T>);
+
+impl<T> Clone for Sender<T> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+/// The receiving end.
+#[derive(Debug)]
+pub struct Receiver<T>(async_channel::Receiver<T>);
+
+/// Returns both ends of a ring with `places` places.
+pub fn ring<T>(places: usize) -> (Sender<T>, Receiver<T>) {
+    let (sender, receiver) = async_channel::bounded(places.max(1));
+    (Sender(sender), Receiver(receiver))
+}
+
+impl<T> Sender<T> {
+    /// Puts an item in the ring without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Full`] when there is no place.
+    pub fn offer(&self, item: T) -> Result<(), Full> {
+        self.0.try_send(item).map_err(|_| Full)
+    }
+
+    /// Puts an item in the ring, waiting for a place.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Full`] when the receiver has ended.
+    pub async fn push(&self, item: T) -> Result<(), Full> {
+        self.0.send(item).await.map_err(|_| Full)
+    }
+
+    /// Returns how many places are taken.
+    pub fn depth(&self) -> usize {
+        self.0.len()
+    }
+}
+
+impl<T> Receiver<T> {
+    /// Takes the next item, waiting for one. `None` when all senders have ended.
+    pub async fn next(&self) -> Option<T> {
+        self.0.recv().await.ok()
+    }
+
+    /// Takes the next item if there is one.
+    pub fn try_next(&self) -> Option<T> {
+        self.0.try_recv().ok()
+    }
+}
+
+/// Where the answer to one command goes.
+pub type Reply<T> = oneshot::Sender<T>;
+
+/// A ring of one place in which the newest value replaces the older one; every reader sees the
+/// newest.
+pub type Latest<T> = watch::Receiver<T>;
+
+/// The writing end of a [`Latest`].
+pub type Publisher<T> = watch::Sender<T>;
+
+/// Returns both ends of a [`Latest`].
+pub fn latest<T>(first: T) -> (Publisher<T>, Latest<T>) {
+    watch::channel(first)
+}
+
+/// Sends a command that carries its reply's address, and waits for the reply.
+///
+/// # Errors
+///
+/// Returns [`Full`] when the ring is full or the receiver ended without a reply.
+pub async fn ask<T, R>(ring: &Sender<T>, command: impl FnOnce(Reply<R>) -> T) -> Result<R, Full> {
+    let (reply, answer) = oneshot::channel();
+    ring.offer(command(reply))?;
+    answer.await.map_err(|_| Full)
+}
--- /dev/null
+++ b/crates/daemon/src/view.rs
@@ -0,0 +1,120 @@
+//! What duties publish to each other: the newest value replaces the older one.
+
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::request::Reason;
+use pimentovalve_core::ledger::Stream;
+use pimentovalve_core::ledger::fleet::Fleet;
+use pimentovalve_core::ledger::history::History;
+use pimentovalve_core::machine::worker::Epoch;
+use pimentovalve_core::name::Name;
+use pimentovalve_core::zone::membership::{Instance, Role, State};
+use pimentovalve_core::zone::stewardship;
+use pimentovalve_wire::peer::Ping;
+use std::sync::Arc;
+
+/// The instances that exist, as the gossip duty sees them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Members {
+    /// This instance.
+    pub own: Instance,
+    /// All listed instances.
+    pub listed: Vec<Instance>,
+    /// Entry instances that may own something, sorted by name.
+    pub candidates: Vec<Instance>,
+    /// Entry instances that must be told, listed now or within the list's lag.
+    pub peers: Vec<Instance>,
+    /// Whether this instance has been listed for the list's longest lag.
+    pub settled: bool,
+    /// Whether this instance drains.
+    pub draining: bool,
+}
+
+impl Members {
+    /// Returns a view that knows only this instance.
+    pub const fn alone(own: Instance) -> Self {
+        Self {
+            own,
+            listed: Vec::new(),
+            candidates: Vec::new(),
+            peers: Vec::new(),
+            settled: false,
+            draining: false,
+        }
+    }
+
+    /// Returns the preferred steward of a stream.
+    pub fn steward(&self, stream: Stream) -> Option<&Instance> {
+        let candidates: Vec<&Instance> = self.candidates.iter().collect();
+        let name = stewardship::owner(&stream.to_string(), None, &candidates)?;
+        self.candidates.iter().find(|c| c.name == *name)
+    }
+
+    /// Returns the preferred controller of a worker.
+    pub fn controller(&self, worker: &Instance) -> Option<&Instance> {
+        let candidates: Vec<&Instance> = self.candidates.iter().collect();
+        let name = stewardship::owner(worker.name.as_str(), Some(&worker.place), &candidates)?;
+        self.candidates.iter().find(|c| c.name == *name)
+    }
+
+    /// Returns the listed instances of a role.
+    pub fn of_role(&self, role: Role) -> impl Iterator<Item = &Instance> {
+        self.listed.iter().filter(move |i| i.role == role)
+    }
+}
+
+/// The streams that everybody reads, as the ledger duty has them.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    /// The configuration with its history.
+    pub history: Arc<History>,
+    /// Instant as of which the history is complete.
+    pub history_as_of: Millis,
+    /// The losses.
+    pub fleet: Arc<Fleet>,
+    /// Instant as of which the losses are complete.
+    pub fleet_as_of: Millis,
+    /// Whether a loss that this instance recorded may still land.
+    pub loss_pending: bool,
+    /// Whether the last call of the log failed.
+    pub log_out: bool,
+}
+
+impl Facts {
+    /// Returns what this instance says of itself to its peers.
+    pub fn word(&self, own: &Instance) -> Ping {
+        Ping {
+            from: own.name.clone(),
+            draining: own.state == State::Leaving,
+            version: self.history.configuration().version,
+            history_next: self.history.next,
+            fleet_next: self.fleet.next,
+            fleet_as_of: self.fleet_as_of,
+            history_as_of: self.history_as_of,
+            loss_pending: self.loss_pending,
+        }
+    }
+
+    /// Returns whether new work may be taken, or why not.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason with which new work is refused.
+    pub fn open(&self, members: &Members, term: Millis, now: Millis) -> Result<(), Reason> {
+        if members.draining {
+            Err(Reason::Draining)
+        } else if now.since(self.history_as_of) > term {
+            Err(Reason::Configuration)
+        } else {
+            Ok(())
+        }
+    }
+}
+
+/// The workers that the control duty controls.
+pub type Held = Arc<Vec<(Name, Epoch)>>;
+
+/// Returns the present time of this process.
+pub fn now() -> Millis {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(Millis::ZERO, Millis::from)
+}
