--- a/crates/core/src/contract/steward.rs
+++ b/crates/core/src/contract/steward.rs
@@ -299,6 +299,12 @@
         }
     }
 
+    /// Forgets a worker that has left the fleet.
+    pub fn forget(&mut self, worker: &Name) {
+        self.planner.forget(worker);
+        self.standings.retain(|s| s.worker.name != *worker);
+    }
+
     /// Returns the partitions of which this is the steward.
     pub fn partitions(&self) -> impl Iterator<Item = u16> + '_ {
         self.partitions.iter().map(|p| p.index)
--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -4,6 +4,12 @@
 //! was told to takes the whole daemon down: a daemon that lacks a duty must be replaced, and its
 //! peers take over within the suspicion time.
 
+pub mod control;
+pub mod dispatch;
+pub mod gossip;
+pub mod ledger;
+pub mod steward;
+
 use pimentovalve_wire::http::Pending;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use snafu::{ResultExt, Snafu};
--- a/crates/daemon/src/duty/control.rs
+++ b/crates/daemon/src/duty/control.rs
@@ -105,11 +105,10 @@
         Box::pin(async move {
             let (calls, received) = ring::ring(256);
             let (mut members, mut facts) = (self.members.clone(), self.facts.clone());
-            let events = self.events;
-            let duty = Control { events: ring::ring(1).1, ..*self };
+            let events = self.events.clone();
+            let duty = *self;
             let client = Arc::new(Client::new());
-            let mut state =
-                State { duty, client, calls, losing: Vec::new(), told: Vec::new() };
+            let mut state = State { duty, client, calls, losing: Vec::new(), told: Vec::new() };
             let mut tick = tokio::time::interval(TICK);
             loop {
                 tokio::select! {
@@ -267,12 +266,8 @@
         self.spawn(async move {
             let register = Register::Worker(worker.clone());
             let change = Change::Lost { epoch };
-            let published = ring::ask(&ledger, |reply| Command::Publish {
-                register,
-                expect,
-                change,
-                reply,
-            });
+            let published =
+                ring::ask(&ledger, |reply| Command::Publish { register, expect, change, reply });
             match published.await {
                 Ok(Published::Judged(verdict)) => {
                     tracing::warn!(%worker, epoch, ?verdict, "a worker is lost");
--- a/crates/daemon/src/duty/gossip.rs
+++ b/crates/daemon/src/duty/gossip.rs
@@ -7,7 +7,7 @@
 use crate::ring::{self, Latest, Publisher, Sender};
 use crate::view::{self, Facts, Members};
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::zone::membership::{Instance, Membership, Role, State};
+use pimentovalve_core::zone::membership::{self, Instance, Membership, Role};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::peer::{Ping, Pull, Pulled};
@@ -240,8 +240,9 @@
         let asked = self.words.iter().map(|w| w.asked).min().unwrap_or(self.list_read);
         let as_of = asked.min(self.list_read);
         let fleet_next = self.words.iter().map(|w| w.pong.fleet_next).max().unwrap_or(0);
+        let history_next = self.words.iter().map(|w| w.pong.history_next).max().unwrap_or(0);
         if !facts.loss_pending {
-            self.command(Command::Witness { fleet_next, as_of });
+            self.command(Command::Witness { fleet_next, history_next, as_of });
         }
     }
 
@@ -254,10 +255,9 @@
     fn publish(&self) {
         let now = view::now();
         let membership = &self.duty.membership;
-        let settled =
-            self.first_listed.is_some_and(|first| now.since(first) >= self.duty.list_lag);
+        let settled = self.first_listed.is_some_and(|first| now.since(first) >= self.duty.list_lag);
         let own = membership.own().clone();
-        let draining = own.state == State::Leaving;
+        let draining = own.state == membership::State::Leaving;
         let members = Members {
             own,
             listed: self.listed.iter().filter(|i| i.role != Role::Entry).cloned().collect(),
--- a/crates/daemon/src/duty/ledger.rs
+++ b/crates/daemon/src/duty/ledger.rs
@@ -74,6 +74,8 @@
     Witness {
         /// Next offset of the fleet stream at all of them at most.
         fleet_next: Offset,
+        /// Next offset of the configuration stream at all of them at most.
+        history_next: Offset,
         /// When the oldest answer was asked for.
         as_of: Millis,
     },
@@ -162,8 +164,8 @@
         Box::pin(async move {
             let (events, received) = ring::ring(64);
             let mut members = self.members.clone();
-            let commands = self.commands;
-            let duty = Ledger { commands: ring::ring(1).1, ..*self };
+            let commands = self.commands.clone();
+            let duty = *self;
             let mut state = State {
                 duty,
                 events,
@@ -204,11 +206,14 @@
                 self.publish(register, expect, change, reply).await;
             }
             Command::Merge(pulled) => self.merge(pulled),
-            Command::Witness { fleet_next, as_of } => {
+            Command::Witness { fleet_next, history_next, as_of } => {
                 if fleet_next <= self.fleet.next {
                     self.facts.fleet_as_of = self.facts.fleet_as_of.max(as_of);
-                    self.publish_facts();
                 }
+                if history_next <= self.history.next {
+                    self.facts.history_as_of = self.facts.history_as_of.max(as_of);
+                }
+                self.publish_facts();
             }
             Command::Rows { stream, from, reply } => {
                 let log = Arc::clone(&self.duty.log);
@@ -360,7 +365,7 @@
                     self.landed(stream, id, Landing::Landed).await;
                 }
             }
-            Err(Failure::Refused(message) ) => {
+            Err(Failure::Refused(message)) => {
                 tracing::warn!(%stream, message, "an append was refused");
                 for id in ids {
                     self.landed(stream, id, Landing::Refused).await;
@@ -466,7 +471,8 @@
     fn publish_facts(&mut self) {
         // A record that rests on a version that is past can land, but never come into force.
         let fleet = &self.fleet;
-        let past = |u: &Unsettled| fleet.loss(u.worker.as_str()).is_some_and(|l| l.version > u.expect);
+        let past =
+            |u: &Unsettled| fleet.loss(u.worker.as_str()).is_some_and(|l| l.version > u.expect);
         self.unsettled.retain(|u| !past(u));
         self.facts.loss_pending = !self.unsettled.is_empty();
         if self.facts.history.next != self.history.next {
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -4,12 +4,12 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::ledger::Offset;
 use pimentovalve_core::zone::membership::Instance;
+use pimentovalve_wire::codec;
 use pimentovalve_wire::http::client::{self, Client, Error};
 use pimentovalve_wire::http::{Content, Pending};
 use pimentovalve_wire::log::{Append, Appended, Chunk, Gone, Read};
 use pimentovalve_wire::runner::{Call, Done};
 use pimentovalve_wire::worker::{Adopt, Adopted, Beat, Heartbeat, Orders, Replies};
-use pimentovalve_wire::{codec, log};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
@@ -43,7 +43,7 @@
 
 impl Service {
     /// Returns the services at two socket addresses, with the longest time for a call.
-    pub fn new(log: impl ToString, list: impl ToString, timeout: Millis) -> Self {
+    pub fn new(log: &impl ToString, list: &impl ToString, timeout: Millis) -> Self {
         Self { client: Client::new(), log: log.to_string(), list: list.to_string(), timeout }
     }
 
@@ -56,8 +56,7 @@
         match reply.status {
             200 => codec::unpack(&reply.body).map_err(unreadable),
             GONE => {
-                let log::Gone { horizon } =
-                    codec::unpack::<Gone>(&reply.body).map_err(unreadable)?;
+                let Gone { horizon } = codec::unpack::<Gone>(&reply.body).map_err(unreadable)?;
                 Err(Failure::Gone { horizon })
             }
             status => Err(Failure::Refused(format!("the log answered {status}"))),
--- a/crates/daemon/src/ring.rs
+++ b/crates/daemon/src/ring.rs
@@ -27,6 +27,12 @@
 #[derive(Debug)]
 pub struct Receiver<T>(async_channel::Receiver<T>);
 
+impl<T> Clone for Receiver<T> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
 /// Returns both ends of a ring with `places` places.
 pub fn ring<T>(places: usize) -> (Sender<T>, Receiver<T>) {
     let (sender, receiver) = async_channel::bounded(places.max(1));
@@ -85,13 +91,27 @@
     watch::channel(first)
 }
 
+/// Why a command has no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Unanswered {
+    /// The ring was full; nobody saw the command.
+    #[snafu(display("the ring is full"))]
+    Refused,
+    /// The receiver ended without a reply; the command may have had its effect.
+    #[snafu(display("the receiver ended"))]
+    Dropped,
+}
+
 /// Sends a command that carries its reply's address, and waits for the reply.
 ///
 /// # Errors
 ///
-/// Returns [`Full`] when the ring is full or the receiver ended without a reply.
-pub async fn ask<T, R>(ring: &Sender<T>, command: impl FnOnce(Reply<R>) -> T) -> Result<R, Full> {
+/// Returns whether the command was never seen or may have had its effect.
+pub async fn ask<T, R>(
+    ring: &Sender<T>,
+    command: impl FnOnce(Reply<R>) -> T,
+) -> Result<R, Unanswered> {
     let (reply, answer) = oneshot::channel();
-    ring.offer(command(reply))?;
-    answer.await.map_err(|_| Full)
+    ring.offer(command(reply)).map_err(|Full| Unanswered::Refused)?;
+    answer.await.map_err(|_| Unanswered::Dropped)
 }
