Decide placement by shares, weights and best fit

Change: contract::scheduler::Scheduler with its parts. machine::placement indexes workers by free capacity and scores candidates; machine::view keeps reports less own claims; machine::estimate learns sizes and run times by kind; machine::health quarantines and probes workers. contract::policy holds the three kinds behind one trait, contract::queue weighted fair queueing, contract::share the guaranteed shares over gossiped totals, contract::gang reservations that expire, contract::admission early refusal.

Conclusion: the facade is complete enough to be wired into the daemon.

--- a/crates/core/src/contract.rs
+++ b/crates/core/src/contract.rs
@@ -1,9 +1,17 @@
 //! Contracts: what callers and operators are promised.
 
+pub mod admission;
 pub mod class;
 pub mod configuration;
+pub mod gang;
 pub mod job;
 pub mod kind;
+pub mod measure;
+pub mod policy;
+pub mod queue;
 pub mod request;
+pub mod scheduler;
+pub mod share;
+pub mod table;
 pub mod task;
 pub mod team;
--- /dev/null
+++ b/crates/core/src/contract/admission/tests.rs
@@ -0,0 +1,32 @@
+use super::*;
+use googletest::prelude::*;
+
+fn backlog(work: u64) -> Backlog {
+    Backlog { tasks: 10, work, rate: 1000, idle: false }
+}
+
+#[gtest]
+fn work_that_starts_within_its_deadline_is_taken() {
+    expect_that!(backlog(600_000).verdict(Class::Urgent), ok(anything()));
+    expect_that!(backlog(800_000).verdict(Class::Urgent), err(anything()));
+    expect_that!(backlog(800_000).verdict(Class::Normal), ok(anything()));
+    let idle = Backlog { idle: true, ..backlog(800_000) };
+    expect_that!(idle.verdict(Class::Urgent), ok(anything()));
+}
+
+#[gtest]
+fn the_time_to_come_back_grows_with_the_backlog_within_bounds() {
+    let retry = |work| match backlog(work).verdict(Class::Urgent) {
+        Err(Refusal::Later { retry_after, .. }) => retry_after,
+        other => panic!("{other:?}"),
+    };
+    expect_that!(retry(701_000), eq(SHORTEST_RETRY));
+    expect_that!(retry(10_700_000), eq(Millis(10_000)));
+    expect_that!(retry(u64::MAX), eq(LONGEST_RETRY));
+}
+
+#[gtest]
+fn a_team_has_a_bounded_number_of_waiting_tasks() {
+    let full = Backlog { tasks: MAX_WAITING, ..backlog(0) };
+    expect_that!(full.verdict(Class::Deferrable), err(anything()));
+}
--- a/crates/core/src/contract/configuration.rs
+++ b/crates/core/src/contract/configuration.rs
@@ -48,6 +48,15 @@
     }
 }
 
+impl Shares {
+    /// Returns what work of a class that can't be checkpointed may use at most, in percent: all
+    /// but the shares of the other classes.
+    pub const fn firm(&self, class: Class) -> u32 {
+        let sum = self.urgent + self.normal + self.deferrable;
+        (WHOLE_PERCENT + self.of(class)).saturating_sub(sum)
+    }
+}
+
 impl Default for Shares {
     fn default() -> Self {
         Self { urgent: 30, normal: 40, deferrable: 10 }
--- /dev/null
+++ b/crates/core/src/contract/scheduler.rs
@@ -0,0 +1,533 @@
+//! The scheduler of a steward: which waiting task goes to which worker.
+//!
+//! [`Scheduler`] is told of events (a job was accepted or cancelled, an attempt ended, a worker
+//! was reported, a claim was granted or refused, the configuration changed) and is asked for
+//! decisions, a bounded number at a time. It changes only itself. Its decisions are claims: the
+//! caller asks the worker's controller to reserve, appends the attempt to the ledger and starts
+//! it; whatever was refused on the way is told back.
+//!
+//! The parts: [`decide`](Scheduler::decide) serves the [`crate::contract::queue`] in the order of
+//! shares and weights, [`crate::machine::view`] finds a worker, [`crate::contract::gang`] plans
+//! reservations, and [`crate::contract::admission`] refuses early.
+
+mod account;
+mod decide;
+mod preempt;
+mod reserve;
+
+use crate::clock::Millis;
+use crate::contract::admission::{self, Backlog, Refusal};
+use crate::contract::class::Class;
+use crate::contract::configuration::{Configuration, Shares, Weights};
+use crate::contract::gang::Reservation;
+use crate::contract::job::Job;
+use crate::contract::kind::Kind;
+use crate::contract::measure::Counters;
+use crate::contract::queue::{ALL_TASKS, Queue, Unit};
+use crate::contract::share::{Fleet, Totals, Usage};
+use crate::contract::table::{self, Claim, Entry, Number, Place as TaskPlace, Table};
+use crate::contract::{policy, task};
+use crate::machine::capacity::Capacity;
+use crate::machine::estimate::{Estimates, Sample};
+use crate::machine::health::Health;
+use crate::machine::placement::Handle;
+use crate::machine::view::{Report, View};
+use crate::machine::worker::Ending;
+use crate::name::Name;
+use crate::zone::Place;
+use std::collections::VecDeque;
+
+/// Cancelled units that are left in the queue before it is compacted.
+const STALE_UNITS: usize = 1024;
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Reserve room on a worker, record the attempt and start it.
+    Place {
+        /// The task.
+        task: task::Id,
+        /// The worker.
+        worker: Name,
+        /// Capacity to reserve, which may differ from what the job declared.
+        needs: Capacity,
+        /// The group of a gang: all of the group are reserved before any is recorded, or all
+        /// reservations are released. The decisions of a group come together, sorted by worker.
+        gang: Option<u64>,
+    },
+    /// Checkpoint and stop a running task, to make room for more urgent work.
+    Preempt {
+        /// The task.
+        task: task::Id,
+        /// The worker on which it runs.
+        worker: Name,
+    },
+}
+
+/// A team with what it uses and waits for.
+#[derive(Clone, Debug)]
+struct Team {
+    name: Name,
+    weight: u32,
+    quota: Capacity,
+    used: Capacity,
+    /// Waiting tasks, by class.
+    waiting: [Waiting; Class::ALL.len()],
+}
+
+/// What a team waits for in one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct Waiting {
+    tasks: u32,
+    work: u64,
+}
+
+/// Queues the work of a steward's teams and decides its placement.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    /// Where the steward stands and its teams' input comes from.
+    home: Option<Place>,
+    /// By number.
+    teams: Vec<Team>,
+    /// Sorted by name.
+    teams_by_name: Vec<u16>,
+    shares: Shares,
+    weights: Weights,
+    view: View,
+    estimates: Estimates,
+    health: Health,
+    usage: Usage,
+    queue: Queue,
+    table: Table,
+    /// Own tasks that are claimed or running, by worker.
+    running: Vec<Vec<(Number, u32)>>,
+    reservations: Vec<Reservation>,
+    /// When workers are to be looked at again, in order of time.
+    checks: VecDeque<(Millis, Handle)>,
+    /// Quarantined workers with the end of their quarantine.
+    quarantines: Vec<(Millis, Handle)>,
+    /// Worker from which the next search for tasks to preempt begins.
+    cursor: usize,
+    /// When tasks were last preempted for a peer.
+    relieved_at: Millis,
+    /// Units in the queue whose task waits no more.
+    stale: usize,
+    group: u64,
+    counters: Counters,
+}
+
+impl Scheduler {
+    /// Returns a scheduler without work and workers. `home` is where the steward stands: work
+    /// placed in another region costs traffic.
+    pub fn new(home: Option<Place>, configuration: &Configuration) -> Self {
+        let mut scheduler = Self {
+            home,
+            teams: Vec::new(),
+            teams_by_name: Vec::new(),
+            shares: configuration.shares,
+            weights: configuration.weights,
+            view: View::default(),
+            estimates: Estimates::default(),
+            health: Health::default(),
+            usage: Usage::default(),
+            queue: Queue::default(),
+            table: Table::default(),
+            running: Vec::new(),
+            reservations: Vec::new(),
+            checks: VecDeque::new(),
+            quarantines: Vec::new(),
+            cursor: 0,
+            relieved_at: Millis::ZERO,
+            stale: 0,
+            group: 0,
+            counters: Counters::default(),
+        };
+        scheduler.configure(configuration);
+        scheduler
+    }
+
+    /// Takes over a configuration. A removed team's waiting work stays, with its last weight and
+    /// quota; a quota below what runs stops nothing, and lets nothing further start.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        self.shares = configuration.shares;
+        self.weights = configuration.weights;
+        for team in &configuration.teams {
+            let number = self.team_or_insert(&team.name);
+            let known = &mut self.teams[usize::from(number)];
+            (known.weight, known.quota) = (team.weight, team.quota);
+        }
+    }
+
+    /// Takes in a controller's report of a worker.
+    pub fn worker(&mut self, report: &Report<'_>) {
+        let known = self.view.handle(report.worker.name.as_str()).is_some();
+        let handle = self.view.report(report);
+        if !known {
+            self.health.reset(handle);
+            self.view.quarantine(handle, false);
+        }
+        if self.running.len() <= handle as usize {
+            self.running.resize_with(handle as usize + 1, Vec::new);
+        }
+    }
+
+    /// Takes a worker out of the view. Its tasks stay placed until they are told to have ended.
+    pub fn forget_worker(&mut self, name: &str) {
+        if let Some(handle) = self.view.handle(name) {
+            self.drop_reservations(|r| r.on(handle) != Capacity::ZERO);
+            self.view.forget(name);
+        }
+    }
+
+    /// Takes in what a peer's teams use and wait for.
+    pub fn gossip(&mut self, peer: &Name, totals: &Totals, now: Millis) {
+        self.usage.gossip(peer, totals, now);
+    }
+
+    /// Returns what this steward's teams use and wait for, to be sent to the peers.
+    pub const fn totals(&self) -> &Totals {
+        self.usage.totals()
+    }
+
+    /// Answers whether a job is taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns why not: all findings when it could never run, else a time to come back.
+    pub fn admit(
+        &self,
+        job: &Job,
+        configuration: &Configuration,
+        now: Millis,
+    ) -> Result<(), Refusal> {
+        admission::check(job, configuration, &self.view)?;
+        let kind = configuration.kind(job.kind.as_str());
+        let class = job.class.or(kind.map(|k| k.class)).unwrap_or_default();
+        let known = self.team(&job.team).map(|team| self.backlog(team, class, job, now));
+        known.unwrap_or(Backlog { idle: true, ..Backlog::default() }).verdict(class)
+    }
+
+    /// Queues tasks of an accepted job. `since` is when they began to wait: tasks that waited
+    /// before go to the front. Tasks that wait or are placed already are left as they are.
+    pub fn enqueue(&mut self, job: &Job, kind: &Kind, tasks: &[u32], since: Millis) {
+        let number = match self.table.number(job.id.as_str()) {
+            Some(number) => number,
+            None => self.insert(job, kind),
+        };
+        let mut units = Vec::new();
+        let Some(entry) = self.table.get_mut(number) else { return };
+        let (class, team, needs, work) = (entry.class, entry.team, entry.needs, entry.work);
+        for &index in tasks {
+            if let Some(place @ TaskPlace::Idle) = entry.tasks.get_mut(index as usize) {
+                *place = TaskPlace::Waiting(since);
+                entry.waiting += 1;
+                units.push(Unit { job: number, index, since });
+            }
+        }
+        let count = units.len() as u64;
+        if entry.policy.is_together() && count > 0 {
+            units.truncate(1);
+            units[0].index = ALL_TASKS;
+        }
+        entry.units += u32::try_from(units.len()).unwrap_or(u32::MAX);
+        let waiting = &mut self.teams[usize::from(team)].waiting[class.index()];
+        waiting.tasks += u32::try_from(count).unwrap_or(u32::MAX);
+        waiting.work = waiting.work.saturating_add(work.saturating_mul(count));
+        self.usage.wait(class, &needs.times(count));
+        let first = self.queue.unit(class, team, 0);
+        let front = first.is_some_and(|first| since < first.since);
+        for unit in units {
+            self.queue.push(class, team, unit, front);
+        }
+    }
+
+    /// Cancels a job: its waiting tasks are dropped. Tasks that are placed stay so until they
+    /// are told to have ended.
+    pub fn cancel(&mut self, job: &str) {
+        let Some(number) = self.table.number(job) else { return };
+        self.drop_reservations(|r| r.job == number);
+        let Some(entry) = self.table.get_mut(number) else { return };
+        let count = u64::from(std::mem::take(&mut entry.waiting));
+        for place in &mut entry.tasks {
+            if matches!(place, TaskPlace::Waiting(_)) {
+                *place = TaskPlace::Idle;
+            }
+        }
+        self.stale += entry.units as usize;
+        let (class, team, needs, work) = (entry.class, entry.team, entry.needs, entry.work);
+        self.unwait(class, team, &needs, work, count);
+        self.remove_if_over(number);
+        self.compact();
+    }
+
+    /// Notes that the controller reserved what was claimed for a task.
+    pub fn reserved(&mut self, task: &task::Id, now: Millis) {
+        if let Some((_, claim)) = self.claim(task) {
+            self.view.grant(claim.worker, &claim.needs, now);
+        }
+    }
+
+    /// Notes that the controller refused what was claimed for a task. The task waits again; so
+    /// do all tasks of its gang, whose reservations the caller releases.
+    pub fn reservation_refused(&mut self, task: &task::Id, now: Millis) {
+        let Some((number, refused)) = self.claim(task) else { return };
+        self.counters.refused += 1;
+        let Some(entry) = self.table.get(number) else { return };
+        let same_group = |claim: &Claim| claim.group.is_some() && claim.group == refused.group;
+        let group: Vec<(u32, Claim)> = (0..)
+            .zip(&entry.tasks)
+            .filter_map(|(index, place)| match place {
+                TaskPlace::Placed(claim) if index == task.index || same_group(claim) => {
+                    Some((index, *claim))
+                }
+                _ => None,
+            })
+            .collect();
+        for (index, claim) in &group {
+            if *index == task.index {
+                self.view.refuse(claim.worker, &claim.needs);
+            } else {
+                self.view.release(claim.worker, &claim.needs);
+            }
+            self.health.withdrawn(claim.worker, now);
+            self.refresh(claim.worker, now);
+        }
+        self.withdraw(number, &group, now);
+    }
+
+    /// Notes that an attempt ended. The task is idle until it is queued again. `peak` is the
+    /// greatest usage that was seen, `ran` how long the attempt ran.
+    pub fn ended(
+        &mut self,
+        task: &task::Id,
+        ending: &Ending,
+        peak: &Capacity,
+        ran: Millis,
+        now: Millis,
+    ) {
+        let Some((number, claim)) = self.claim(task) else { return };
+        let Some(entry) = self.table.get(number) else { return };
+        let (hash, kind, declared_run) = (entry.hash, entry.kind.clone(), entry.run);
+        let sample = Sample { declared: entry.needs, peak: *peak, declared_run, ran };
+        let handle = claim.worker;
+        match ending {
+            Ending::Completed(_) => {
+                self.estimates.completed(&kind, &sample);
+                self.health.succeeded(handle, hash);
+            }
+            Ending::Failed(_) => {
+                self.health.failed(handle, hash, now);
+            }
+            Ending::Stopped | Ending::Checkpointed | Ending::Lapsed => {
+                self.estimates.seen(&kind, &sample.declared, peak);
+                self.health.withdrawn(handle, now);
+            }
+        }
+        self.unplace(number, task.index, &claim, ran);
+        self.view.free_up(handle, &claim.needs, now);
+        self.refresh(handle, now);
+        self.remove_if_over(number);
+    }
+
+    /// Takes in the lagging usage of a running task.
+    pub fn usage_seen(&mut self, task: &task::Id, usage: &Capacity) {
+        if let Some((number, _)) = self.claim(task)
+            && let Some(entry) = self.table.get(number)
+        {
+            self.estimates.seen(&entry.kind, &entry.needs, usage);
+        }
+    }
+
+    /// Notes a task that is placed already, such as one that the ledger showed at the start.
+    /// Returns false when the worker is not in the view.
+    pub fn restore(
+        &mut self,
+        job: &Job,
+        kind: &Kind,
+        index: u32,
+        worker: &str,
+        needs: &Capacity,
+        now: Millis,
+    ) -> bool {
+        let Some(handle) = self.view.handle(worker) else { return false };
+        let number = match self.table.number(job.id.as_str()) {
+            Some(number) => number,
+            None => self.insert(job, kind),
+        };
+        let Some(entry) = self.table.get(number) else { return false };
+        if entry.tasks.get(index as usize) != Some(&TaskPlace::Idle) {
+            return false;
+        }
+        let ends = now + self.run(entry);
+        let claim = Claim {
+            worker: handle,
+            needs: *needs,
+            ends,
+            since: now,
+            charged: 0,
+            group: None,
+            preempted: false,
+        };
+        self.view.occupy(handle);
+        self.place(number, index, claim);
+        true
+    }
+
+    /// Returns the counters since the start.
+    pub const fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the view of the fleet's free capacity.
+    pub const fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Returns the number of waiting tasks in a class.
+    pub fn waiting(&self, class: Class) -> u64 {
+        self.teams.iter().map(|t| u64::from(t.waiting[class.index()].tasks)).sum()
+    }
+
+    /// Returns what a team's tasks use.
+    pub fn used(&self, team: &Name) -> Capacity {
+        self.team(team).map_or(Capacity::ZERO, |t| t.used)
+    }
+
+    fn fleet(&self) -> Fleet {
+        Fleet {
+            shares: self.shares,
+            weights: self.weights,
+            total: *self.view.total(),
+            free: *self.view.free(),
+        }
+    }
+
+    fn team(&self, name: &Name) -> Option<&Team> {
+        let position = |&n: &u16| self.teams[usize::from(n)].name.cmp(name);
+        let found = self.teams_by_name.binary_search_by(position);
+        found.ok().map(|i| &self.teams[usize::from(self.teams_by_name[i])])
+    }
+
+    fn team_or_insert(&mut self, name: &Name) -> u16 {
+        let position = |&n: &u16| self.teams[usize::from(n)].name.cmp(name);
+        match self.teams_by_name.binary_search_by(position) {
+            Ok(i) => self.teams_by_name[i],
+            Err(i) => {
+                let number = u16::try_from(self.teams.len()).unwrap_or(u16::MAX);
+                self.teams.push(Team {
+                    name: name.clone(),
+                    weight: 1,
+                    quota: Capacity::ZERO,
+                    used: Capacity::ZERO,
+                    waiting: [Waiting::default(); Class::ALL.len()],
+                });
+                self.teams_by_name.insert(i, number);
+                number
+            }
+        }
+    }
+
+    /// Returns what waits before further work of a team, and how fast it is served.
+    fn backlog(&self, team: &Team, class: Class, job: &Job, _now: Millis) -> Backlog {
+        let fleet = self.fleet();
+        let waiting = team.waiting[class.index()];
+        let share = u64::from(self.shares.of(class)) * 10_000;
+        let used = self.usage.used(class).dominant(&fleet.total);
+        let weights: u64 = self
+            .teams
+            .iter()
+            .filter(|t| t.waiting[class.index()].tasks > 0 || t.name == team.name)
+            .map(|t| u64::from(t.weight))
+            .sum();
+        let rate = share.max(used).max(1) * u64::from(team.weight) / weights.max(1);
+        let queued = self.usage.totals().waiting[class.index()];
+        let ahead = queued.plus(&job.needs.times(u64::from(job.tasks)));
+        let idle = self.usage.allows(class, &ahead, true, &fleet) && fleet.free.holds(&ahead);
+        Backlog { tasks: waiting.tasks, work: waiting.work, rate, idle }
+    }
+
+    fn insert(&mut self, job: &Job, kind: &Kind) -> Number {
+        let team = self.team_or_insert(&job.team);
+        let mut entry = Entry {
+            id: job.id.clone(),
+            hash: table::hash(job.id.as_str()),
+            team,
+            kind: job.kind.clone(),
+            class: job.class.unwrap_or(kind.class),
+            policy: policy::of(kind.shape),
+            needs: job.needs,
+            run: job.run_ms,
+            payload_bytes: job.payload.len() as u64,
+            tasks: vec![TaskPlace::Idle; job.tasks as usize],
+            waiting: 0,
+            placed: 0,
+            units: 0,
+            work: 0,
+            not_before: Millis::ZERO,
+            tries: 0,
+            preempted_at: Millis::ZERO,
+        };
+        entry.work = self.cost(&self.needs(&entry), self.run(&entry));
+        self.table.insert(entry)
+    }
+
+    /// Returns what is reserved for a task of a job.
+    fn needs(&self, entry: &Entry) -> Capacity {
+        let estimated = self.estimates.needs(entry.kind.as_str(), &entry.needs);
+        let quota = self.teams[usize::from(entry.team)].quota;
+        // An estimate above every worker or the quota would wait for ever.
+        let bound = self.view.largest().least(&quota).greatest(&entry.needs);
+        entry.policy.reserve(&entry.needs, &estimated).least(&bound)
+    }
+
+    /// Returns how long a task of a job is expected to run.
+    fn run(&self, entry: &Entry) -> Millis {
+        entry.policy.run(entry.run, self.estimates.run(entry.kind.as_str(), entry.run))
+    }
+
+    /// Returns the cost of a task, in millionths of the fleet times milliseconds.
+    fn cost(&self, needs: &Capacity, run: Millis) -> u64 {
+        needs.dominant(self.view.total()).saturating_mul(run.get())
+    }
+
+    /// Brings the view of a worker in line with its health.
+    fn refresh(&mut self, handle: Handle, now: Millis) {
+        self.view.quarantine(handle, self.health.is_paused(handle, now));
+        if let crate::machine::health::State::Quarantined(until) = self.health.state(handle) {
+            self.quarantines.retain(|&(_, h)| h != handle);
+            self.quarantines.push((until, handle));
+        }
+    }
+
+    fn remove_if_over(&mut self, number: Number) {
+        let over = |e: &Entry| e.units == 0 && e.waiting == 0 && e.placed == 0;
+        if self.table.get(number).is_some_and(over) {
+            self.table.remove(number);
+        }
+    }
+
+    /// Drops the queue units of cancelled tasks once there are more of them than of others.
+    fn compact(&mut self) {
+        let waiting: u64 = Class::ALL.iter().map(|&class| self.waiting(class)).sum();
+        if self.stale <= STALE_UNITS || (self.stale as u64) < waiting {
+            return;
+        }
+        let (table, mut over) = (&mut self.table, Vec::new());
+        self.queue.retain(|unit| {
+            let Some(entry) = table.get_mut(unit.job) else { return false };
+            let keep = entry.waiting > 0;
+            if !keep {
+                entry.units = entry.units.saturating_sub(1);
+                over.push(unit.job);
+            }
+            keep
+        });
+        self.stale = 0;
+        for number in over {
+            self.remove_if_over(number);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -2,6 +2,10 @@
 
 pub mod arbiter;
 pub mod capacity;
+pub mod estimate;
+pub mod health;
 pub mod lease;
+pub mod placement;
 pub mod runner;
+pub mod view;
 pub mod worker;
--- a/crates/core/src/machine/capacity.rs
+++ b/crates/core/src/machine/capacity.rs
@@ -59,6 +59,51 @@
         }
     }
 
+    /// Returns how many times `need` fits in this amount; `u64::MAX` for a need of nothing.
+    pub fn times_held(&self, need: &Self) -> u64 {
+        let times = |amount: u64, need: u64| amount.checked_div(need).unwrap_or(u64::MAX);
+        times(self.cpu_milli, need.cpu_milli)
+            .min(times(self.memory_mib, need.memory_mib))
+            .min(times(self.accelerators, need.accelerators))
+    }
+
+    /// Returns the smaller amount of each resource.
+    pub fn least(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Returns the greater amount of each resource.
+    pub fn greatest(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns `percent` hundredths of the amount, saturating, accelerators rounded down.
+    pub const fn percent(&self, percent: u64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(percent) / 100,
+            memory_mib: self.memory_mib.saturating_mul(percent) / 100,
+            accelerators: self.accelerators.saturating_mul(percent) / 100,
+        }
+    }
+
+    /// Returns the greatest part that this amount is of `whole` in any resource, in millionths.
+    pub fn dominant(&self, whole: &Self) -> u64 {
+        let part = |amount: u64, whole: u64| {
+            amount.saturating_mul(1_000_000).checked_div(whole).unwrap_or(0)
+        };
+        part(self.cpu_milli, whole.cpu_milli)
+            .max(part(self.memory_mib, whole.memory_mib))
+            .max(part(self.accelerators, whole.accelerators))
+    }
+
     /// Returns the amount multiplied by `count`, saturating.
     pub const fn times(&self, count: u64) -> Self {
         Self {
--- /dev/null
+++ b/crates/core/src/machine/estimate/tests.rs
@@ -0,0 +1,89 @@
+use super::*;
+use googletest::prelude::*;
+
+const DECLARED: Capacity = Capacity::new(4000, 8000, 2);
+
+fn kind() -> Name {
+    Name::try_from("index").unwrap()
+}
+
+fn sample(cpu: u64, memory: u64) -> Sample {
+    Sample {
+        declared: DECLARED,
+        peak: Capacity::new(cpu, memory, 2),
+        declared_run: Millis(1000),
+        ran: Millis(3000),
+    }
+}
+
+#[gtest]
+fn the_declared_size_holds_until_enough_tasks_were_seen() {
+    let mut estimates = Estimates::default();
+    for _ in 1..ENOUGH {
+        estimates.completed(&kind(), &sample(1000, 2000));
+        expect_that!(estimates.needs("index", &DECLARED), eq(DECLARED));
+        expect_that!(estimates.run("index", Millis(1000)), none());
+    }
+    estimates.completed(&kind(), &sample(1000, 2000));
+    expect_that!(estimates.needs("index", &DECLARED), eq(Capacity::new(1100, 2200, 2)));
+    expect_that!(estimates.run("index", Millis(1000)), some(eq(Millis(3000))));
+    expect_that!(estimates.needs("other", &DECLARED), eq(DECLARED));
+}
+
+#[gtest]
+fn a_kind_that_declares_too_little_gets_more() {
+    let mut estimates = Estimates::default();
+    for _ in 0..ENOUGH {
+        estimates.completed(&kind(), &sample(16_000, 8000));
+    }
+    expect_that!(estimates.needs("index", &DECLARED), eq(Capacity::new(17_600, 8800, 2)));
+}
+
+#[gtest]
+fn the_greatest_of_few_samples_counts_and_old_ones_are_forgotten() {
+    let mut estimates = Estimates::default();
+    estimates.completed(&kind(), &sample(8000, 8000));
+    for _ in 0..ENOUGH {
+        estimates.completed(&kind(), &sample(1000, 8000));
+    }
+    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(8800));
+    for _ in 0..SAMPLES {
+        estimates.completed(&kind(), &sample(1000, 8000));
+    }
+    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(1100));
+}
+
+#[gtest]
+fn usage_of_running_tasks_only_raises_an_estimate() {
+    let mut estimates = Estimates::default();
+    for _ in 0..ENOUGH {
+        estimates.completed(&kind(), &sample(1000, 2000));
+    }
+    for _ in 0..SAMPLES {
+        estimates.seen(&kind(), &DECLARED, &Capacity::new(100, 100, 0));
+    }
+    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(1100));
+    estimates.seen(&kind(), &DECLARED, &Capacity::new(4000, 2000, 0));
+    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(4400));
+}
+
+#[gtest]
+fn a_task_without_usage_teaches_nothing() {
+    let mut estimates = Estimates::default();
+    for _ in 0..ENOUGH {
+        estimates.completed(&kind(), &sample(0, 0));
+        estimates.completed(&kind(), &Sample { peak: Capacity::ZERO, ..sample(1, 1) });
+    }
+    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, ge(1));
+    expect_that!(estimates.needs("other", &DECLARED), eq(DECLARED));
+}
+
+#[gtest]
+fn run_times_of_tasks_that_declare_none_are_learned_as_they_are() {
+    let mut estimates = Estimates::default();
+    for _ in 0..ENOUGH {
+        estimates.completed(&kind(), &Sample { declared_run: Millis::ZERO, ..sample(1, 1) });
+    }
+    expect_that!(estimates.run("index", Millis::ZERO), some(eq(Millis(3000))));
+    expect_that!(estimates.run("index", Millis(1)), none());
+}
--- /dev/null
+++ b/crates/core/src/machine/health/tests.rs
@@ -0,0 +1,115 @@
+use super::*;
+use googletest::prelude::*;
+
+const NOW: Millis = Millis(1000);
+
+fn fail(health: &mut Health, handle: Handle, job: u64) -> bool {
+    health.started(handle, NOW);
+    health.failed(handle, job, NOW)
+}
+
+#[gtest]
+fn a_worker_that_fails_everything_is_quarantined_after_few_starts() {
+    let mut health = Health::default();
+    let starts = (0..100).take_while(|&job| !fail(&mut health, 0, job)).count() + 1;
+    expect_that!(starts, le(5));
+    expect_that!(health.admits(0, NOW), eq(false));
+    expect_that!(health.admits(1, NOW), eq(true));
+}
+
+#[gtest]
+fn starts_in_flight_are_few_until_they_are_proven() {
+    let mut health = Health::default();
+    let starts = (0..100).take_while(|_| {
+        let admitted = health.admits(0, NOW);
+        health.started(0, NOW);
+        admitted
+    });
+    expect_that!(starts.count(), eq(STRIKES));
+    expect_that!(health.admits(0, NOW + PROOF), eq(true));
+}
+
+#[gtest]
+fn a_job_that_fails_everywhere_quarantines_no_worker() {
+    let mut health = Health::default();
+    for round in 0..10 {
+        for handle in 0..3 {
+            let quarantined = fail(&mut health, handle, 7);
+            expect_that!(quarantined, eq(false), "round {round}");
+        }
+    }
+    expect_that!(health.is_suspect(7), eq(true));
+    expect_that!(health.avoid(7), some(eq(2)));
+}
+
+#[gtest]
+fn a_job_that_succeeded_elsewhere_counts_against_the_worker() {
+    let mut health = Health::default();
+    fail(&mut health, 1, 7);
+    health.succeeded(2, 7);
+    let starts = (0..100).take_while(|_| !fail(&mut health, 0, 7)).count() + 1;
+    expect_that!(starts, le(5));
+}
+
+#[gtest]
+fn a_success_clears_the_failures_before_it() {
+    let mut health = Health::default();
+    for round in 0..20 {
+        expect_that!(fail(&mut health, 0, 2 * round), eq(false));
+        expect_that!(fail(&mut health, 0, 2 * round + 1), eq(false));
+        health.succeeded(0, 99);
+    }
+}
+
+#[gtest]
+fn one_probe_after_the_pause_lets_a_healed_worker_back() {
+    let mut health = Health::default();
+    for job in 0..4 {
+        fail(&mut health, 0, job);
+    }
+    let State::Quarantined(until) = health.state(0) else { panic!("not quarantined") };
+    expect_that!(health.admits(0, until - Millis(1)), eq(false));
+    expect_that!(health.admits(0, until), eq(true));
+    health.started(0, until);
+    expect_that!(health.admits(0, until), eq(false));
+    health.succeeded(0, 50);
+    expect_that!(health.state(0), eq(State::Sound));
+    expect_that!(health.admits(0, until), eq(true));
+}
+
+#[gtest]
+fn a_failed_probe_doubles_the_pause() {
+    let mut health = Health::default();
+    for job in 0..4 {
+        fail(&mut health, 0, job);
+    }
+    let mut now = NOW + FIRST_PAUSE;
+    for pause in [60, 120, 240, 480, 600, 600] {
+        health.started(0, now);
+        expect_that!(health.failed(0, now.get(), now), eq(true));
+        let until = now + Millis::from_secs(pause);
+        expect_that!(health.state(0), eq(State::Quarantined(until)));
+        now = until;
+    }
+}
+
+#[gtest]
+fn a_probe_that_tells_nothing_is_tried_again() {
+    let mut health = Health::default();
+    for job in 0..4 {
+        fail(&mut health, 0, job);
+    }
+    let later = NOW + FIRST_PAUSE;
+    health.started(0, later);
+    health.withdrawn(0, later);
+    expect_that!(health.admits(0, later), eq(true));
+}
+
+#[gtest]
+fn the_memory_of_failing_jobs_is_bounded() {
+    let mut health = Health::default();
+    for job in 0..10_000 {
+        health.note_job(job, 0);
+    }
+    expect_that!(health.jobs.len(), eq(JOBS));
+}
