Let a single connection be served apart from its listener

Cause: the stand-ins drop, silence and pause single connections, which the listener's loop can't. Change: http::server::connection is public; the runner's messages name status 504. Conclusion: an addition only; serve is unchanged.

--- a/crates/wire/src/http/server.rs
+++ b/crates/wire/src/http/server.rs
@@ -89,7 +89,9 @@
     tracker.wait().await;
 }
 
-async fn connection(
+/// Serves one accepted connection until it ends, or until `stop` is cancelled and its request in
+/// flight is answered. [`serve`] does this for each connection of a listener.
+pub async fn connection(
     stream: TcpStream,
     limits: Limits,
     handler: Arc<dyn Handler>,
--- a/crates/wire/src/runner.rs
+++ b/crates/wire/src/runner.rs
@@ -1,7 +1,8 @@
 //! Messages between a controller and a runner, as JSON.
 //!
 //! `POST /serve` with [`Call`] gives [`Done`]. Status 503 with [`Busy`] says that the runner has no
-//! free slot, or is leaving, and that the request did not run.
+//! free slot, or is leaving, and that the request did not run. Status 504 says that the
+//! runner gave the request up after its budget; a part of it may have run.
 
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::request;
