Stand in for the log, the list, workers and runners

Cause: tests, the demo and a newcomer's trial need the platform with its faults switched by calls. Change: crates/standin: log service with retention, outages, lost and delayed answers; lagging list; workers that run the arbiter on virtual work with shared checkpoints; runners with slots and connections; connection faults (pause, cut, silence, slowness, kill); an observer that counts double runs, over-capacity and repeated requests apart from the daemons; fleets of both customers' places; pimentovalve-standin with checked settings and an operator port; example settings.

--- /dev/null
+++ b/crates/standin/src/list/tests.rs
@@ -0,0 +1,78 @@
+//! Tests of the instance list and of each of its faults.
+
+use super::List;
+use crate::host::{ANY_PORT, Host};
+use crate::testing::{get, name, place, post_json, until};
+use googletest::prelude::*;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::zone::membership::{Instance, Role, State};
+use pimentovalve_wire::codec;
+use pimentovalve_wire::http::client::Client;
+
+fn start(lag: Millis) -> (Host, List) {
+    let host = Host::start("test").expect("a thread");
+    let list = List::start(&host, ANY_PORT, lag).expect("a port");
+    (host, list)
+}
+
+fn entry(raw: &str) -> Instance {
+    Instance {
+        name: name(raw),
+        role: Role::Entry,
+        place: place(),
+        address: "127.0.0.1:1".into(),
+        state: State::Live,
+        worker: None,
+        service: None,
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn changes_are_shown_after_the_lag() {
+    let (_host, list) = start(Millis::from_secs(3600));
+    list.show(&entry("a"));
+    list.register(&entry("b"));
+    expect_that!(list.leave("a"), eq(true));
+    expect_that!(list.shown(), elements_are![eq(&entry("a"))]);
+    let (_host, list) = start(Millis::from_secs(3600));
+    list.lag(Millis(20));
+    list.register(&entry("b"));
+    list.leave("b");
+    until(|| list.shown().iter().any(|i| i.state == State::Leaving)).await;
+    list.remove(&name("b"));
+    until(|| list.shown().is_empty()).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_frozen_list_shows_no_change() {
+    let (_host, list) = start(Millis::ZERO);
+    list.freeze(true);
+    list.register(&entry("a"));
+    expect_that!(list.shown(), is_empty());
+    list.freeze(false);
+    expect_that!(list.shown(), len(eq(1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn instances_register_over_http() {
+    let (_host, list) = start(Millis::ZERO);
+    let client = Client::new();
+    let body = String::from_utf8(codec::to_json(&entry("a")).unwrap()).unwrap();
+    expect_that!(post_json(&client, list.address(), "/instances", &body).await.status, eq(200));
+    expect_that!(post_json(&client, list.address(), "/instances", "{").await.status, eq(400));
+    let reply = get(&client, list.address(), "/instances").await.unwrap();
+    let shown: Vec<Instance> = codec::from_json(&reply.body).unwrap();
+    expect_that!(shown, elements_are![eq(&entry("a"))]);
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_outage_refuses_all() {
+    let (_host, list) = start(Millis::ZERO);
+    list.outage(true);
+    let reply = get(&Client::new(), list.address(), "/instances").await.unwrap();
+    expect_that!(reply.status, eq(503));
+}
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,387 @@
+//! The append-only log service: streams of opaque entries with offsets, group appends, reads
+//! that wait, limited retention, and outages.
+
+use crate::fault::{Fault, Switch};
+use crate::host::{Host, Port};
+use crate::link::{Outcome, Service};
+use crate::{clock, lock};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::finding::List;
+use pimentovalve_core::ledger::Offset;
+use pimentovalve_core::name::Name;
+use pimentovalve_wire::codec;
+use pimentovalve_wire::http::{Pending, Request, Response};
+use pimentovalve_wire::log::{Append, Appended, Chunk, Gone, Read};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+#[cfg(test)]
+mod tests;
+
+/// Connections of one listener.
+const MAX_CONNECTIONS: usize = 1024;
+/// Greatest size of the entries in one answer, in bytes.
+const MAX_CHUNK_BYTES: usize = 4 * 1024 * 1024;
+/// Longest time for which a reader may wait.
+const MAX_WAIT: Millis = Millis::from_secs(60);
+
+/// How long entries are kept; an entry goes when either bound is passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Retention {
+    /// Most entries of a stream.
+    pub entries: usize,
+    /// Greatest age of an entry.
+    pub age_ms: Millis,
+}
+
+impl Default for Retention {
+    fn default() -> Self {
+        Self { entries: 100_000, age_ms: Millis::from_secs(24 * 60 * 60) }
+    }
+}
+
+/// What the service did so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Groups of entries that landed.
+    pub appends: u64,
+    /// Entries that landed.
+    pub entries: u64,
+    /// Reads that were answered with a chunk.
+    pub reads: u64,
+    /// Bytes of the entries that landed.
+    pub bytes_in: u64,
+    /// Bytes of the entries that were read.
+    pub bytes_out: u64,
+}
+
+struct Stream {
+    name: Name,
+    horizon: Offset,
+    entries: VecDeque<(Millis, ByteBuf)>,
+    appended: Arc<Notify>,
+}
+
+impl Stream {
+    fn end(&self) -> Offset {
+        self.horizon + self.entries.len() as u64
+    }
+
+    fn expire(&mut self, retention: Retention, now: Millis) {
+        while self.entries.len() > retention.entries
+            || self.entries.front().is_some_and(|(at, _)| now.since(*at) > retention.age_ms)
+        {
+            self.entries.pop_front();
+            self.horizon += 1;
+        }
+    }
+
+    fn chunk(&self, read: Read) -> Chunk {
+        let skip = usize::try_from(read.from.saturating_sub(self.horizon)).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        let entries = self
+            .entries
+            .iter()
+            .skip(skip)
+            .take(read.max as usize)
+            .take_while(|(_, entry)| {
+                let first = bytes == 0;
+                bytes += entry.len();
+                first || bytes <= MAX_CHUNK_BYTES
+            })
+            .map(|(_, entry)| entry.clone())
+            .collect();
+        Chunk { entries, end: self.end(), horizon: self.horizon }
+    }
+}
+
+struct State {
+    /// Sorted by name.
+    streams: Vec<Stream>,
+    counters: Counters,
+    retention: Retention,
+    outage: bool,
+    lose: u32,
+    share: u8,
+    draw: ChaCha8Rng,
+    delay: u32,
+    delay_by: Millis,
+}
+
+impl State {
+    fn stream(&mut self, name: &Name, now: Millis) -> &mut Stream {
+        let i = match self.streams.binary_search_by(|s| s.name.cmp(name)) {
+            Ok(i) => i,
+            Err(i) => {
+                let (entries, appended) = (VecDeque::new(), Arc::default());
+                let stream = Stream { name: name.clone(), horizon: 0, entries, appended };
+                self.streams.insert(i, stream);
+                i
+            }
+        };
+        let stream = &mut self.streams[i];
+        stream.expire(self.retention, now);
+        stream
+    }
+
+    fn append(&mut self, name: &Name, entries: Vec<ByteBuf>, now: Millis) -> Offset {
+        self.counters.appends += 1;
+        self.counters.entries += entries.len() as u64;
+        self.counters.bytes_in += entries.iter().map(|e| e.len() as u64).sum::<u64>();
+        let retention = self.retention;
+        let stream = self.stream(name, now);
+        let first = stream.end();
+        stream.entries.extend(entries.into_iter().map(|entry| (now, entry)));
+        stream.expire(retention, now);
+        stream.appended.notify_waiters();
+        first
+    }
+
+    fn answer_is_lost(&mut self) -> bool {
+        if self.lose > 0 {
+            self.lose -= 1;
+            return true;
+        }
+        self.share > 0 && self.draw.random_range(0..100) < self.share
+    }
+}
+
+/// The log service. It goes on until its host stops.
+#[derive(Clone)]
+pub struct Log {
+    state: Arc<Mutex<State>>,
+    listener: Listener,
+}
+
+impl Log {
+    /// Starts the service on `address`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Host::open`].
+    pub fn start(host: &Host, address: SocketAddr, retention: Retention) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State {
+            streams: Vec::new(),
+            counters: Counters::default(),
+            retention,
+            outage: false,
+            lose: 0,
+            share: 0,
+            draw: ChaCha8Rng::seed_from_u64(0),
+            delay: 0,
+            delay_by: Millis::ZERO,
+        }));
+        let listener = Listener::open(host, address, &state)?;
+        Ok(Self { state, listener })
+    }
+
+    /// Returns the address that is meant for everyone.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.port.address
+    }
+
+    /// Opens a further listener, such as one for the clients of a region, that has outages and
+    /// link faults of its own.
+    ///
+    /// # Errors
+    ///
+    /// As [`Host::open`].
+    pub fn listener(&self, host: &Host, address: SocketAddr) -> io::Result<Listener> {
+        Listener::open(host, address, &self.state)
+    }
+
+    /// Switches an outage for all clients; waiting readers are told at once.
+    pub fn outage(&self, on: bool) {
+        let mut state = lock(&self.state);
+        state.outage = on;
+        wake(&state);
+    }
+
+    /// Lets the next `count` appends land without an answer.
+    pub fn lose_answers(&self, count: u32) {
+        lock(&self.state).lose = count;
+    }
+
+    /// Lets a share of the appends, in percent and drawn by `seed`, land without an answer.
+    pub fn lose_share(&self, percent: u8, seed: u64) {
+        let mut state = lock(&self.state);
+        state.share = percent;
+        state.draw = ChaCha8Rng::seed_from_u64(seed);
+    }
+
+    /// Lets the next `count` appends give no answer and land after `by`.
+    pub fn delay_landing(&self, count: u32, by: Millis) {
+        let mut state = lock(&self.state);
+        state.delay = count;
+        state.delay_by = by;
+    }
+
+    /// Changes the retention.
+    pub fn retain(&self, retention: Retention) {
+        lock(&self.state).retention = retention;
+    }
+
+    /// Returns what the service did so far.
+    pub fn counters(&self) -> Counters {
+        lock(&self.state).counters
+    }
+
+    /// Appends one entry, as a client beside the ones under test would.
+    pub fn append(&self, stream: &Name, entry: &[u8]) -> Offset {
+        lock(&self.state).append(stream, vec![ByteBuf::from(entry)], clock::now())
+    }
+
+    /// Returns the first kept offset of a stream and its kept entries.
+    pub fn entries(&self, stream: &Name) -> (Offset, Vec<ByteBuf>) {
+        let mut state = lock(&self.state);
+        let stream = state.stream(stream, clock::now());
+        (stream.horizon, stream.entries.iter().map(|(_, entry)| entry.clone()).collect())
+    }
+}
+
+impl Switch for Log {
+    fn switch(&self, fault: Fault) -> bool {
+        match fault {
+            Fault::Outage(on) => self.outage(on),
+            Fault::LoseAnswers(count) => self.lose_answers(count),
+            Fault::LoseShare { percent, seed } => self.lose_share(percent, seed),
+            Fault::DelayLanding { count, by_ms } => self.delay_landing(count, by_ms),
+            _ => return self.listener.port.link.switch(fault),
+        }
+        true
+    }
+}
+
+fn wake(state: &State) {
+    for stream in &state.streams {
+        stream.appended.notify_waiters();
+    }
+}
+
+/// One listener of the service, with its own faults.
+#[derive(Clone)]
+pub struct Listener {
+    /// Where it listens, and its link's faults.
+    pub port: Port,
+    door: Arc<Door>,
+}
+
+impl Listener {
+    fn open(host: &Host, address: SocketAddr, state: &Arc<Mutex<State>>) -> io::Result<Self> {
+        let door = Arc::new(Door { state: Arc::clone(state), outage: AtomicBool::new(false) });
+        let service: Arc<dyn Service> = Arc::<Door>::clone(&door);
+        Ok(Self { port: host.open(address, MAX_CONNECTIONS, service)?, door })
+    }
+
+    /// Switches an outage for the clients of this listener.
+    pub fn outage(&self, on: bool) {
+        self.door.outage.store(on, Ordering::SeqCst);
+        wake(&lock(&self.door.state));
+    }
+}
+
+struct Door {
+    state: Arc<Mutex<State>>,
+    outage: AtomicBool,
+}
+
+impl Door {
+    fn is_out(&self) -> bool {
+        self.outage.load(Ordering::SeqCst) || lock(&self.state).outage
+    }
+
+    fn append(&self, stream: &Name, append: Append) -> Outcome {
+        let mut state = lock(&self.state);
+        if state.delay > 0 {
+            state.delay -= 1;
+            let (by, stream) = (state.delay_by, stream.clone());
+            let shared = Arc::clone(&self.state);
+            tokio::spawn(async move {
+                tokio::time::sleep(by.into()).await;
+                lock(&shared).append(&stream, append.entries, clock::now());
+            });
+            return Outcome::Lost;
+        }
+        let first = state.append(stream, append.entries, clock::now());
+        if state.answer_is_lost() {
+            return Outcome::Lost;
+        }
+        Outcome::Answer(Response::pack(200, &Appended { first }))
+    }
+
+    async fn read(&self, stream: &Name, read: Read) -> Response {
+        let deadline = Instant::now() + read.wait_ms.min(MAX_WAIT).into();
+        loop {
+            let appended = Arc::clone(&lock(&self.state).stream(stream, clock::now()).appended);
+            let changed = appended.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if self.is_out() {
+                return out();
+            }
+            let now = Instant::now();
+            if let Some(response) = self.try_read(stream, read, now >= deadline) {
+                return response;
+            }
+            // Whether it was an append or the time, the next turn sees.
+            drop(tokio::time::timeout_at(deadline, changed).await);
+        }
+    }
+
+    /// Returns the answer to a read, `None` when nothing is there yet and it isn't `last`.
+    fn try_read(&self, stream: &Name, read: Read, last: bool) -> Option<Response> {
+        let mut state = lock(&self.state);
+        let stream = state.stream(stream, clock::now());
+        if read.from < stream.horizon {
+            return Some(Response::pack(410, &Gone { horizon: stream.horizon }));
+        }
+        let chunk = stream.chunk(read);
+        if chunk.entries.is_empty() && !last {
+            return None;
+        }
+        state.counters.reads += 1;
+        state.counters.bytes_out += chunk.entries.iter().map(|e| e.len() as u64).sum::<u64>();
+        Some(Response::pack(200, &chunk))
+    }
+
+    async fn route(&self, request: Request<'_>) -> Result<Outcome, Response> {
+        let segments = request.segments();
+        let stream = match segments.as_slice() {
+            ["streams", stream, ..] if request.method == "POST" => stream,
+            _ => return Err(Response::findings(404, &List::one("path", "is not known"))),
+        };
+        if self.is_out() {
+            return Err(out());
+        }
+        let bad = |findings: List| Response::findings(400, &findings);
+        let stream = Name::try_from(*stream).map_err(bad)?;
+        match segments[2..] {
+            [] => Ok(self.append(&stream, codec::unpack(request.body).map_err(bad)?)),
+            ["read"] => {
+                let read = codec::unpack(request.body).map_err(bad)?;
+                Ok(Outcome::Answer(self.read(&stream, read).await))
+            }
+            _ => Err(Response::findings(404, &List::one("path", "is not known"))),
+        }
+    }
+}
+
+impl Service for Door {
+    fn serve<'a>(&'a self, request: Request<'a>) -> Pending<'a, Outcome> {
+        Box::pin(async move { self.route(request).await.unwrap_or_else(Outcome::Answer) })
+    }
+}
+
+fn out() -> Response {
+    Response::findings(503, &List::one("log", "is out of service"))
+}
--- /dev/null
+++ b/crates/standin/src/runner.rs
@@ -0,0 +1,231 @@
+//! A runner: serves the requests of one service within its slots and connections.
+//!
+//! The body of a request tells what to do, in `key=value` words: `sleep_ms=20 echo=text`. Without
+//! `echo` the answer is the body itself.
+
+use crate::fault::{Fault, Switch};
+use crate::host::{ANY_PORT, Host, Port};
+use crate::link::{Link, Outcome, Service};
+use crate::lock;
+use crate::observer::Observer;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::finding::List;
+use pimentovalve_core::machine::runner;
+use pimentovalve_wire::codec;
+use pimentovalve_wire::http::{Pending, Request, Response};
+use pimentovalve_wire::runner::{Busy, Call, Done};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{Semaphore, oneshot};
+
+#[cfg(test)]
+mod tests;
+
+/// Longest time for which an answer waits for another one to be swapped with.
+const CROSS_WAIT: Duration = Duration::from_secs(2);
+
+struct Faults {
+    leaving: bool,
+    lose: u32,
+    late: u32,
+    late_by: Millis,
+    cross: u32,
+    /// An answer that waits to be swapped.
+    crossed: Option<(Done, oneshot::Sender<Done>)>,
+}
+
+/// A runner. It goes on until its host stops.
+#[derive(Clone)]
+pub struct Runner {
+    process: Arc<Process>,
+    port: Port,
+}
+
+impl Runner {
+    /// Starts a runner on a port that the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// As [`Host::open`].
+    pub fn start(
+        host: &Host,
+        runner: runner::Runner,
+        observer: &Arc<Observer>,
+    ) -> io::Result<Self> {
+        let connections = runner.limits.connections as usize;
+        let process = Arc::new(Process {
+            slots: Semaphore::new(runner.limits.slots as usize),
+            runner,
+            observer: Arc::clone(observer),
+            faults: Mutex::new(Faults {
+                leaving: false,
+                lose: 0,
+                late: 0,
+                late_by: Millis::ZERO,
+                cross: 0,
+                crossed: None,
+            }),
+        });
+        let service: Arc<dyn Service> = Arc::<Process>::clone(&process);
+        let port = host.open(ANY_PORT, connections, service)?;
+        Ok(Self { process, port })
+    }
+
+    /// Returns the runner as the fleet knows it.
+    pub fn runner(&self) -> &runner::Runner {
+        &self.process.runner
+    }
+
+    /// Returns its address.
+    pub const fn address(&self) -> SocketAddr {
+        self.port.address
+    }
+
+    /// Returns its connections, with the faults pause, cut, silence and slowness.
+    pub const fn link(&self) -> &Arc<Link> {
+        &self.port.link
+    }
+
+    /// Makes the runner refuse everything new.
+    pub fn leave(&self) {
+        lock(&self.process.faults).leaving = true;
+    }
+
+    /// Lets the next `count` requests run without an answer.
+    pub fn lose_answers(&self, count: u32) {
+        lock(&self.process.faults).lose = count;
+    }
+
+    /// Holds the next `count` answers back for `by`; their slots are free meanwhile.
+    pub fn late_answers(&self, count: u32, by: Millis) {
+        let mut faults = lock(&self.process.faults);
+        faults.late = count;
+        faults.late_by = by;
+    }
+
+    /// Swaps the answers of the next `pairs` pairs of requests.
+    pub fn cross_answers(&self, pairs: u32) {
+        lock(&self.process.faults).cross = pairs;
+    }
+}
+
+impl Switch for Runner {
+    fn switch(&self, fault: Fault) -> bool {
+        match fault {
+            Fault::Leave => self.leave(),
+            Fault::LoseAnswers(count) => self.lose_answers(count),
+            Fault::LateAnswers { count, by_ms } => self.late_answers(count, by_ms),
+            Fault::CrossAnswers(pairs) => self.cross_answers(pairs),
+            Fault::Crash => self.port.link.kill(),
+            _ => return self.port.link.switch(fault),
+        }
+        true
+    }
+}
+
+struct Process {
+    runner: runner::Runner,
+    slots: Semaphore,
+    observer: Arc<Observer>,
+    faults: Mutex<Faults>,
+}
+
+impl Process {
+    async fn serve_call(&self, call: Call) -> Outcome {
+        if lock(&self.faults).leaving {
+            return busy("the runner is leaving");
+        }
+        let Ok(slot) = self.slots.try_acquire() else {
+            self.observer.refused(&self.runner.name);
+            return busy("no slot is free");
+        };
+        self.observer.executing(&call.request, &call.attempt, &self.runner.name);
+        let (sleep, body) = work(&call.body);
+        tokio::time::sleep(sleep.min(call.budget_ms).into()).await;
+        self.observer.executed(&call.request, &call.attempt, &self.runner.name);
+        drop(slot);
+        if sleep > call.budget_ms {
+            let message = format!("given up after {}", call.budget_ms);
+            return Outcome::Answer(Response::findings(504, &List::one("budget_ms", message)));
+        }
+        self.answer(Done { request: call.request, attempt: call.attempt, body }).await
+    }
+
+    /// Answers, unless a fault has something against it.
+    async fn answer(&self, done: Done) -> Outcome {
+        let late = {
+            let mut faults = lock(&self.faults);
+            if faults.lose > 0 {
+                faults.lose -= 1;
+                return Outcome::Lost;
+            }
+            let late = faults.late > 0;
+            faults.late = faults.late.saturating_sub(1);
+            if late { faults.late_by } else { Millis::ZERO }
+        };
+        if late > Millis::ZERO {
+            tokio::time::sleep(late.into()).await;
+        }
+        let done = self.cross(done).await;
+        Outcome::Answer(Response::json(200, &done))
+    }
+
+    /// Swaps the answer with another one, if that fault is on and another one comes in time.
+    async fn cross(&self, done: Done) -> Done {
+        let waiter = {
+            let mut faults = lock(&self.faults);
+            if let Some((other, sender)) = faults.crossed.take() {
+                // The other one has waited too long if nobody receives it: no swap.
+                return match sender.send(done) {
+                    Ok(()) => other,
+                    Err(done) => done,
+                };
+            }
+            if faults.cross == 0 {
+                return done;
+            }
+            faults.cross -= 1;
+            let (sender, waiter) = oneshot::channel();
+            faults.crossed = Some((done.clone(), sender));
+            waiter
+        };
+        match tokio::time::timeout(CROSS_WAIT, waiter).await {
+            Ok(Ok(other)) => other,
+            _ => done,
+        }
+    }
+
+    fn call(&self, request: Request<'_>) -> Result<Call, Response> {
+        if (request.method, request.path) != ("POST", "/serve") {
+            return Err(Response::findings(404, &List::one("path", "is not known")));
+        }
+        codec::from_json(request.body).map_err(|findings| Response::findings(400, &findings))
+    }
+}
+
+impl Service for Process {
+    fn serve<'a>(&'a self, request: Request<'a>) -> Pending<'a, Outcome> {
+        Box::pin(async move {
+            match self.call(request) {
+                Ok(call) => self.serve_call(call).await,
+                Err(response) => Outcome::Answer(response),
+            }
+        })
+    }
+}
+
+fn busy(message: &str) -> Outcome {
+    Outcome::Answer(Response::json(503, &Busy { message: message.into() }))
+}
+
+/// Returns how long a request takes and its answer.
+fn work(body: &str) -> (Millis, String) {
+    let value = |key: &str| {
+        let mut words = body.split_whitespace().filter_map(|word| word.split_once('='));
+        words.find(|(k, _)| *k == key).map(|(_, value)| value)
+    };
+    let sleep = value("sleep_ms").and_then(|v| v.parse().ok()).map_or(Millis::ZERO, Millis);
+    (sleep, value("echo").unwrap_or(body).into())
+}
--- /dev/null
+++ b/crates/standin/src/runner/tests.rs
@@ -0,0 +1,141 @@
+//! Tests of the runner and of each of its faults.
+
+use super::Runner;
+use crate::host::Host;
+use crate::observer::Observer;
+use crate::testing::{PATIENT, name, place, unanswered, until};
+use googletest::prelude::*;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::machine::runner;
+use pimentovalve_wire::codec;
+use pimentovalve_wire::http::Content;
+use pimentovalve_wire::http::client::{self, Client, Error, Reply};
+use pimentovalve_wire::runner::{Call, Done};
+use std::sync::Arc;
+
+struct Bench {
+    runner: Runner,
+    observer: Arc<Observer>,
+    _host: Host,
+}
+
+impl Bench {
+    fn start() -> Self {
+        let host = Host::start("test").expect("a thread");
+        let observer = Arc::<Observer>::default();
+        let limits = runner::Limits { slots: 2, connections: 64 };
+        let (service, worker) = (name("retention-engine"), name("w1"));
+        let runner = runner::Runner { name: name("r1"), service, worker, place: place(), limits };
+        let runner = Runner::start(&host, runner, &observer).expect("a port");
+        Self { runner, observer, _host: host }
+    }
+
+    async fn call(&self, request: &str, body: &str) -> std::result::Result<Reply, Error> {
+        self.call_within(request, body, PATIENT).await
+    }
+
+    async fn call_within(
+        &self,
+        request: &str,
+        body: &str,
+        budget: Millis,
+    ) -> std::result::Result<Reply, Error> {
+        let call = Call {
+            request: name(request),
+            attempt: name(&format!("{request}.1")),
+            budget_ms: budget,
+            body: body.into(),
+        };
+        let body = codec::to_json(&call).unwrap();
+        let address = self.runner.address().to_string();
+        let call = client::Call::post(&address, "/serve", &body, PATIENT);
+        Client::new().call(client::Call { content: Content::Json, ..call }).await
+    }
+}
+
+fn done(reply: std::result::Result<Reply, Error>) -> Done {
+    codec::from_json(&reply.expect("an answer").body).expect("a whole answer")
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_request_is_answered_with_its_ids() {
+    let bench = Bench::start();
+    let answer = done(bench.call("a", "deed 7").await);
+    expect_that!(answer.body, eq("deed 7"));
+    expect_that!(answer.request, eq(&name("a")));
+    expect_that!(answer.attempt, eq(&name("a.1")));
+    expect_that!(done(bench.call("b", "sleep_ms=1 echo=yes").await).body, eq("yes"));
+    expect_that!(bench.observer.executions("a"), len(eq(1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn requests_beyond_the_slots_are_refused_and_did_not_run() {
+    let bench = Bench::start();
+    let long = "sleep_ms=60000";
+    let calls = async { tokio::join!(bench.call("a", long), bench.call("b", long)) };
+    unanswered(calls, || bench.observer.summary().executions == 2).await;
+    expect_that!(bench.call("c", "").await.unwrap().status, eq(503));
+    expect_that!(bench.observer.executions("c"), is_empty());
+    let usage = &bench.observer.usages()[0];
+    expect_that!((usage.most_slots, usage.refused), eq((2, 1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_request_is_given_up_after_its_budget() {
+    let bench = Bench::start();
+    let reply = bench.call_within("a", "sleep_ms=60000", Millis(5)).await;
+    expect_that!(reply.unwrap().status, eq(504));
+    expect_that!(bench.observer.executions("a")[0].end, some(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_lost_answer_was_executed() {
+    let bench = Bench::start();
+    bench.runner.lose_answers(1);
+    expect_that!(bench.call("a", "").await, err(matches_pattern!(Error::Unknown { .. })));
+    expect_that!(bench.observer.executions("a"), len(eq(1)));
+    expect_that!(bench.call("b", "").await, ok(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn late_answers_come_after_the_execution() {
+    let bench = Bench::start();
+    bench.runner.late_answers(1, Millis::from_secs(3600));
+    let executed = || bench.observer.executions("a").iter().any(|e| e.end.is_some());
+    unanswered(bench.call("a", ""), executed).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn crossed_answers_belong_to_each_other() {
+    let bench = Bench::start();
+    bench.runner.cross_answers(1);
+    let (a, b) = tokio::join!(bench.call("a", "for a"), bench.call("b", "for b"));
+    expect_that!(done(a).body, eq("for b"));
+    expect_that!(done(b).request, eq(&name("a")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_leaving_runner_refuses_everything() {
+    let bench = Bench::start();
+    bench.runner.leave();
+    expect_that!(bench.call("a", "").await.unwrap().status, eq(503));
+    expect_that!(bench.observer.executions("a"), is_empty());
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_paused_runner_executes_after_it_resumes() {
+    let bench = Bench::start();
+    bench.runner.link().pause();
+    unanswered(bench.call("a", ""), || bench.runner.link().pending() == 1).await;
+    expect_that!(bench.observer.executions("a"), is_empty());
+    bench.runner.link().resume();
+    until(|| bench.observer.executions("a").len() == 1).await;
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,406 @@
+//! A worker: the [`Arbiter`] behind the messages of [`pimentovalve_wire::worker`], with tasks
+//! that are virtual work.
+
+pub mod checkpoint;
+pub mod plan;
+pub mod run;
+
+use crate::fault::{Fault, Switch};
+use crate::host::{ANY_PORT, Host, Port};
+use crate::link::{Link, Outcome, Service};
+use crate::observer::Observer;
+use crate::{clock, lock};
+use checkpoint::Store;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::finding::List;
+use pimentovalve_core::machine::arbiter::Arbiter;
+use pimentovalve_core::machine::worker::{self, Action, Inventory, Order, Reply, Start};
+use pimentovalve_wire::codec;
+use pimentovalve_wire::http::{Pending, Request, Response};
+use pimentovalve_wire::worker::{Adopt, Adopted, Beat, Heartbeat, Orders, Replies};
+use plan::Plan;
+use run::{FULL, Run};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+#[cfg(test)]
+mod tests;
+
+/// Connections that a worker keeps.
+const MAX_CONNECTIONS: usize = 256;
+/// Longest time for which a heartbeat may wait.
+const MAX_WAIT: Millis = Millis::from_secs(60);
+/// Run time of an attempt on a worker that fails everything.
+const FAULT_RUN: Millis = Millis(5);
+
+/// What the workers of one fleet have in common.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// Where starts and ends are recorded.
+    pub observer: Arc<Observer>,
+    /// Where progress is saved.
+    pub checkpoints: Arc<Store>,
+    /// Time by which reported usage lags.
+    pub usage_lag: Millis,
+}
+
+struct State {
+    arbiter: Arbiter,
+    /// Raised by each change of the inventory but usage and lease ends.
+    revision: u64,
+    /// Sorted by task; the same attempts as in the arbiter's inventory.
+    runs: Vec<Run>,
+    fail_all: bool,
+    speed: u8,
+    /// Difference of the worker's clock from the machine's, in milliseconds.
+    skew: i64,
+    crashed: bool,
+}
+
+/// A worker. It goes on until its host stops.
+#[derive(Clone)]
+pub struct Worker {
+    machine: Arc<Machine>,
+    port: Port,
+}
+
+impl Worker {
+    /// Starts an idle worker without a controller, on a port that the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// As [`Host::open`].
+    pub fn start(host: &Host, worker: worker::Worker, shared: Shared) -> io::Result<Self> {
+        let state = State {
+            arbiter: Arbiter::new(worker),
+            revision: 1,
+            runs: Vec::new(),
+            fail_all: false,
+            speed: FULL,
+            skew: 0,
+            crashed: false,
+        };
+        let machine = Arc::new(Machine {
+            state: Mutex::new(state),
+            changed: Notify::new(),
+            wake: Notify::new(),
+            shared,
+        });
+        let service: Arc<dyn Service> = Arc::<Machine>::clone(&machine);
+        let port = host.open(ANY_PORT, MAX_CONNECTIONS, service)?;
+        Ok(Self { machine, port })
+    }
+
+    /// Returns its address.
+    pub const fn address(&self) -> SocketAddr {
+        self.port.address
+    }
+
+    /// Returns its connections, with the faults pause, cut, silence and slowness. Tasks run on
+    /// and leases lapse through all of these.
+    pub const fn link(&self) -> &Arc<Link> {
+        &self.port.link
+    }
+
+    /// Returns the present inventory.
+    pub fn inventory(&self) -> Inventory {
+        let mut state = lock(&self.machine.state);
+        self.machine.settle(&mut state);
+        state.arbiter.inventory().clone()
+    }
+
+    /// Makes the worker start nothing new.
+    pub fn leave(&self) {
+        let mut state = lock(&self.machine.state);
+        state.arbiter.leave();
+        self.machine.changed(&mut state);
+    }
+
+    /// Switches whether every attempt that starts fails at once.
+    pub fn fail_all(&self, on: bool) {
+        lock(&self.machine.state).fail_all = on;
+    }
+
+    /// Sets the worker's speed in percent of its normal one; 0 stops all progress.
+    pub fn speed(&self, percent: u8) {
+        let mut state = lock(&self.machine.state);
+        state.speed = percent;
+        let now = state.now();
+        for run in &mut state.runs {
+            run.advance(now);
+            run.speed = percent;
+        }
+        self.machine.wake.notify_one();
+    }
+
+    /// Sets the difference of the worker's clock from the machine's, in milliseconds.
+    pub fn skew(&self, millis: i64) {
+        lock(&self.machine.state).skew = millis;
+        self.machine.wake.notify_one();
+    }
+
+    /// Kills the worker: its tasks are gone without a report and it is cut off for good.
+    pub fn crash(&self) {
+        self.port.link.kill();
+        let mut state = lock(&self.machine.state);
+        state.crashed = true;
+        let name = state.arbiter.inventory().worker.name.clone();
+        for run in std::mem::take(&mut state.runs) {
+            self.machine.shared.observer.ended((&run.task, run.attempt), &name, None);
+        }
+    }
+}
+
+impl Switch for Worker {
+    fn switch(&self, fault: Fault) -> bool {
+        match fault {
+            Fault::Leave => self.leave(),
+            Fault::FailAll(on) => self.fail_all(on),
+            Fault::Speed(percent) => self.speed(percent),
+            Fault::Crash => self.crash(),
+            _ => return self.port.link.switch(fault),
+        }
+        true
+    }
+}
+
+impl State {
+    fn now(&self) -> Millis {
+        Millis(clock::now().get().saturating_add_signed(self.skew))
+    }
+
+    /// Returns the next instant at which something happens by itself.
+    fn next(&self) -> Option<Millis> {
+        let leases = self.arbiter.inventory().running.iter().map(|h| h.until + Millis(1));
+        let runs = self.runs.iter().flat_map(|r| [r.end(), r.sample_at]).flatten();
+        leases.chain(runs).min()
+    }
+
+    fn position(&self, order: &Order) -> Result<usize, usize> {
+        self.runs.binary_search_by(|r| r.task.cmp(&order.task))
+    }
+}
+
+struct Machine {
+    state: Mutex<State>,
+    /// Tells waiting heartbeats of a new revision.
+    changed: Notify,
+    /// Tells the worker's own loop that the next event may have moved.
+    wake: Notify,
+    shared: Shared,
+}
+
+impl Machine {
+    fn changed(&self, state: &mut State) {
+        state.revision += 1;
+        self.changed.notify_waiters();
+        self.wake.notify_one();
+    }
+
+    /// Carries out what was due by now: finished work, lapsed leases, samples.
+    fn settle(&self, state: &mut State) {
+        if state.crashed {
+            return;
+        }
+        let now = state.now();
+        let due: Vec<_> = state
+            .runs
+            .iter()
+            .filter(|r| r.end().is_some_and(|end| end <= now))
+            .map(|r| (r.task.clone(), r.attempt, r.ending()))
+            .collect();
+        for run in state.runs.iter_mut().filter(|r| r.sample_at.is_some_and(|at| at <= now)) {
+            run.sample_at = None;
+            state.arbiter.sample(&run.task, &run.usage());
+        }
+        for (task, attempt, ending) in due {
+            state.arbiter.finish(&task, attempt, ending, now);
+        }
+        state.arbiter.lapse(now);
+        self.reconcile(state);
+    }
+
+    /// Drops and records the runs that the arbiter ended.
+    fn reconcile(&self, state: &mut State) {
+        let inventory = state.arbiter.inventory();
+        let runs = state.runs.len();
+        state.runs.retain(|run| {
+            let found = inventory.running.binary_search_by(|h| h.task.cmp(&run.task));
+            let runs = found.is_ok_and(|i| inventory.running[i].attempt == run.attempt);
+            if !runs {
+                let ended = inventory.ended.iter().rev();
+                let ended = ended.clone().find(|e| e.task == run.task && e.attempt == run.attempt);
+                let name = &inventory.worker.name;
+                let attempt = (&run.task, run.attempt);
+                self.shared.observer.ended(attempt, name, ended.map(|e| &e.ending));
+            }
+            runs
+        });
+        if state.runs.len() != runs {
+            self.changed(state);
+        }
+    }
+
+    fn adopt(&self, adopt: &Adopt) -> Adopted {
+        let mut state = lock(&self.state);
+        self.settle(&mut state);
+        let adopted = match state.arbiter.adopt(&adopt.controller, adopt.expected) {
+            Ok(inventory) => Adopted::Yes(inventory.clone()),
+            Err(epoch) => {
+                let controller = state.arbiter.inventory().controller.clone();
+                return Adopted::No { epoch, controller };
+            }
+        };
+        self.changed(&mut state);
+        adopted
+    }
+
+    fn orders(&self, orders: &Orders) -> Replies {
+        let mut state = lock(&self.state);
+        let replies = orders.orders.iter().map(|o| self.order(&mut state, orders.epoch, o));
+        let replies = replies.collect();
+        self.wake.notify_one();
+        Replies { replies }
+    }
+
+    fn order(&self, state: &mut State, epoch: worker::Epoch, order: &Order) -> Reply {
+        self.settle(state);
+        let now = state.now();
+        let running = state.position(order);
+        if let (Action::Checkpoint, Ok(i)) = (&order.action, running) {
+            state.runs[i].advance(now);
+        }
+        let reply = state.arbiter.order(epoch, order, now);
+        if reply != Reply::Done {
+            return reply;
+        }
+        match (&order.action, running) {
+            (Action::Start(start), Err(i)) => self.begin(state, order, start, i, now),
+            (Action::Checkpoint, Ok(i)) => {
+                self.shared.checkpoints.save(&order.task, state.runs[i].done);
+            }
+            (Action::Throttle { percent }, Ok(i)) => {
+                let run = &mut state.runs[i];
+                run.advance(now);
+                run.throttle = *percent;
+                run.sample_at = Some(now + self.shared.usage_lag);
+            }
+            _ => {}
+        }
+        self.reconcile(state);
+        reply
+    }
+
+    fn begin(&self, state: &mut State, order: &Order, start: &Start, i: usize, now: Millis) {
+        let mut plan = Plan::from(start.payload.as_str());
+        if state.fail_all {
+            plan.run_ms = Some(FAULT_RUN);
+            plan.fail = Some("the worker fails everything".into());
+        }
+        let done =
+            if start.resume { self.shared.checkpoints.load(&order.task) } else { Millis::ZERO };
+        let run = Run {
+            task: order.task.clone(),
+            attempt: order.attempt,
+            needs: start.needs,
+            plan,
+            done,
+            since: now,
+            throttle: FULL,
+            speed: state.speed,
+            sample_at: Some(now + self.shared.usage_lag),
+        };
+        state.runs.insert(i, run);
+        let worker = &state.arbiter.inventory().worker;
+        let attempt = (&order.task, order.attempt);
+        self.shared.observer.started(attempt, &start.needs, &worker.name, &worker.capacity);
+        self.changed(state);
+    }
+
+    async fn heartbeat(&self, heartbeat: &Heartbeat) -> Beat {
+        let deadline = Instant::now() + heartbeat.wait_ms.min(MAX_WAIT).into();
+        self.renew(heartbeat);
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let now = Instant::now();
+            let beat = self.beat(heartbeat);
+            let news = beat.epoch != heartbeat.epoch
+                || beat.revision != heartbeat.seen
+                || !beat.ended.is_empty();
+            if news || now >= deadline {
+                return beat;
+            }
+            // Whether it was a change or the time, the next turn sees.
+            drop(tokio::time::timeout_at(deadline, changed).await);
+        }
+    }
+
+    fn renew(&self, heartbeat: &Heartbeat) {
+        let mut state = lock(&self.state);
+        self.settle(&mut state);
+        let now = state.now();
+        state.arbiter.acknowledge(heartbeat.epoch, heartbeat.acknowledged);
+        if let Some(until) = heartbeat.renew_all {
+            state.arbiter.renew_all(heartbeat.epoch, until, now);
+            self.wake.notify_one();
+        }
+        self.reconcile(&mut state);
+    }
+
+    fn beat(&self, heartbeat: &Heartbeat) -> Beat {
+        let mut state = lock(&self.state);
+        self.settle(&mut state);
+        let inventory = state.arbiter.inventory();
+        let ended = inventory.ended.iter().filter(|e| e.sequence > heartbeat.acknowledged);
+        let ended = ended.cloned().collect();
+        Beat {
+            epoch: inventory.epoch,
+            revision: state.revision,
+            inventory: (state.revision != heartbeat.seen).then(|| inventory.clone()),
+            ended,
+        }
+    }
+
+    async fn route(&self, request: Request<'_>) -> Result<Response, List> {
+        Ok(match (request.method, request.path) {
+            ("POST", "/adopt") => Response::pack(200, &self.adopt(&codec::unpack(request.body)?)),
+            ("POST", "/orders") => Response::pack(200, &self.orders(&codec::unpack(request.body)?)),
+            ("POST", "/heartbeat") => {
+                Response::pack(200, &self.heartbeat(&codec::unpack(request.body)?).await)
+            }
+            _ => Response::findings(404, &List::one("path", "is not known")),
+        })
+    }
+}
+
+impl Service for Machine {
+    fn serve<'a>(&'a self, request: Request<'a>) -> Pending<'a, Outcome> {
+        Box::pin(async move {
+            let response = self.route(request).await;
+            Outcome::Answer(response.unwrap_or_else(|f| Response::findings(400, &f)))
+        })
+    }
+
+    fn run(&self) -> Pending<'_, ()> {
+        Box::pin(async move {
+            loop {
+                let next = {
+                    let mut state = lock(&self.state);
+                    self.settle(&mut state);
+                    if state.crashed { None } else { state.next().map(|n| n.since(state.now())) }
+                };
+                match next {
+                    Some(pause) => {
+                        drop(tokio::time::timeout(pause.into(), self.wake.notified()).await);
+                    }
+                    None => self.wake.notified().await,
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker/plan.rs
@@ -0,0 +1,51 @@
+//! What a task does on a stand-in worker, as its payload tells.
+
+use pimentovalve_core::clock::Millis;
+
+/// Run time of a task that names none.
+const DEFAULT_RUN: Millis = Millis(100);
+
+/// Virtual work, read from `key=value` words: `run_ms=200`, `forever`, `result=ok`,
+/// `fail=reason`, `fail_first=2`, `use_cpu=500`, `use_memory=64`. Other words have no effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Run time at full speed; `None` for a task that never ends by itself.
+    pub run_ms: Option<Millis>,
+    /// Result on success.
+    pub result: String,
+    /// Reason of the failure, for a task that fails.
+    pub fail: Option<String>,
+    /// The attempts up to this number fail.
+    pub fail_first: u32,
+    /// Processor time that it really uses, in thousandths of a core; its need when absent.
+    pub use_cpu: Option<u64>,
+    /// Memory that it really uses, in mebibytes; its need when absent.
+    pub use_memory: Option<u64>,
+}
+
+impl From<&str> for Plan {
+    fn from(payload: &str) -> Self {
+        let mut plan = Self {
+            run_ms: Some(DEFAULT_RUN),
+            result: "ok".into(),
+            fail: None,
+            fail_first: 0,
+            use_cpu: None,
+            use_memory: None,
+        };
+        for word in payload.split_whitespace() {
+            let (key, value) = word.split_once('=').unwrap_or((word, ""));
+            match key {
+                "forever" => plan.run_ms = None,
+                "run_ms" => plan.run_ms = value.parse().ok().map(Millis).or(plan.run_ms),
+                "result" => plan.result = value.into(),
+                "fail" => plan.fail = Some(value.into()),
+                "fail_first" => plan.fail_first = value.parse().unwrap_or(0),
+                "use_cpu" => plan.use_cpu = value.parse().ok(),
+                "use_memory" => plan.use_memory = value.parse().ok(),
+                _ => {}
+            }
+        }
+        plan
+    }
+}
