Audit the ledger and the time line against each promise

Cause: an inspector must be shown for any piece of work whether its promises were kept. Change: core::audit replays the ledger with the time line, one check for each promise, and states it as kept, broken or unprovable with the records and events that show it.

--- /dev/null
+++ b/crates/core/src/audit/replay.rs
@@ -0,0 +1,218 @@
+//! The replay of the ledger, with everything that the checks ask of it.
+
+use super::Row;
+use crate::clock::Millis;
+use crate::contract::configuration::Version;
+use crate::contract::job::Job;
+use crate::contract::request::{self, Answer};
+use crate::contract::task;
+use crate::ledger::book::Book;
+use crate::ledger::fleet::Fleet;
+use crate::ledger::history::History;
+use crate::ledger::record::{Change, Register};
+use crate::ledger::{Offset, Stream, Verdict};
+use crate::machine::capacity::Capacity;
+use crate::machine::worker::Epoch;
+use crate::name::Name;
+
+/// A record with what replay made of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Judged<'a> {
+    pub(super) row: &'a Row,
+    pub(super) verdict: Verdict,
+}
+
+/// A reason why a stream is not whole.
+#[derive(Debug)]
+pub(super) struct Hole {
+    pub(super) stream: Stream,
+    pub(super) at: Offset,
+    pub(super) message: String,
+}
+
+/// An attempt that is in force.
+#[derive(Debug)]
+pub(super) struct Attempt<'a> {
+    pub(super) task: &'a task::Id,
+    pub(super) number: task::Attempt,
+    pub(super) worker: &'a Name,
+    pub(super) epoch: Epoch,
+    pub(super) needs: Capacity,
+    pub(super) fence: Option<Offset>,
+    pub(super) row: &'a Row,
+    /// The record that says that it is over.
+    pub(super) over: Option<&'a Row>,
+}
+
+/// A loss that is in force, or was.
+#[derive(Debug)]
+pub(super) struct Loss<'a> {
+    pub(super) worker: &'a Name,
+    pub(super) epoch: Epoch,
+    pub(super) at: Millis,
+    pub(super) offset: Offset,
+}
+
+/// A job that is in force.
+#[derive(Debug)]
+pub(super) struct Submitted<'a> {
+    pub(super) job: &'a Job,
+    pub(super) row: &'a Row,
+}
+
+/// A key that is claimed.
+#[derive(Debug)]
+pub(super) struct Claimed<'a> {
+    pub(super) request: &'a request::Id,
+    pub(super) row: &'a Row,
+    pub(super) answer: Option<(&'a Answer, &'a Row)>,
+}
+
+/// A patch that is in force.
+#[derive(Debug)]
+pub(super) struct Patched<'a> {
+    pub(super) version: Version,
+    pub(super) row: &'a Row,
+}
+
+/// The replayed ledger.
+#[derive(Debug, Default)]
+pub(super) struct Replay<'a> {
+    /// Sorted by stream and offset.
+    pub(super) judged: Vec<Judged<'a>>,
+    pub(super) holes: Vec<Hole>,
+    /// Sorted by task and number.
+    pub(super) attempts: Vec<Attempt<'a>>,
+    /// Sorted by offset.
+    pub(super) losses: Vec<Loss<'a>>,
+    /// Sorted by id.
+    pub(super) jobs: Vec<Submitted<'a>>,
+    /// Sorted by request.
+    pub(super) keys: Vec<Claimed<'a>>,
+    /// Sorted by version.
+    pub(super) patches: Vec<Patched<'a>>,
+    /// Sorted by partition.
+    books: Vec<(u16, Book)>,
+}
+
+impl<'a> Replay<'a> {
+    pub(super) fn new(rows: &'a [Row]) -> Self {
+        let mut sorted: Vec<&Row> = rows.iter().collect();
+        sorted.sort_by_key(|row| (row.stream, row.offset));
+        sorted.dedup();
+        let mut replay = Self::default();
+        replay.find_holes(&sorted);
+        let (mut history, mut fleet) = (History::default(), Fleet::default());
+        for row in sorted {
+            let (offset, record) = (row.offset, &row.record);
+            let verdict = match row.stream {
+                Stream::Configuration => history.apply(offset, record),
+                Stream::Fleet => fleet.apply(offset, record),
+                Stream::Partition(partition) => replay.book(partition).apply(offset, record),
+            };
+            replay.judged.push(Judged { row, verdict });
+            if verdict == Verdict::Accepted {
+                replay.accept(row);
+            }
+        }
+        replay
+    }
+
+    /// Returns an attempt that is in force.
+    pub(super) fn attempt(&self, task: &task::Id, number: task::Attempt) -> Option<&Attempt<'a>> {
+        let found = self.attempts.binary_search_by(|a| (a.task, a.number).cmp(&(task, number)));
+        found.ok().map(|i| &self.attempts[i])
+    }
+
+    /// Returns a job that is in force.
+    pub(super) fn job(&self, id: &str) -> Option<&Submitted<'a>> {
+        let found = self.jobs.binary_search_by(|j| j.job.id.as_str().cmp(id));
+        found.ok().map(|i| &self.jobs[i])
+    }
+
+    /// Returns a key that is claimed.
+    pub(super) fn key(&self, id: &str) -> Option<&Claimed<'a>> {
+        let found = self.keys.binary_search_by(|k| k.request.as_str().cmp(id));
+        found.ok().map(|i| &self.keys[i])
+    }
+
+    /// Returns whether all tasks of a job have ended for good.
+    pub(super) fn has_ended(&self, id: &str) -> bool {
+        let entry = self.books.iter().find_map(|(_, book)| book.job(id));
+        entry.is_some_and(|entry| entry.tasks.iter().all(|task| task.state.is_final()))
+    }
+
+    fn book(&mut self, partition: u16) -> &mut Book {
+        let i = match self.books.binary_search_by_key(&partition, |(p, _)| *p) {
+            Ok(i) => i,
+            Err(i) => {
+                self.books.insert(i, (partition, Book::default()));
+                i
+            }
+        };
+        &mut self.books[i].1
+    }
+
+    fn find_holes(&mut self, sorted: &[&Row]) {
+        let mut last: Option<&Row> = None;
+        for row in sorted {
+            let (stream, at) = (row.stream, row.offset);
+            let before = last.filter(|last| last.stream == stream).map(|last| last.offset);
+            let expected = before.map_or(0, |offset| offset + 1);
+            if at < expected {
+                let message = format!("{stream} has two records at offset {at}");
+                self.holes.push(Hole { stream, at, message });
+            } else if at > expected {
+                let message = format!("{stream} lacks offsets {expected} to {}", at - 1);
+                self.holes.push(Hole { stream, at, message });
+            }
+            last = Some(row);
+        }
+    }
+
+    fn accept(&mut self, row: &'a Row) {
+        match (&row.record.register, &row.record.change) {
+            (Register::Configuration, Change::Patch { .. }) => {
+                self.patches.push(Patched { version: row.record.expect + 1, row });
+            }
+            (Register::Worker(worker), Change::Lost { epoch }) => {
+                let (epoch, at, offset) = (*epoch, row.record.at, row.offset);
+                self.losses.push(Loss { worker, epoch, at, offset });
+            }
+            (Register::Job(_), Change::Submit { job, .. }) => {
+                let i = self.jobs.partition_point(|j| j.job.id < job.id);
+                self.jobs.insert(i, Submitted { job, row });
+            }
+            (Register::Task(task), change) => self.accept_task(task, change, row),
+            (Register::Key(request), Change::Claim { .. }) => {
+                let i = self.keys.partition_point(|k| k.request < request);
+                self.keys.insert(i, Claimed { request, row, answer: None });
+            }
+            (Register::Key(request), Change::Answer(answer)) => {
+                if let Ok(i) = self.keys.binary_search_by(|k| k.request.cmp(request)) {
+                    self.keys[i].answer = Some((answer, row));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn accept_task(&mut self, task: &'a task::Id, change: &'a Change, row: &'a Row) {
+        match change {
+            Change::Attempt { attempt, worker, epoch, needs, fence } => {
+                let (number, epoch, needs, fence) = (*attempt, *epoch, *needs, *fence);
+                let i = self.attempts.partition_point(|a| (a.task, a.number) < (task, number));
+                let over = None;
+                let made = Attempt { task, number, worker, epoch, needs, fence, row, over };
+                self.attempts.insert(i, made);
+            }
+            Change::Over { attempt, .. } | Change::Release { attempt, .. } => {
+                let key = (task, *attempt);
+                if let Ok(i) = self.attempts.binary_search_by(|a| (a.task, a.number).cmp(&key)) {
+                    self.attempts[i].over = Some(row);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/audit/truth.rs
@@ -0,0 +1,103 @@
+//! What was refused as "not run" did not run.
+
+use super::{Case, Check, Promise, Sheet, Subject};
+use crate::contract::request::{Answer, Reason};
+use crate::contract::{job, request};
+use crate::ledger::Stream;
+use crate::name::Name;
+use crate::timeline::{Event, What};
+
+/// Checks refusals of jobs against the ledger, and those of requests against the runners.
+pub(super) struct NotRun;
+
+impl Check for NotRun {
+    fn promise(&self) -> Promise {
+        Promise::NotRun
+    }
+
+    fn check(&self, case: &Case<'_>, sheet: &mut Sheet) {
+        case.need_ledger(|stream| matches!(stream, Stream::Partition(_)), sheet);
+        case.need_timeline(sheet);
+        for (i, line) in case.lines.iter().enumerate() {
+            match &line.event.what {
+                What::JobRefused { job, reason: Some(reason) } if *reason != Reason::Mismatch => {
+                    sheet.look(vec![Subject::Job(job.clone())]);
+                    check_job(job, line.event, case, sheet);
+                }
+                What::RequestRefused { request, reason } if *reason != Reason::Mismatch => {
+                    sheet.look(vec![Subject::Request(request.clone())]);
+                    check_request(request, i, case, sheet);
+                }
+                _ => {}
+            }
+        }
+        check_recorded(case, sheet);
+    }
+}
+
+/// Checks that no acceptance of a refused job was written before it was refused. One that was
+/// written later is another submission.
+fn check_job(job: &job::Id, refused: &Event, case: &Case<'_>, sheet: &mut Sheet) {
+    let Some(submitted) = case.replay.job(job.as_str()) else { return };
+    let record = &submitted.row.record;
+    if record.at > refused.at {
+        return;
+    }
+    let about = vec![Subject::Job(job.clone())];
+    let message = format!("{job} was refused as not run, but was accepted");
+    let is_one_clock = is_writer(&refused.process, &record.id.writer);
+    let is_sure = is_one_clock || record.at + case.bounds.skew_ms < refused.at;
+    let evidence =
+        if is_sure { sheet.broken(message, about) } else { sheet.unprovable(message, about) };
+    evidence.event(refused).record(submitted.row.stream, submitted.row.offset);
+}
+
+/// Returns whether a writer of records belongs to a process: its name begins with the other's.
+fn is_writer(process: &Name, writer: &Name) -> bool {
+    let rest = writer.as_str().strip_prefix(process.as_str());
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+}
+
+/// Checks that nothing of a refused request ran from its arrival on until it comes again.
+fn check_request(request: &request::Id, refused: usize, case: &Case<'_>, sheet: &mut Sheet) {
+    let process = &case.lines[refused].event.process;
+    let is_arrival = |what: &What| matches!(what, What::RequestReceived { request: other, .. } if other == request);
+    let start = case.lines[..refused]
+        .iter()
+        .rposition(|line| line.event.process == *process && is_arrival(&line.event.what))
+        .unwrap_or(refused);
+    let again = case.lines[refused + 1..].iter().position(|line| is_arrival(&line.event.what));
+    let end = again.map_or(case.lines.len(), |next| refused + 1 + next);
+    for line in &case.lines[start..end] {
+        let about = vec![Subject::Request(request.clone())];
+        match &line.event.what {
+            What::RequestServed { request: other, runner, .. } if other == request => {
+                let message = format!("{request} was refused as not run, but ran on {runner}");
+                sheet.broken(message, about).event(case.lines[refused].event).event(line.event);
+            }
+            What::SlotHeld { request: other, runner } if other == request => {
+                let message = format!(
+                    "{request} was refused as not run, although a try on {runner} went silent"
+                );
+                sheet.unprovable(message, about).event(case.lines[refused].event).event(line.event);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Checks the refusals in the ledger: whoever claimed the key knew that nothing ran.
+fn check_recorded(case: &Case<'_>, sheet: &mut Sheet) {
+    for key in &case.replay.keys {
+        let Some((Answer::NotRun { .. }, row)) = key.answer else { continue };
+        let about = vec![Subject::Request(key.request.clone())];
+        sheet.look(about.clone());
+        let served = case.lines.iter().find(|line| {
+            matches!(&line.event.what, What::RequestServed { request, .. } if request == key.request)
+        });
+        if let Some(line) = served {
+            let message = format!("{} is recorded as not run, but ran", key.request);
+            sheet.broken(message, about).record(row.stream, row.offset).event(line.event);
+        }
+    }
+}
--- a/crates/core/src/timeline/merge.rs
+++ b/crates/core/src/timeline/merge.rs
@@ -26,6 +26,8 @@
     pub gap: Option<Gap>,
     /// Whether the event that it names as its cause is not there.
     pub orphan: bool,
+    /// Whether another event of the process has the same sequence: two processes share a name.
+    pub repeated: bool,
 }
 
 /// The events of one process.
@@ -86,8 +88,8 @@
 
 fn lanes(events: &[Event]) -> Vec<Lane<'_>> {
     let mut sorted: Vec<&Event> = events.iter().collect();
-    sorted.sort_by(|a, b| (&a.process, a.sequence).cmp(&(&b.process, b.sequence)));
-    sorted.dedup_by(|a, b| a.process == b.process && a.sequence == b.sequence);
+    sorted.sort_by(|a, b| (&a.process, a.sequence, a.at).cmp(&(&b.process, b.sequence, b.at)));
+    sorted.dedup();
     let mut lanes: Vec<Lane<'_>> = Vec::new();
     for event in sorted {
         match lanes.last_mut().filter(|lane| *lane.process == event.process) {
@@ -158,8 +160,9 @@
         None => FIRST,
     };
     let gap = (event.sequence > expected).then(|| Gap { from: expected, to: event.sequence - 1 });
+    let repeated = event.sequence < expected;
     own.next += 1;
     own.at = at;
     own.placed.push(at);
-    Line { event, at, gap, orphan }
+    Line { event, at, gap, orphan, repeated }
 }
--- a/crates/core/src/timeline/tests.rs
+++ b/crates/core/src/timeline/tests.rs
@@ -71,6 +71,14 @@
     expect_that!(merge(&events).len(), eq(1));
 }
 
+#[gtest]
+fn two_processes_of_one_name_are_told_and_lose_no_event() {
+    let events = [event("a", 1, 10, None), event("a", 1, 90, None), event("a", 2, 20, None)];
+    let lines = merge(&events);
+    expect_that!(lines.len(), eq(3));
+    expect_that!(lines.iter().filter(|l| l.repeated).count(), eq(1));
+}
+
 #[gtest]
 fn causes_in_a_circle_lose_no_event() {
     let events = [event("a", 1, 10, Some(("b", 1))), event("b", 1, 5, Some(("a", 1)))];
--- a/crates/core/src/timeline/what.rs
+++ b/crates/core/src/timeline/what.rs
@@ -248,6 +248,15 @@
         /// The runner.
         runner: Name,
     },
+    /// A runner refused a try of a request: it did not run.
+    TryRefused {
+        /// The request.
+        request: request::Id,
+        /// The try.
+        attempt: Name,
+        /// The runner.
+        runner: Name,
+    },
     /// A runner ran a try of a request.
     RequestServed {
         /// The request.
@@ -326,6 +335,7 @@
             Self::RequestReceived { request, .. }
             | Self::RequestClaimed { request }
             | Self::RequestSent { request, .. }
+            | Self::TryRefused { request, .. }
             | Self::RequestServed { request, .. }
             | Self::AnswerDropped { request, .. }
             | Self::SlotHeld { request, .. }
--- a/src/commands/cancel.rs
+++ b/src/commands/cancel.rs
@@ -15,7 +15,7 @@
     /// Print the job as one JSON object
     #[options(no_short)]
     json: bool,
-    /// Address of a daemon's callers' listener; the next one is tried when one can't be reached
+    /// Callers' address of a daemon; repeat it for others to try
     #[options(no_short, meta = "ADDR")]
     daemon: Vec<String>,
     /// Team of the job
--- a/src/commands/config.rs
+++ b/src/commands/config.rs
@@ -19,7 +19,7 @@
     /// Print JSON: one object, or one entry a line for the history
     #[options(no_short)]
     json: bool,
-    /// Address of a daemon's operators' listener; the next one is tried when one fails
+    /// Operators' address of a daemon; repeat it for others to try
     #[options(no_short, meta = "ADDR")]
     daemon: Vec<String>,
     /// File with the operator's key
--- a/src/commands/patch.rs
+++ b/src/commands/patch.rs
@@ -17,8 +17,7 @@
     /// Print one JSON object
     #[options(no_short)]
     json: bool,
-    /// Address of a daemon's operators' listener; the next one is tried when one surely did not
-    /// take the patch
+    /// Operators' address of a daemon; repeat it for others to try when one surely took nothing
     #[options(no_short, meta = "ADDR")]
     daemon: Vec<String>,
     /// File with the operator's key
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -24,7 +24,7 @@
     /// Print one JSON object
     #[options(no_short)]
     json: bool,
-    /// Address of a daemon's callers' listener; the next one is tried when one fails
+    /// Callers' address of a daemon; repeat it for others to try
     #[options(no_short, meta = "ADDR")]
     daemon: Vec<String>,
     /// Team of the job or the request
--- a/src/commands/submit.rs
+++ b/src/commands/submit.rs
@@ -14,7 +14,7 @@
 use serde_json::{Map, Value};
 use std::io::Write;
 
-/// Submits a job, or a request when a service is named. Flags go before the file.
+/// Submits a job, or a request when a service is named. Flags go over what the file says.
 #[derive(Debug, Default, Options)]
 pub struct Arguments {
     /// Print help
@@ -22,8 +22,7 @@
     /// Print one JSON object
     #[options(no_short)]
     json: bool,
-    /// Address of a daemon's callers' listener; the next one is tried when one surely did not
-    /// take the work
+    /// Callers' address of a daemon; repeat it for others to try when one surely took nothing
     #[options(no_short, meta = "ADDR")]
     daemon: Vec<String>,
     /// Unique id; the same id is the same work
@@ -68,8 +67,7 @@
     /// Request: input
     #[options(no_short, meta = "TEXT")]
     body: Option<String>,
-    /// File with the job or the request: TOML, JSON when its name ends in .json, - for TOML from
-    /// standard input
+    /// Job or request in TOML, in JSON when its name ends in .json, - for standard input (TOML)
     #[options(free)]
     file: Option<String>,
 }
--- a/src/commands/timeline.rs
+++ b/src/commands/timeline.rs
@@ -84,6 +84,9 @@
 fn write_line(out: &mut dyn Write, line: &Line<'_>) -> Result<(), Error> {
     let event = line.event;
     let process = &event.process;
+    if line.repeated {
+        writeln!(out, "... {process}: the next event has a sequence that was used before")?;
+    }
     if let Some(gap) = line.gap {
         writeln!(out, "... {process}: events {} to {} are missing", gap.from, gap.to)?;
     }
