Put the weighted scheduler behind the planner and pace reports

Cause: a worker with unrecorded endings answers signs of life at once, so a controller must pace itself; tasks that turn out to be over must leave the queue one by one. Change: planner::Weighted; Scheduler::drop_task and forget; pause between such signs of life.

--- a/crates/core/src/contract/planner.rs
+++ b/crates/core/src/contract/planner.rs
@@ -1,6 +1,8 @@
 //! The border between the steward, which knows what is recorded, and the policy, which decides
 //! what should be placed where.
 
+pub mod weighted;
+
 use crate::clock::Millis;
 use crate::contract::configuration::Configuration;
 use crate::contract::job::Job;
@@ -65,7 +67,10 @@
     fn enqueue(&mut self, job: &Job, kind: &Kind, task: &task::Id, at: Millis);
 
     /// Removes a waiting task, whose job was cancelled or which turned out to be over.
-    fn withdraw(&mut self, task: &task::Id);
+    fn withdraw(&mut self, task: &task::Id, now: Millis);
+
+    /// Takes in that a controller holds the capacity of a decided placement.
+    fn reserved(&mut self, placement: &Placement, now: Millis);
 
     /// Takes in that a task is recorded as placed, by this instance or by an earlier steward.
     fn placed(&mut self, job: &Job, kind: &Kind, placement: &Placement, now: Millis);
@@ -79,7 +84,6 @@
     /// Decides at most `limit` placements.
     fn decide(&mut self, now: Millis, limit: usize) -> Vec<Decision>;
 
-    /// Drops everything of the partition that the predicate names, when another instance becomes
-    /// its steward.
-    fn drop_teams(&mut self, dropped: &dyn Fn(&Name) -> bool);
+    /// Drops jobs whose partition another instance is the steward of from now on.
+    fn drop_jobs(&mut self, jobs: &[Name]);
 }
--- /dev/null
+++ b/crates/core/src/contract/planner/weighted.rs
@@ -0,0 +1,145 @@
+//! The planner that daemons use: [`Scheduler`] behind the border of the steward.
+
+use super::{Decision, Placement, Planner};
+use crate::clock::Millis;
+use crate::contract::admission;
+use crate::contract::configuration::Configuration;
+use crate::contract::job::Job;
+use crate::contract::kind::Kind;
+use crate::contract::scheduler::{self, Scheduler};
+use crate::contract::status::Refusal;
+use crate::contract::task;
+use crate::machine::capacity::Capacity;
+use crate::machine::controller::Standing;
+use crate::machine::view::Report;
+use crate::machine::worker::{Ended, Ending};
+use crate::name::Name;
+use crate::zone::Place;
+
+/// A task that is recorded as placed on a worker that no controller has reported yet.
+#[derive(Clone, Debug)]
+struct Unseen {
+    job: Job,
+    kind: Kind,
+    placement: Placement,
+}
+
+/// Shares, weights, best fit and estimates.
+#[derive(Clone, Debug)]
+pub struct Weighted {
+    scheduler: Scheduler,
+    unseen: Vec<Unseen>,
+}
+
+impl Weighted {
+    /// Returns a planner without work and workers, for a steward at `home`.
+    pub fn new(home: Place) -> Self {
+        let scheduler = Scheduler::new(Some(home), &Configuration::default());
+        Self { scheduler, unseen: Vec::new() }
+    }
+
+    fn restore(&mut self, unseen: &Unseen, now: Millis) -> bool {
+        let Unseen { job, kind, placement: Placement { task, worker, needs } } = unseen;
+        self.scheduler.restore(job, kind, task.index, worker.as_str(), needs, now)
+    }
+}
+
+impl Planner for Weighted {
+    fn configure(&mut self, configuration: &Configuration) {
+        self.scheduler.configure(configuration);
+    }
+
+    fn stand(&mut self, standing: &Standing, now: Millis) {
+        let Standing { worker, free, closed, as_of, .. } = standing;
+        self.scheduler.worker(&Report { worker, free, leaving: *closed, at: *as_of });
+        let seen: Vec<Unseen> =
+            self.unseen.extract_if(.., |u| u.placement.worker == worker.name).collect();
+        for unseen in seen {
+            self.restore(&unseen, now);
+        }
+    }
+
+    fn forget(&mut self, worker: &Name) {
+        self.scheduler.forget_worker(worker.as_str());
+    }
+
+    fn admit(
+        &self,
+        job: &Job,
+        _: &Kind,
+        configuration: &Configuration,
+        now: Millis,
+    ) -> Result<(), Refusal> {
+        self.scheduler.admit(job, configuration, now).map_err(|refusal| match refusal {
+            admission::Refusal::Impossible(findings) => Refusal::wrong(&findings),
+            admission::Refusal::Later { reason, retry_after } => {
+                Refusal::not_run(reason, retry_after)
+            }
+        })
+    }
+
+    fn enqueue(&mut self, job: &Job, kind: &Kind, task: &task::Id, at: Millis) {
+        self.scheduler.enqueue(job, kind, &[task.index], at);
+    }
+
+    fn withdraw(&mut self, task: &task::Id, now: Millis) {
+        self.unseen.retain(|u| u.placement.task != *task);
+        self.scheduler.drop_task(task);
+        self.scheduler.ended(task, &Ending::Stopped, &Capacity::ZERO, Millis::ZERO, now);
+    }
+
+    fn reserved(&mut self, placement: &Placement, now: Millis) {
+        self.scheduler.reserved(&placement.task, now);
+    }
+
+    fn placed(&mut self, job: &Job, kind: &Kind, placement: &Placement, now: Millis) {
+        let unseen = Unseen { job: job.clone(), kind: kind.clone(), placement: placement.clone() };
+        self.scheduler.drop_task(&placement.task);
+        if !self.restore(&unseen, now) && !self.scheduler.is_placed(&placement.task) {
+            self.unseen.push(unseen);
+        }
+    }
+
+    fn refused(&mut self, placement: &Placement, now: Millis) {
+        self.scheduler.reservation_refused(&placement.task, now);
+    }
+
+    fn over(&mut self, task: &task::Id, _: &Name, ended: Option<&Ended>, now: Millis) {
+        self.unseen.retain(|u| u.placement.task != *task);
+        let (ending, peak, ran) = ended
+            .map_or((&Ending::Lapsed, Capacity::ZERO, Millis::ZERO), |e| {
+                (&e.ending, e.peak, e.ran_ms)
+            });
+        self.scheduler.ended(task, ending, &peak, ran, now);
+    }
+
+    fn decide(&mut self, now: Millis, limit: usize) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        let mut open: Option<u64> = None;
+        for decision in self.scheduler.decide(now, limit) {
+            match decision {
+                scheduler::Decision::Preempt { task, worker } => {
+                    decisions.push(Decision::Preempt { task, worker });
+                }
+                scheduler::Decision::Place { task, worker, needs, gang } => {
+                    let placement = Placement { task, worker, needs };
+                    match decisions.last_mut() {
+                        Some(Decision::Place(group)) if gang.is_some() && gang == open => {
+                            group.push(placement);
+                        }
+                        _ => decisions.push(Decision::Place(vec![placement])),
+                    }
+                    open = gang;
+                }
+            }
+        }
+        decisions
+    }
+
+    fn drop_jobs(&mut self, jobs: &[Name]) {
+        for job in jobs {
+            self.unseen.retain(|u| u.job.id != *job);
+            self.scheduler.forget(job.as_str());
+        }
+    }
+}
--- a/crates/core/src/contract/scheduler.rs
+++ b/crates/core/src/contract/scheduler.rs
@@ -260,6 +260,45 @@
         self.compact();
     }
 
+    /// Drops one waiting task. Its unit stays in the queue and is passed over.
+    pub fn drop_task(&mut self, task: &task::Id) {
+        let Some(number) = self.table.number(task.job.as_str()) else { return };
+        let Some(entry) = self.table.get_mut(number) else { return };
+        let Some(place) = entry.tasks.get_mut(task.index as usize) else { return };
+        if !matches!(place, TaskPlace::Waiting(_)) {
+            return;
+        }
+        *place = TaskPlace::Idle;
+        entry.waiting -= 1;
+        self.stale += 1;
+        let (class, team, needs, work) = (entry.class, entry.team, entry.needs, entry.work);
+        self.unwait(class, team, &needs, work, 1);
+        self.remove_if_over(number);
+        self.compact();
+    }
+
+    /// Returns whether a task is claimed or running.
+    pub fn is_placed(&self, task: &task::Id) -> bool {
+        self.claim(task).is_some()
+    }
+
+    /// Forgets a job with everything that waits or runs of it: another steward answers for it.
+    pub fn forget(&mut self, job: &str) {
+        self.cancel(job);
+        let Some(number) = self.table.number(job) else { return };
+        let placed: Vec<(u32, Claim)> = self.table.get(number).map_or_else(Vec::new, |entry| {
+            let claims = (0..).zip(&entry.tasks).filter_map(|(index, place)| match place {
+                TaskPlace::Placed(claim) => Some((index, *claim)),
+                _ => None,
+            });
+            claims.collect()
+        });
+        for (index, claim) in placed {
+            self.unplace(number, index, &claim, Millis::ZERO);
+        }
+        self.remove_if_over(number);
+    }
+
     /// Notes that the controller reserved what was claimed for a task.
     pub fn reserved(&mut self, task: &task::Id, now: Millis) {
         if let Some((_, claim)) = self.claim(task) {
--- a/crates/core/src/contract/steward.rs
+++ b/crates/core/src/contract/steward.rs
@@ -324,9 +324,8 @@
         };
         let gone = self.partitions.remove(i);
         self.flights.retain(|flight| gone.book.task(&flight.task).is_none());
-        let count = self.config.partitions;
-        let dropped = move |team: &Name| Stream::of_team(team, count) == Stream::Partition(index);
-        self.planner.drop_teams(&dropped);
+        let jobs: Vec<Name> = gone.book.jobs().iter().map(|e| e.job.id.clone()).collect();
+        self.planner.drop_jobs(&jobs);
         let lost: Vec<Pending> = self.pending.extract_if(.., |p| p.partition == index).collect();
         for ticket in lost.into_iter().filter_map(|p| p.ticket) {
             self.tell(ticket, Told::Refused(Refusal::unknown()));
@@ -354,7 +353,7 @@
             if complete && verdict == Verdict::Accepted {
                 self.accepted(i, record, now);
             }
-            self.settle_pending(i, record, verdict);
+            self.settle_pending(i, record, verdict, now);
         }
         if at_end && !self.partitions[i].complete {
             self.partitions[i].complete = true;
--- a/crates/core/src/contract/steward/ask.rs
+++ b/crates/core/src/contract/steward/ask.rs
@@ -162,7 +162,13 @@
     }
 
     /// Takes the verdict on a record of this instance, and answers whoever waits for it.
-    pub(super) fn settle_pending(&mut self, i: usize, record: &Record, verdict: Verdict) {
+    pub(super) fn settle_pending(
+        &mut self,
+        i: usize,
+        record: &Record,
+        verdict: Verdict,
+        now: Millis,
+    ) {
         let Ok(found) = self.pending.binary_search_by(|p| p.id.cmp(&record.id)) else {
             return;
         };
@@ -170,7 +176,7 @@
         if let (Register::Task(task), Change::Attempt { .. }) = (&record.register, &record.change)
             && verdict != Verdict::Accepted
         {
-            self.overtaken(i, task);
+            self.overtaken(i, task, now);
         }
         if let Some(ticket) = pending.ticket {
             let told = self.verdict(i, record, verdict);
--- a/crates/core/src/contract/steward/place.rs
+++ b/crates/core/src/contract/steward/place.rs
@@ -5,6 +5,7 @@
 
 use super::{Effect, Steward};
 use crate::clock::Millis;
+use crate::contract::job;
 use crate::contract::kind::{Separation, Shape};
 use crate::contract::planner::{Decision, Placement};
 use crate::contract::request::Reason;
@@ -70,7 +71,7 @@
         let group = if placements.len() > 1 { self.numbers } else { 0 };
         for placement in placements {
             let Some((team, attempt)) = self.next_attempt(&placement.task) else {
-                self.planner.withdraw(&placement.task);
+                self.planner.withdraw(&placement.task, now);
                 continue;
             };
             let Placement { task, worker, needs } = placement.clone();
@@ -126,6 +127,7 @@
                 match grant {
                     Grant::Reserved { epoch } if awaited => {
                         self.flights[f].stage = Stage::Reserved(epoch);
+                        self.planner.reserved(&self.flights[f].placement, now);
                         self.record_group(f, now);
                     }
                     Grant::Reserved { .. } => self.unreserve(worker, wish.task()),
@@ -213,7 +215,7 @@
     }
 
     /// An attempt that this instance recorded came second: the task is elsewhere or over.
-    pub(super) fn overtaken(&mut self, i: usize, task: &task::Id) {
+    pub(super) fn overtaken(&mut self, i: usize, task: &task::Id, now: Millis) {
         let Ok(f) = self.flight(task) else { return };
         if self.flights[f].stage != Stage::Recording {
             return;
@@ -222,9 +224,9 @@
         self.unreserve(&flight.worker, task);
         let waits = self.partitions[i].book.task(task).is_some_and(|t| t.state == State::Waiting);
         if waits {
-            self.planner.refused(&flight.placement, Millis::ZERO);
+            self.planner.refused(&flight.placement, now);
         } else {
-            self.planner.withdraw(task);
+            self.planner.withdraw(task, now);
         }
     }
 
@@ -241,7 +243,7 @@
                     self.enqueue(i, &task::Id { job: id.clone(), index });
                 }
             }
-            (Register::Job(id), Change::Cancel) => self.withdraw_all(i, id),
+            (Register::Job(id), Change::Cancel) => self.withdraw_all(i, id, now),
             (Register::Task(task), Change::Attempt { .. }) => self.fly(i, task, now),
             (Register::Task(task), Change::Over { .. } | Change::Release { .. }) => {
                 self.land(i, task, now);
@@ -278,11 +280,11 @@
         }
     }
 
-    fn withdraw_all(&mut self, i: usize, id: &crate::contract::job::Id) {
+    fn withdraw_all(&mut self, i: usize, id: &job::Id, now: Millis) {
         let Some(entry) = self.partitions[i].book.job(id.as_str()) else { return };
         for (task, index) in entry.tasks.iter().zip(0..) {
             if task.state == State::Cancelled {
-                self.planner.withdraw(&task::Id { job: id.clone(), index });
+                self.planner.withdraw(&task::Id { job: id.clone(), index }, now);
             }
         }
     }
@@ -324,7 +326,7 @@
             Stage::Fenced => {
                 self.flights.remove(f);
                 if !waits {
-                    self.planner.withdraw(id);
+                    self.planner.withdraw(id, now);
                 }
             }
             // The attempt that is being placed rests on a version that is past: it is overtaken.
--- a/crates/core/src/machine/controller.rs
+++ b/crates/core/src/machine/controller.rs
@@ -20,6 +20,9 @@
 use crate::zone::stewardship;
 use serde::{Deserialize, Serialize};
 
+/// Pause between signs of life to a worker whose ended attempts are not recorded yet.
+const REPORT_PAUSE: Millis = Millis(200);
+
 /// A wish of a steward to a controller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -365,6 +368,9 @@
                 && let Some(hold) = &mut self.entries[i].hold
             {
                 hold.record(*sequence);
+                if hold.unrecorded().next().is_none() {
+                    self.entries[i].not_before = Millis::ZERO;
+                }
             }
         }
     }
@@ -412,7 +418,12 @@
                 entry.heard = now;
                 entry.epoch = entry.epoch.max(heard.epoch);
                 match &mut entry.hold {
-                    Some(hold) if hold.epoch == heard.epoch => hold.hear(heard),
+                    Some(hold) if hold.epoch == heard.epoch => {
+                        hold.hear(heard);
+                        // A worker answers at once while it has ended attempts to report.
+                        let paced = hold.unrecorded().next().is_some();
+                        entry.not_before = if paced { now + REPORT_PAUSE } else { now };
+                    }
                     // Another instance has adopted the worker; it may know better who is alive.
                     _ => {
                         entry.hold = None;
