Run the main job on embedded stand-ins

Cause: the whole path must be seen to run. Change: cell (stand-ins and daemons in one process) and the demo command.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::view::{self, Facts, Held, Members};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::planner::Planner;
+use pimentovalve_core::contract::planner::weighted::Weighted;
 use pimentovalve_core::contract::steward::{self, Steward};
 use pimentovalve_core::finding::List;
 use pimentovalve_core::link::dispatcher::{self, Dispatcher};
@@ -116,12 +117,23 @@
 }
 
 impl Daemon {
-    /// Starts a daemon under a name that was not used before.
+    /// Starts a daemon under a name that was not used before; events of its time line go to
+    /// `sink`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start_with`].
+    pub fn start(settings: &Settings, sink: Arc<dyn Sink>) -> Result<Self, Error> {
+        let planner = Weighted::new(settings.place.clone());
+        Self::start_with(settings, Box::new(planner), sink)
+    }
+
+    /// As [`Self::start`], with another policy.
     ///
     /// # Errors
     ///
     /// Returns an error when an address, a thread or a key file can't be had.
-    pub fn start(
+    pub fn start_with(
         settings: &Settings,
         planner: Box<dyn Planner>,
         sink: Arc<dyn Sink>,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod telemetry;
 pub mod view;
 
-pub use daemon::{Daemon, Error};
+pub use daemon::{Addresses, Daemon, Error};
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -7,6 +7,7 @@
 pub mod check_settings;
 pub mod client;
 pub mod config;
+pub mod demo;
 pub mod error;
 pub mod input;
 pub mod patch;
@@ -61,6 +62,8 @@
     Config(config::Arguments),
     /// Merge the time lines of several processes
     Timeline(timeline::Arguments),
+    /// Show the main job on embedded stand-ins
+    Demo(demo::Arguments),
     /// Check a file with settings of a daemon
     CheckSettings(check_settings::Arguments),
 }
@@ -74,6 +77,7 @@
             Self::Patch(arguments) => arguments,
             Self::Config(arguments) => arguments,
             Self::Timeline(arguments) => arguments,
+            Self::Demo(arguments) => arguments,
             Self::CheckSettings(arguments) => arguments,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! command line), and re-exports the library that they are made of: [`core`] decides, [`wire`]
 //! encodes, [`daemon`] runs the duties, [`standin`] takes the platform's place in trials.
 
+pub mod cell;
 pub mod commands;
 
 pub use pimentovalve_core as core;
