Add the audit command and let pimentovalved serve

Cause: the audit must run on files and on a live ledger, and the daemon's program had no duties. Change: pimentovalve audit reads time lines, saved ledgers and the operators' port; pimentovalved starts the daemon, drains it on SIGTERM and fails when a duty has failed.

--- a/src/bin/pimentovalved.rs
+++ b/src/bin/pimentovalved.rs
@@ -5,13 +5,19 @@
 
 use gumdrop::{Options, ParsingStyle};
 use pimentovalve::commands::Error;
-use pimentovalve_daemon::log;
+use pimentovalve_daemon::journal::Lines;
 use pimentovalve_daemon::settings::Settings;
+use pimentovalve_daemon::{Daemon, log};
 use std::io::{self, Write};
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// Time between two looks at whether a duty has failed.
+const WATCH: Duration = Duration::from_millis(500);
+
 /// Runs the daemon of an entry instance until SIGTERM, then drains it.
 #[derive(Debug, Default, Options)]
 struct Arguments {
@@ -54,11 +60,24 @@
     let settings =
         Settings::read(Path::new(&file)).map_err(|findings| Error::input(&file, findings))?;
     log::start(&settings).map_err(|e| Error::failed(e.to_string()))?;
-    serve()
+    let daemon = Daemon::start(&settings, Arc::new(Lines));
+    let daemon = daemon.map_err(|e| Error::failed(e.to_string()))?;
+    tracing::info!(name = %daemon.name(), addresses = ?daemon.addresses(), "the daemon serves");
+    match wait(&daemon) {
+        Ok(()) => {
+            daemon.stop();
+            tracing::info!("the daemon has drained");
+            Ok(())
+        }
+        Err(error) => {
+            daemon.kill();
+            Err(error)
+        }
+    }
 }
 
-/// Serves until a signal asks for a planned stop.
-fn serve() -> Result<(), Error> {
+/// Waits until a signal asks for a planned stop, or a duty fails.
+fn wait(daemon: &Daemon) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -67,13 +86,20 @@
         let mut terminate = listen(SignalKind::terminate())?;
         let mut interrupt = listen(SignalKind::interrupt())?;
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            _ = terminate.recv() => Ok(()),
+            _ = interrupt.recv() => Ok(()),
+            () = failure(daemon) => Err(Error::failed("a duty has failed")),
         }
-        Ok(())
     })
 }
 
+/// Ends when a duty has failed, so that the instance is replaced.
+async fn failure(daemon: &Daemon) {
+    while !daemon.has_failed() {
+        tokio::time::sleep(WATCH).await;
+    }
+}
+
 fn listen(kind: SignalKind) -> Result<Signal, Error> {
     signal(kind).map_err(|e| Error::failed(format!("signals can't be received: {e}")))
 }
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -3,6 +3,7 @@
 //! Results go to standard output, errors to standard error. Exit codes: 0 done, 1 refused or
 //! failed, 2 bad input.
 
+pub mod audit;
 pub mod cancel;
 pub mod check_settings;
 pub mod client;
@@ -11,6 +12,7 @@
 pub mod error;
 pub mod input;
 pub mod patch;
+pub mod reader;
 pub mod status;
 pub mod submit;
 pub mod timeline;
@@ -64,6 +66,8 @@
     Timeline(timeline::Arguments),
     /// Show the main job on embedded stand-ins
     Demo(demo::Arguments),
+    /// State of each promise whether it was kept
+    Audit(audit::Arguments),
     /// Check a file with settings of a daemon
     CheckSettings(check_settings::Arguments),
 }
@@ -78,6 +82,7 @@
             Self::Config(arguments) => arguments,
             Self::Timeline(arguments) => arguments,
             Self::Demo(arguments) => arguments,
+            Self::Audit(arguments) => arguments,
             Self::CheckSettings(arguments) => arguments,
         }
     }
--- a/src/commands/timeline/reader.rs
+++ b/src/commands/reader.rs
@@ -1,19 +1,31 @@
 //! Reads files of the time line and of the ledger: JSON lines, mixed as they come.
 
 use crate::commands::Error;
+use pimentovalve_core::audit::Row;
 use pimentovalve_core::finding::List;
 use pimentovalve_core::timeline::Event;
+use serde::Deserialize;
 
 /// What was read.
 #[derive(Debug, Default)]
 pub struct Read {
     /// Events, in the order of the files.
     pub events: Vec<Event>,
+    /// Records of the ledger, in the order of the files.
+    pub rows: Vec<Row>,
     /// Lines that could not be read, each with its file and number.
     pub findings: List,
 }
 
-/// Reads files of events. Lines that can't be read become findings.
+/// What a line may be.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Entry {
+    Event(Box<Event>),
+    Row(Box<Row>),
+}
+
+/// Reads files of events and records. Lines that can't be read become findings.
 ///
 /// # Errors
 ///
@@ -34,10 +46,11 @@
 fn lines(file: &str, text: &str, read: &mut Read) {
     for (i, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
         match serde_json::from_str(line) {
-            Ok(event) => read.events.push(event),
-            Err(error) => {
-                read.findings
-                    .note(format!("{file}, line {}", i + 1), format!("is no event: {error}"));
+            Ok(Entry::Event(event)) => read.events.push(*event),
+            Ok(Entry::Row(row)) => read.rows.push(*row),
+            Err(_) => {
+                let message = "is neither an event of the time line nor a record of the ledger";
+                read.findings.note(format!("{file}, line {}", i + 1), message);
             }
         }
     }
--- a/src/commands/timeline.rs
+++ b/src/commands/timeline.rs
@@ -2,11 +2,11 @@
 
 mod filter;
 mod plot;
-pub mod reader;
+
 #[cfg(test)]
 mod tests;
 
-use super::{Error, Run, write_json};
+use super::{Error, Run, reader, write_json};
 use filter::Filter;
 use gumdrop::Options;
 use pimentovalve_core::name::Name;
