Note in the time line what workers, runners and peers say

Cause: the audit needs runs, tries, versions in force and leaving machines, of which the time line had none; a restarted instance wrote under the name of its former start. Change: platform::observed notes what workers and runners answer, before whoever asked acts on it; duty::watch notes what changes in the published views; the process's name in the time line carries its start.

--- a/crates/core/src/audit/configuration.rs
+++ b/crates/core/src/audit/configuration.rs
@@ -52,8 +52,8 @@
         told.fold(State::Silent, |state, event| match event.what {
             What::ConfigurationInForce { version } => State::InForce(version),
             What::ConfigurationLapsed { .. } => State::Lapsed,
-            What::LogLost { .. } => state.cut_off(),
-            What::LogRegained { .. } => state.regained(),
+            What::LogLost => state.cut_off(),
+            What::LogRegained => state.regained(),
             _ => state,
         })
     }
--- a/crates/core/src/timeline/what.rs
+++ b/crates/core/src/timeline/what.rs
@@ -4,7 +4,7 @@
 use crate::contract::configuration::Version;
 use crate::contract::request::Reason;
 use crate::contract::{job, request, task};
-use crate::ledger::{Offset, Stream};
+use crate::ledger::Offset;
 use crate::machine::capacity::Capacity;
 use crate::machine::worker::{Ending, Epoch, Refusal};
 use crate::name::Name;
@@ -60,15 +60,9 @@
         version: Version,
     },
     /// The log began to fail.
-    LogLost {
-        /// The stream that failed first.
-        stream: Stream,
-    },
+    LogLost,
     /// The log works again.
-    LogRegained {
-        /// The stream that worked first.
-        stream: Stream,
-    },
+    LogRegained,
     /// A peer was not heard within the suspicion time.
     PeerLost {
         /// The peer.
@@ -254,8 +248,6 @@
         request: request::Id,
         /// The try.
         attempt: Name,
-        /// The runner.
-        runner: Name,
     },
     /// A runner ran a try of a request.
     RequestServed {
@@ -263,8 +255,6 @@
         request: request::Id,
         /// The try.
         attempt: Name,
-        /// The runner.
-        runner: Name,
     },
     /// An answer that belongs to another request or try was dropped with its connection.
     AnswerDropped {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::duty::gossip::Gossip;
 use crate::duty::ledger::Ledger;
 use crate::duty::steward::Stewardship;
+use crate::duty::watch::Watch;
 use crate::duty::{self, Duty, Tokens};
 use crate::front::Front;
 use crate::front::caller::Caller;
@@ -13,6 +14,7 @@
 use crate::front::peer::Peer;
 use crate::journal::Sink;
 use crate::platform::http::{Machine, Service};
+use crate::platform::observed::Observed;
 use crate::ring::{self, Latest, Publisher, Receiver, Sender};
 use crate::route::Route;
 use crate::settings::Settings;
@@ -144,7 +146,8 @@
             .context(ListenSnafu { front: "callers", address: settings.listen.callers })?;
         let name = settings.name.clone();
         let duty = plain_name("daemon");
-        let (telemetry, writer) = Telemetry::new(name.clone(), duty, settings.ring, sink);
+        let process = process_name(&name);
+        let (telemetry, writer) = Telemetry::new(process, duty, settings.ring, sink);
         let own = own_instance(settings, addresses.peers);
         let wiring = Wiring::new(settings.ring, &own);
         let (front, back) = (Tokens::default(), Tokens::default());
@@ -332,10 +335,13 @@
         facts: wiring.facts.0.clone(),
     };
     let steward = steward_duty(settings, planner, wiring, telemetry, key.clone());
-    let control = control_duty(settings, wiring, key.clone());
+    let control = control_duty(settings, wiring, telemetry, key.clone());
     let dispatch = Dispatch {
         dispatcher: Dispatcher::new(settings.place.clone(), dispatcher::Config::default()),
-        runner: Arc::new(Machine::new(timing.log_ms)),
+        runner: Arc::new(Observed::new(
+            Arc::new(Machine::new(timing.log_ms)),
+            telemetry.of(&plain_name("dispatch")),
+        )),
         route: wiring.route(settings, key),
         events: wiring.dispatch.1.clone(),
         members: wiring.members.1.clone(),
@@ -343,7 +349,14 @@
         held: wiring.held.1.clone(),
         telemetry: telemetry.of(&plain_name("dispatch")),
     };
+    let watch = Watch {
+        term: timing.term_ms,
+        members: wiring.members.1.clone(),
+        facts: wiring.facts.1.clone(),
+        telemetry: telemetry.of(&plain_name("watch")),
+    };
     Ok(vec![
+        Box::new(watch),
         Box::new(gossip),
         Box::new(ledger),
         Box::new(steward),
@@ -378,7 +391,12 @@
     }
 }
 
-fn control_duty(settings: &Settings, wiring: &Wiring, key: Option<String>) -> Control {
+fn control_duty(
+    settings: &Settings,
+    wiring: &Wiring,
+    telemetry: &Telemetry,
+    key: Option<String>,
+) -> Control {
     let timing = &settings.timing;
     let config = controller::Config {
         bounds: settings.bounds,
@@ -388,7 +406,10 @@
     };
     Control {
         controller: Controller::new(settings.name.clone(), config),
-        worker: Arc::new(Machine::new(timing.log_ms)),
+        worker: Arc::new(Observed::new(
+            Arc::new(Machine::new(timing.log_ms)),
+            telemetry.of(&plain_name("control")),
+        )),
         heartbeat: timing.heartbeat_ms,
         partitions: settings.partitions,
         key,
@@ -401,6 +422,11 @@
     }
 }
 
+/// Returns the name of this start of the instance in the time line.
+fn process_name(name: &Name) -> Name {
+    Name::try_from(format!("{name}.{:x}", view::now().get())).unwrap_or_else(|_| name.clone())
+}
+
 /// Returns the name under which a duty writes records. It must not be used by another start of
 /// the instance, so it carries the time of the start.
 fn writer_name(name: &Name, duty: &str) -> Name {
--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -9,6 +9,7 @@
 pub mod gossip;
 pub mod ledger;
 pub mod steward;
+pub mod watch;
 
 use pimentovalve_wire::http::Pending;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,6 +1,7 @@
 //! The platform as trait objects, so that another protocol can take its place.
 
 pub mod http;
+pub mod observed;
 
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::ledger::Offset;
--- a/src/commands/timeline/plot.rs
+++ b/src/commands/timeline/plot.rs
@@ -69,7 +69,7 @@
 /// Red for what failed, orange for refusals, green for what ended well, blue for the rest.
 const fn color(what: &What) -> RGBColor {
     match what {
-        What::LogLost { .. }
+        What::LogLost
         | What::PeerLost { .. }
         | What::WorkerLost { .. }
         | What::WorkerDeposed { .. }
