--- a/crates/core/src/contract/steward.rs
+++ b/crates/core/src/contract/steward.rs
@@ -137,7 +137,7 @@
         /// The answer.
         told: Told,
     },
-    /// Note in the time line that a record is in force.
+    /// Note in the time line that a record of this instance was judged.
     Note {
         /// Its stream.
         stream: Stream,
@@ -344,12 +344,14 @@
             }
             let verdict = partition.book.apply(*offset, record);
             let complete = partition.complete;
-            self.effects.push(Effect::Note {
-                stream: Stream::Partition(index),
-                offset: *offset,
-                record: record.clone(),
-                verdict,
-            });
+            if record.id.writer == self.own {
+                self.effects.push(Effect::Note {
+                    stream: Stream::Partition(index),
+                    offset: *offset,
+                    record: record.clone(),
+                    verdict,
+                });
+            }
             if complete && verdict == Verdict::Accepted {
                 self.accepted(i, record, now);
             }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -43,6 +43,9 @@
 /// Time between two looks at what is still to be handed over.
 const HAND_OVER_PAUSE: Duration = Duration::from_millis(20);
 
+/// Reads of a stream within the currency that renewals rest on.
+const READS_PER_CURRENCY: u64 = 4;
+
 /// Why a daemon can't start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -94,6 +97,7 @@
     fronts: Vec<JoinHandle<()>>,
     backs: Vec<JoinHandle<()>>,
     held: Latest<Held>,
+    members: Latest<Arc<Members>>,
     telemetry: Telemetry,
     drain_time: Duration,
 }
@@ -150,7 +154,7 @@
         let (front, back) = (Tokens::default(), Tokens::default());
         let drain = CancellationToken::new();
         let duties = back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
-        let held = wiring.held.1.clone();
+        let (held, members) = (wiring.held.1.clone(), wiring.members.1.clone());
         let fronts = fronts(settings, listeners, &wiring, &telemetry)?;
         let mut daemon = Self {
             name,
@@ -161,6 +165,7 @@
             fronts: Vec::new(),
             backs: Vec::new(),
             held,
+            members,
             telemetry,
             drain_time: Duration::from(settings.timing.drain_ms),
         };
@@ -198,7 +203,7 @@
         self.drain.cancel();
         std::thread::sleep(self.drain_time);
         let started = Instant::now();
-        while !self.held.borrow().is_empty() && started.elapsed() < HAND_OVER {
+        while self.hands_over() && started.elapsed() < HAND_OVER {
             std::thread::sleep(HAND_OVER_PAUSE);
         }
         self.front.stop.cancel();
@@ -208,6 +213,11 @@
         join(&mut self.backs);
     }
 
+    /// Returns whether this instance still owns workers that another one could take.
+    fn hands_over(&self) -> bool {
+        !self.held.borrow().is_empty() && !self.members.borrow().candidates.is_empty()
+    }
+
     /// Ends at once, as if the process had died.
     pub fn kill(mut self) {
         self.front.kill.cancel();
@@ -326,6 +336,7 @@
         writer: writer_name(&settings.name, "ledger"),
         log: service(),
         partitions: settings.partitions,
+        read_wait: Millis(settings.bounds.currency_ms.get() / READS_PER_CURRENCY),
         commands: wiring.ledger.1.clone(),
         steward: wiring.steward.0.clone(),
         members: wiring.members.1.clone(),
--- a/crates/daemon/src/duty/ledger.rs
+++ b/crates/daemon/src/duty/ledger.rs
@@ -22,8 +22,6 @@
 
 /// Most entries that one read returns.
 const READ_MAX: u32 = 1024;
-/// How long a read at the end of a stream waits for the next entry.
-const READ_WAIT: Millis = Millis::from_secs(2);
 /// Pause after a read that failed.
 const READ_PAUSE: Duration = Duration::from_millis(300);
 /// Most entries of one append.
@@ -131,6 +129,9 @@
     pub log: Arc<dyn Log>,
     /// Partitions of the ledger.
     pub partitions: u16,
+    /// How long a read at the end of a stream waits for the next entry. What is known is as old
+    /// as the last read, so it must be well below the currency that renewals rest on.
+    pub read_wait: Millis,
     /// Commands.
     pub commands: Receiver<Command>,
     /// The steward duty.
@@ -298,10 +299,11 @@
         let tail = Tail { stream, stop: stop.clone(), queue: Vec::new(), appending: false };
         self.tails.push(tail);
         let (log, events) = (Arc::clone(&self.duty.log), self.events.clone());
+        let wait = self.duty.read_wait;
         tokio::spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = follow(stream, log, events) => {}
+                () = follow(stream, log, wait, events) => {}
             }
         });
     }
@@ -486,12 +488,12 @@
 }
 
 /// Reads a stream for as long as it is wanted.
-async fn follow(stream: Stream, log: Arc<dyn Log>, events: Sender<Event>) {
+async fn follow(stream: Stream, log: Arc<dyn Log>, wait: Millis, events: Sender<Event>) {
     let name = stream.to_string();
     let mut from = 0;
     loop {
         let asked = view::now();
-        let result = log.read(&name, from, READ_MAX, READ_WAIT).await;
+        let result = log.read(&name, from, READ_MAX, wait).await;
         let failed = result.is_err();
         let next = match &result {
             Ok(chunk) => from + chunk.entries.len() as u64,
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -277,7 +277,8 @@
     fn print(&self, out: &mut dyn Write) -> Result<(), Error> {
         let events = self.cell.events();
         for line in &merge(&events) {
-            let line = serde_json::to_string(line.event).map_err(|e| Error::failed(e.to_string()))?;
+            let line =
+                serde_json::to_string(line.event).map_err(|e| Error::failed(e.to_string()))?;
             writeln!(out, "{line}")?;
         }
         Ok(())
