Measure waits, packing, rings, bytes and processor time

Cause: control cost, waits and refusals were not visible at all. Change: metrics by opentelemetry at the monitors' front, read on demand from views, rings, counted sockets and the system's account of each duty's thread.

--- a/crates/core/src/contract/planner.rs
+++ b/crates/core/src/contract/planner.rs
@@ -7,6 +7,7 @@
 use crate::contract::configuration::Configuration;
 use crate::contract::job::Job;
 use crate::contract::kind::Kind;
+use crate::contract::measure::Counters;
 use crate::contract::status::Refusal;
 use crate::contract::task;
 use crate::machine::capacity::Capacity;
@@ -84,6 +85,12 @@
     /// Decides at most `limit` placements.
     fn decide(&mut self, now: Millis, limit: usize) -> Vec<Decision>;
 
+    /// Returns what was counted since the start.
+    fn counters(&self) -> Counters;
+
+    /// Returns the capacity of the fleet in view, and what is free of it.
+    fn packing(&self) -> (Capacity, Capacity);
+
     /// Drops jobs whose partition another instance is the steward of from now on.
     fn drop_jobs(&mut self, jobs: &[Name]);
 }
--- a/crates/core/src/contract/planner/weighted.rs
+++ b/crates/core/src/contract/planner/weighted.rs
@@ -6,6 +6,7 @@
 use crate::contract::configuration::Configuration;
 use crate::contract::job::Job;
 use crate::contract::kind::Kind;
+use crate::contract::measure::Counters;
 use crate::contract::scheduler::{self, Scheduler};
 use crate::contract::status::Refusal;
 use crate::contract::task;
@@ -136,6 +137,15 @@
         decisions
     }
 
+    fn counters(&self) -> Counters {
+        *self.scheduler.counters()
+    }
+
+    fn packing(&self) -> (Capacity, Capacity) {
+        let view = self.scheduler.view();
+        (*view.total(), *view.free())
+    }
+
     fn drop_jobs(&mut self, jobs: &[Name]) {
         for job in jobs {
             self.unseen.retain(|u| u.job.id != *job);
--- a/crates/core/src/contract/steward.rs
+++ b/crates/core/src/contract/steward.rs
@@ -305,6 +305,11 @@
         self.standings.retain(|s| s.worker.name != *worker);
     }
 
+    /// Returns the policy, for its measures.
+    pub fn planner(&self) -> &dyn Planner {
+        &*self.planner
+    }
+
     /// Returns the partitions of which this is the steward.
     pub fn partitions(&self) -> impl Iterator<Item = u16> + '_ {
         self.partitions.iter().map(|p| p.index)
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,13 +13,14 @@
 use crate::front::operator::Operator;
 use crate::front::peer::Peer;
 use crate::journal::Sink;
+use crate::metrics::{self, Metrics};
 use crate::platform::http::{Machine, Service};
 use crate::platform::observed::Observed;
 use crate::ring::{self, Latest, Publisher, Receiver, Sender};
 use crate::route::Route;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
-use crate::view::{self, Facts, Held, Members};
+use crate::view::{self, Facts, Figures, Held, Members};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::planner::Planner;
 use pimentovalve_core::contract::planner::weighted::Weighted;
@@ -33,6 +34,7 @@
 use pimentovalve_wire::http::Handler;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::keys::Keys;
+use pimentovalve_wire::http::traffic::Traffic;
 use snafu::{ResultExt, Snafu};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -67,6 +69,12 @@
         /// Why.
         source: duty::Error,
     },
+    /// Metrics can't be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: metrics::Error,
+    },
     /// A file that the settings name can't be used.
     #[snafu(display("{findings}"))]
     Keys {
@@ -109,10 +117,13 @@
     facts: (Publisher<Facts>, Latest<Facts>),
     members: (Publisher<Arc<Members>>, Latest<Arc<Members>>),
     held: (Publisher<Held>, Latest<Held>),
+    figures: (Publisher<Figures>, Latest<Figures>),
     ledger: (Sender<duty::ledger::Command>, Receiver<duty::ledger::Command>),
     steward: (Sender<duty::steward::Event>, Receiver<duty::steward::Event>),
     control: (Sender<duty::control::Event>, Receiver<duty::control::Event>),
     dispatch: (Sender<duty::dispatch::Event>, Receiver<duty::dispatch::Event>),
+    /// Bytes with the platform, workers and runners, peers, callers, operators and monitors.
+    traffic: [(&'static str, Arc<Traffic>); 6],
 }
 
 struct Listeners {
@@ -218,7 +229,7 @@
 
     /// Returns whether this instance still owns workers that another one could take.
     fn hands_over(&self) -> bool {
-        !self.held.borrow().is_empty() && !self.members.borrow().candidates.is_empty()
+        !self.held.borrow().workers.is_empty() && !self.members.borrow().candidates.is_empty()
     }
 
     /// Ends at once, as if the process had died.
@@ -260,10 +271,35 @@
             facts: ring::latest(Facts::default()),
             members: ring::latest(Arc::new(Members::alone(own.clone()))),
             held: ring::latest(Held::default()),
+            figures: ring::latest(Figures::default()),
             ledger: ring::ring(places),
             steward: ring::ring(places),
             control: ring::ring(places),
             dispatch: ring::ring(places),
+            traffic: ["platform", "machines", "peers", "callers", "operators", "monitors"]
+                .map(|with| (with, Arc::default())),
+        }
+    }
+
+    /// Returns the counters of the bytes with one kind of other end.
+    fn traffic(&self, with: &str) -> Arc<Traffic> {
+        let found = self.traffic.iter().find(|(name, _)| *name == with);
+        found.map_or_else(Arc::default, |(_, traffic)| Arc::clone(traffic))
+    }
+
+    fn sources(&self) -> metrics::Sources {
+        metrics::Sources {
+            facts: self.facts.1.clone(),
+            members: self.members.1.clone(),
+            held: self.held.1.clone(),
+            figures: self.figures.1.clone(),
+            rings: vec![
+                ("ledger", Box::new(self.ledger.0.clone())),
+                ("steward", Box::new(self.steward.0.clone())),
+                ("control", Box::new(self.control.0.clone())),
+                ("dispatch", Box::new(self.dispatch.0.clone())),
+            ],
+            traffic: self.traffic.to_vec(),
         }
     }
 
@@ -273,7 +309,7 @@
             members: self.members.1.clone(),
             partitions: settings.partitions,
             key,
-            client: Arc::new(Client::new()),
+            client: Arc::new(Client::counted(self.traffic("peers"))),
         }
     }
 }
@@ -321,8 +357,12 @@
     let (_, key) = peer_keys(settings)?;
     let timing = &settings.timing;
     let platform = &settings.platform;
-    let service = || Arc::new(Service::new(&platform.log, &platform.list, timing.log_ms));
+    let service = || {
+        let traffic = wiring.traffic("platform");
+        Arc::new(Service::new(&platform.log, &platform.list, timing.log_ms, traffic))
+    };
     let gossip = Gossip {
+        traffic: wiring.traffic("peers"),
         membership: Membership::new(own, platform.list_lag_ms, timing.suspicion_ms),
         list: service(),
         list_every: timing.list_ms,
@@ -348,9 +388,10 @@
     let steward = steward_duty(settings, planner, wiring, telemetry, key.clone());
     let control = control_duty(settings, wiring, telemetry, key.clone());
     let dispatch = Dispatch {
+        traffic: wiring.traffic("peers"),
         dispatcher: Dispatcher::new(settings.place.clone(), dispatcher::Config::default()),
         runner: Arc::new(Observed::new(
-            Arc::new(Machine::new(timing.log_ms)),
+            Arc::new(Machine::new(timing.log_ms, wiring.traffic("machines"))),
             telemetry.of(&plain_name("dispatch")),
         )),
         route: wiring.route(settings, key),
@@ -390,6 +431,7 @@
         ..steward::Config::default()
     };
     Stewardship {
+        traffic: wiring.traffic("peers"),
         steward: Steward::new(writer_name(&settings.name, "steward"), config, planner),
         term: settings.timing.term_ms,
         key,
@@ -399,6 +441,7 @@
         members: wiring.members.1.clone(),
         facts: wiring.facts.1.clone(),
         telemetry: telemetry.of(&plain_name("steward")),
+        figures: wiring.figures.0.clone(),
     }
 }
 
@@ -416,9 +459,10 @@
         pause: Millis(500),
     };
     Control {
+        traffic: wiring.traffic("peers"),
         controller: Controller::new(settings.name.clone(), config),
         worker: Arc::new(Observed::new(
-            Arc::new(Machine::new(timing.log_ms)),
+            Arc::new(Machine::new(timing.log_ms, wiring.traffic("machines"))),
             telemetry.of(&plain_name("control")),
         )),
         heartbeat: timing.heartbeat_ms,
@@ -480,10 +524,12 @@
         term: settings.timing.term_ms,
         members: wiring.members.1.clone(),
         facts: wiring.facts.1.clone(),
+        metrics: Metrics::new(wiring.sources()).context(MetricsSnafu)?,
     };
     let front = |name, listener: TcpListener, handler: Arc<dyn Handler>| {
         let address = listener.local_addr().unwrap_or(settings.listen.callers);
-        let front = Front::new(name, listener, settings.limits, handler)
+        let traffic = wiring.traffic(name);
+        let front = Front::new(name, listener, settings.limits, traffic, handler)
             .context(ListenSnafu { front: name, address })?;
         Ok::<Box<dyn Duty>, Error>(Box::new(front))
     };
--- a/crates/daemon/src/duty/control.rs
+++ b/crates/daemon/src/duty/control.rs
@@ -17,6 +17,7 @@
 use pimentovalve_core::zone::membership::{Instance, Role};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
+use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::peer::{Recorded, Standings};
 use pimentovalve_wire::worker::{Adopt, Adopted, Heartbeat, Orders};
 use std::sync::Arc;
@@ -55,6 +56,8 @@
 
 /// The control duty.
 pub struct Control {
+    /// Counts the bytes of calls to peers.
+    pub traffic: Arc<Traffic>,
     /// The controller.
     pub controller: Controller,
     /// Access to workers.
@@ -107,7 +110,7 @@
             let (mut members, mut facts) = (self.members.clone(), self.facts.clone());
             let events = self.events.clone();
             let duty = *self;
-            let client = Arc::new(Client::new());
+            let client = Arc::new(Client::counted(Arc::clone(&duty.traffic)));
             let mut state = State { duty, client, calls, losing: Vec::new(), told: Vec::new() };
             let mut tick = tokio::time::interval(TICK);
             loop {
@@ -178,13 +181,7 @@
         self.duty.controller.tick(view::now());
         let held: Vec<(Name, Epoch)> =
             self.duty.controller.held().map(|(name, epoch)| (name.clone(), epoch)).collect();
-        self.duty.held.send_if_modified(|old| {
-            let changed = **old != held;
-            if changed {
-                *old = Arc::new(held);
-            }
-            changed
-        });
+        self.duty.held.send_if_modified(|old| old.update(held));
         self.report();
     }
 
--- a/crates/daemon/src/duty/dispatch.rs
+++ b/crates/daemon/src/duty/dispatch.rs
@@ -18,6 +18,7 @@
 use pimentovalve_core::zone::membership::{Instance, Role};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
+use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::peer::{Ask, Forward, Forwarded, Told};
 use pimentovalve_wire::runner::Call;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -59,6 +60,8 @@
 
 /// The dispatch duty.
 pub struct Dispatch {
+    /// Counts the bytes of calls to peers.
+    pub traffic: Arc<Traffic>,
     /// The dispatcher.
     pub dispatcher: Dispatcher,
     /// Access to runners.
@@ -102,7 +105,7 @@
                 dispatcher: Mutex::new(self.dispatcher),
                 runner: self.runner,
                 route: self.route,
-                client: Client::new(),
+                client: Client::counted(self.traffic),
                 members: self.members,
                 facts: self.facts,
                 telemetry: self.telemetry,
@@ -127,7 +130,7 @@
                     }
                     Ok(()) = members.changed() => shared.members(&members.borrow_and_update()),
                     Ok(()) = held.changed() => {
-                        shared.dispatcher().held(&held.borrow_and_update(), view::now());
+                        shared.dispatcher().held(&held.borrow_and_update().workers, view::now());
                     }
                 }
             }
--- a/crates/daemon/src/duty/gossip.rs
+++ b/crates/daemon/src/duty/gossip.rs
@@ -10,6 +10,7 @@
 use pimentovalve_core::zone::membership::{self, Instance, Membership, Role};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
+use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::peer::{Ping, Pull, Pulled};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,8 @@
 
 /// The gossip duty.
 pub struct Gossip {
+    /// Counts the bytes of calls to peers.
+    pub traffic: Arc<Traffic>,
     /// What is known of the entry instances.
     pub membership: Membership,
     /// The instance list.
@@ -76,9 +79,10 @@
             let mut list_tick = tokio::time::interval(Duration::from(self.list_every));
             let mut ping_tick = tokio::time::interval(Duration::from(self.ping_every));
             let drain = self.drain.clone();
+            let client = Arc::new(Client::counted(Arc::clone(&self.traffic)));
             let mut state = State {
                 duty: *self,
-                client: Arc::new(Client::new()),
+                client,
                 events,
                 listed: Vec::new(),
                 list_read: Millis::ZERO,
--- a/crates/daemon/src/duty/steward.rs
+++ b/crates/daemon/src/duty/steward.rs
@@ -2,9 +2,9 @@
 
 use crate::duty::ledger::Command;
 use crate::duty::{Duty, control};
-use crate::ring::{self, Latest, Receiver, Reply, Sender};
+use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
 use crate::telemetry::Telemetry;
-use crate::view::{self, Facts, Members};
+use crate::view::{self, Facts, Figures, Members};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::request::Reason;
 use pimentovalve_core::contract::status::Refusal;
@@ -17,6 +17,7 @@
 use pimentovalve_core::zone::membership::Role;
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
+use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::peer::{Grants, Standings, Wishes};
 use std::sync::Arc;
 use std::time::Duration;
@@ -84,6 +85,8 @@
 
 /// The steward duty.
 pub struct Stewardship {
+    /// Counts the bytes of calls to peers.
+    pub traffic: Arc<Traffic>,
     /// The steward.
     pub steward: Steward,
     /// Longest age of the proof that the configuration is current.
@@ -100,8 +103,10 @@
     pub members: Latest<Arc<Members>>,
     /// What the ledger duty publishes.
     pub facts: Latest<Facts>,
-    /// The time line and the metrics.
+    /// The time line.
     pub telemetry: Telemetry,
+    /// Where the measures go.
+    pub figures: Publisher<Figures>,
 }
 
 struct State {
@@ -125,9 +130,10 @@
             let (mut members, mut facts) = (self.members.clone(), self.facts.clone());
             let events = self.events.clone();
             let duty = *self;
+            let client = Arc::new(Client::counted(Arc::clone(&duty.traffic)));
             let mut state = State {
                 duty,
-                client: Arc::new(Client::new()),
+                client,
                 granted,
                 tickets: Vec::new(),
                 next_ticket: 0,
@@ -169,6 +175,9 @@
         };
         self.duty.steward.open(open);
         self.duty.steward.tick(now);
+        let planner = self.duty.steward.planner();
+        let (total, free) = planner.packing();
+        self.duty.figures.send_replace(Figures { counters: planner.counters(), total, free });
     }
 
     /// Forgets workers that have left the list.
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -12,6 +12,7 @@
 use pimentovalve_core::contract::request::Reason;
 use pimentovalve_core::contract::status::Refusal;
 use pimentovalve_wire::http::server::{self, Limits};
+use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::http::{Handler, Pending, Response};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -22,6 +23,7 @@
     name: &'static str,
     listener: TcpListener,
     limits: Limits,
+    traffic: Arc<Traffic>,
     handler: Arc<dyn Handler>,
 }
 
@@ -35,10 +37,11 @@
         name: &'static str,
         listener: TcpListener,
         limits: Limits,
+        traffic: Arc<Traffic>,
         handler: Arc<dyn Handler>,
     ) -> std::io::Result<Self> {
         listener.set_nonblocking(true)?;
-        Ok(Self { name, listener, limits, handler })
+        Ok(Self { name, listener, limits, traffic, handler })
     }
 
     /// Returns the address on which the front listens.
@@ -59,7 +62,10 @@
     fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
         Box::pin(async move {
             match tokio::net::TcpListener::from_std(self.listener) {
-                Ok(listener) => server::serve(listener, self.limits, self.handler, stop).await,
+                Ok(listener) => {
+                    let Self { limits, traffic, handler, .. } = *self;
+                    server::serve(listener, limits, traffic, handler, stop).await;
+                }
                 Err(error) => tracing::error!(%error, "a listener could not be used"),
             }
         })
--- a/crates/daemon/src/front/monitor.rs
+++ b/crates/daemon/src/front/monitor.rs
@@ -1,5 +1,6 @@
 //! The front for monitors: liveness, readiness and metrics.
 
+use crate::metrics::Metrics;
 use crate::ring::Latest;
 use crate::view::{self, Facts, Members};
 use pimentovalve_core::clock::Millis;
@@ -15,6 +16,8 @@
     pub members: Latest<Arc<Members>>,
     /// What the ledger duty publishes.
     pub facts: Latest<Facts>,
+    /// The metrics.
+    pub metrics: Metrics,
 }
 
 impl Handler for Monitor {
@@ -23,6 +26,10 @@
             match (request.method, request.path) {
                 ("GET", "/live") => Response::text(200, "live\n"),
                 ("GET", "/ready") => self.ready(),
+                ("GET", "/metrics") => match self.metrics.text() {
+                    Ok(text) => Response::text(200, text),
+                    Err(error) => Response::text(500, error.to_string()),
+                },
                 _ => Response::findings(404, &List::one("path", "there is nothing here")),
             }
         })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod front;
 pub mod journal;
 pub mod log;
+pub mod metrics;
 pub mod platform;
 pub mod ring;
 pub mod route;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,282 @@
+//! Metrics of one daemon, by `opentelemetry`, in the usual text format.
+//!
+//! Almost everything is read when it is asked for: from the views that duties publish, from the
+//! rings, and from the operating system's account of each thread. So metrics cost nothing between
+//! two readings, and no duty waits for them.
+
+mod process;
+
+use crate::ring::{Latest, Sender};
+use crate::view::{self, Facts, Figures, Held, Members};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use pimentovalve_core::contract::class::Class;
+use pimentovalve_wire::http::traffic::Traffic;
+use prometheus::{Encoder, Registry, TextEncoder};
+use snafu::{ResultExt, Snafu};
+use std::sync::Arc;
+
+/// Name of the meter.
+const METER: &str = "pimentovalve";
+
+/// Why metrics can't be read.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The exporter could not be set up.
+    #[snafu(display("metrics can't be exported: {source}"))]
+    Setup {
+        /// Why.
+        source: opentelemetry_sdk::error::OTelSdkError,
+    },
+    /// The text could not be written.
+    #[snafu(display("metrics can't be written: {source}"))]
+    Text {
+        /// Why.
+        source: prometheus::Error,
+    },
+}
+
+/// What metrics are read from.
+pub struct Sources {
+    /// What the ledger duty publishes.
+    pub facts: Latest<Facts>,
+    /// The instances.
+    pub members: Latest<Arc<Members>>,
+    /// The workers that the control duty controls.
+    pub held: Latest<Held>,
+    /// What the steward duty measures.
+    pub figures: Latest<Figures>,
+    /// Rings by the duty that receives.
+    pub rings: Vec<(&'static str, Box<dyn Depth>)>,
+    /// Traffic by whom it is with.
+    pub traffic: Vec<(&'static str, Arc<Traffic>)>,
+}
+
+/// The state of a ring, whatever it carries.
+pub trait Depth: Send + Sync {
+    /// Returns how many places are taken.
+    fn depth(&self) -> usize;
+
+    /// Returns how many offers were refused.
+    fn refusals(&self) -> u64;
+}
+
+impl<T: Send> Depth for Sender<T> {
+    fn depth(&self) -> usize {
+        Self::depth(self)
+    }
+
+    fn refusals(&self) -> u64 {
+        Self::refusals(self)
+    }
+}
+
+/// The metrics of one daemon.
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Sets up metrics over their sources.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Setup`] when the exporter can't be set up.
+    pub fn new(sources: Sources) -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .context(SetupSnafu)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(METER);
+        let Sources { facts, members, held, figures, rings, traffic } = sources;
+        observe_ledger(&meter, facts);
+        observe_members(&meter, members, held);
+        observe_waits(&meter, figures.clone());
+        observe_packing(&meter, figures);
+        observe_rings(&meter, rings);
+        observe_traffic(&meter, traffic);
+        observe_process(&meter);
+        Ok(Self { registry, _provider: provider })
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Text`] when they can't be written.
+    pub fn text(&self) -> Result<String, Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).context(TextSnafu)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+/// Adds a gauge that is read by `read`, with the value of its one label.
+fn gauge(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+    label: &'static str,
+    read: impl Fn() -> Vec<(&'static str, u64)> + Send + Sync + 'static,
+) {
+    meter
+        .u64_observable_gauge(name)
+        .with_description(description)
+        .with_callback(move |observer| {
+            for (value, amount) in read() {
+                observer.observe(amount, &[KeyValue::new(label, value)]);
+            }
+        })
+        .build();
+}
+
+/// Adds a counter that is read by `read`, with the value of its one label.
+fn counter(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+    label: &'static str,
+    read: impl Fn() -> Vec<(String, u64)> + Send + Sync + 'static,
+) {
+    meter
+        .u64_observable_counter(name)
+        .with_description(description)
+        .with_callback(move |observer| {
+            for (value, amount) in read() {
+                observer.observe(amount, &[KeyValue::new(label, value)]);
+            }
+        })
+        .build();
+}
+
+fn observe_ledger(meter: &Meter, facts: Latest<Facts>) {
+    let versions = facts.clone();
+    let name = "pimentovalve_configuration_version";
+    gauge(meter, name, "Version in force", "stream", move || {
+        vec![("configuration", versions.borrow().history.configuration().version)]
+    });
+    let name = "pimentovalve_log_lag_ms";
+    gauge(meter, name, "Age of what is known of a stream, in ms", "stream", move || {
+        let (now, facts) = (view::now(), facts.borrow());
+        vec![
+            ("configuration", now.since(facts.history_as_of).get()),
+            ("fleet", now.since(facts.fleet_as_of).get()),
+        ]
+    });
+}
+
+fn observe_members(meter: &Meter, members: Latest<Arc<Members>>, held: Latest<Held>) {
+    let name = "pimentovalve_instances";
+    gauge(meter, name, "Instances that this one knows", "state", move || {
+        let members = Arc::clone(&members.borrow());
+        vec![
+            ("candidate", members.candidates.len() as u64),
+            ("peer", members.peers.len() as u64),
+            ("draining", u64::from(members.draining)),
+        ]
+    });
+    let (now_held, adoptions) = (held.clone(), held);
+    let name = "pimentovalve_workers";
+    gauge(meter, name, "Workers that this instance controls", "state", move || {
+        vec![("held", now_held.borrow().workers.len() as u64)]
+    });
+    let name = "pimentovalve_ownership";
+    counter(meter, name, "Adoptions and losses of ownership", "event", move || {
+        let held = adoptions.borrow();
+        vec![("adopted".into(), held.adopted), ("given_up".into(), held.given_up)]
+    });
+}
+
+fn observe_waits(meter: &Meter, figures: Latest<Figures>) {
+    let class_name = |class: Class| match class {
+        Class::Urgent => "urgent",
+        Class::Normal => "normal",
+        Class::Deferrable => "deferrable",
+    };
+    let sums = figures.clone();
+    let counts = figures.clone();
+    let name = "pimentovalve_wait_count";
+    counter(meter, name, "Tasks that were given a place", "class", move || {
+        let counters = counts.borrow().counters;
+        Class::ALL.map(|c| (class_name(c).into(), counters.waits[c.index()].count)).into()
+    });
+    let name = "pimentovalve_wait_sum_ms";
+    counter(meter, name, "Sum of waits for a place, in ms", "class", move || {
+        let counters = sums.borrow().counters;
+        Class::ALL.map(|c| (class_name(c).into(), counters.waits[c.index()].sum.get())).into()
+    });
+    let name = "pimentovalve_decisions";
+    counter(meter, name, "Decisions of the scheduler", "kind", move || {
+        let counters = figures.borrow().counters;
+        vec![
+            ("placed".into(), counters.placed),
+            ("preempted".into(), counters.preempted),
+            ("refused".into(), counters.refused),
+            ("backfilled".into(), counters.backfilled),
+            ("reserved".into(), counters.reservations),
+        ]
+    });
+}
+
+fn observe_packing(meter: &Meter, figures: Latest<Figures>) {
+    let total = figures.clone();
+    let name = "pimentovalve_capacity";
+    gauge(meter, name, "Capacity of the fleet in view", "resource", move || {
+        let total = total.borrow().total;
+        vec![
+            ("cpu_milli", total.cpu_milli),
+            ("memory_mib", total.memory_mib),
+            ("accelerators", total.accelerators),
+        ]
+    });
+    let name = "pimentovalve_capacity_free";
+    gauge(meter, name, "Capacity that is free in view", "resource", move || {
+        let free = figures.borrow().free;
+        vec![
+            ("cpu_milli", free.cpu_milli),
+            ("memory_mib", free.memory_mib),
+            ("accelerators", free.accelerators),
+        ]
+    });
+}
+
+fn observe_rings(meter: &Meter, rings: Vec<(&'static str, Box<dyn Depth>)>) {
+    let rings = Arc::new(rings);
+    let depths = Arc::clone(&rings);
+    let name = "pimentovalve_ring_depth";
+    gauge(meter, name, "Taken places of a ring", "duty", move || {
+        depths.iter().map(|(duty, ring)| (*duty, ring.depth() as u64)).collect()
+    });
+    let name = "pimentovalve_ring_refusals";
+    counter(meter, name, "Offers that a full ring refused", "duty", move || {
+        rings.iter().map(|(duty, ring)| ((*duty).into(), ring.refusals())).collect()
+    });
+}
+
+fn observe_traffic(meter: &Meter, traffic: Vec<(&'static str, Arc<Traffic>)>) {
+    let traffic = Arc::new(traffic);
+    let sent = Arc::clone(&traffic);
+    let name = "pimentovalve_bytes_sent";
+    counter(meter, name, "Bytes sent, by other end", "with", move || {
+        sent.iter().map(|(with, t)| ((*with).into(), t.sent())).collect()
+    });
+    let name = "pimentovalve_bytes_received";
+    counter(meter, name, "Bytes received, by other end", "with", move || {
+        traffic.iter().map(|(with, t)| ((*with).into(), t.received())).collect()
+    });
+}
+
+fn observe_process(meter: &Meter) {
+    let name = "pimentovalve_thread_cpu_ms";
+    counter(meter, name, "Processor time by duty, in ms", "duty", process::threads);
+    let name = "pimentovalve_memory_bytes";
+    gauge(meter, name, "Resident memory of the process, in bytes", "kind", || {
+        vec![("resident", process::resident_bytes())]
+    });
+}
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -6,6 +6,7 @@
 use pimentovalve_core::zone::membership::Instance;
 use pimentovalve_wire::codec;
 use pimentovalve_wire::http::client::{self, Client, Error};
+use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::http::{Content, Pending};
 use pimentovalve_wire::log::{Append, Appended, Chunk, Gone, Read};
 use pimentovalve_wire::runner::{Call, Done};
@@ -13,6 +14,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
+use std::sync::Arc;
 
 /// Status of a service that is out, and did nothing.
 const OUT: u16 = 503;
@@ -43,8 +45,18 @@
 
 impl Service {
     /// Returns the services at two socket addresses, with the longest time for a call.
-    pub fn new(log: &impl ToString, list: &impl ToString, timeout: Millis) -> Self {
-        Self { client: Client::new(), log: log.to_string(), list: list.to_string(), timeout }
+    pub fn new(
+        log: &impl ToString,
+        list: &impl ToString,
+        timeout: Millis,
+        traffic: Arc<Traffic>,
+    ) -> Self {
+        Self {
+            client: Client::counted(traffic),
+            log: log.to_string(),
+            list: list.to_string(),
+            timeout,
+        }
     }
 
     async fn read_stream(&self, stream: &str, read: Read) -> Result<Chunk, Failure> {
@@ -112,8 +124,8 @@
 
 impl Machine {
     /// Returns access to machines, with the longest time for a call that doesn't wait.
-    pub const fn new(timeout: Millis) -> Self {
-        Self { client: Client::new(), timeout }
+    pub const fn new(timeout: Millis, traffic: Arc<Traffic>) -> Self {
+        Self { client: Client::counted(traffic), timeout }
     }
 
     async fn exchange<T: Serialize + Sync, R: DeserializeOwned>(
--- a/crates/daemon/src/ring.rs
+++ b/crates/daemon/src/ring.rs
@@ -6,6 +6,8 @@
 //! be *pushed*, which waits for a place.
 
 use snafu::Snafu;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::{oneshot, watch};
 
 /// The ring is full, or its receiver has ended.
@@ -15,11 +17,14 @@
 
 /// The sending end.
 #[derive(Debug)]
-pub struct Sender<T>(async_channel::Sender<T>);
+pub struct Sender<T> {
+    sender: async_channel::Sender<T>,
+    refusals: Arc<AtomicU64>,
+}
 
 impl<T> Clone for Sender<T> {
     fn clone(&self) -> Self {
-        Self(self.0.clone())
+        Self { sender: self.sender.clone(), refusals: Arc::clone(&self.refusals) }
     }
 }
 
@@ -36,7 +41,7 @@
 /// Returns both ends of a ring with `places` places.
 pub fn ring<T>(places: usize) -> (Sender<T>, Receiver<T>) {
     let (sender, receiver) = async_channel::bounded(places.max(1));
-    (Sender(sender), Receiver(receiver))
+    (Sender { sender, refusals: Arc::default() }, Receiver(receiver))
 }
 
 impl<T> Sender<T> {
@@ -46,7 +51,10 @@
     ///
     /// Returns [`Full`] when there is no place.
     pub fn offer(&self, item: T) -> Result<(), Full> {
-        self.0.try_send(item).map_err(|_| Full)
+        self.sender.try_send(item).map_err(|_| {
+            self.refusals.fetch_add(1, Ordering::Relaxed);
+            Full
+        })
     }
 
     /// Puts an item in the ring, waiting for a place.
@@ -55,12 +63,17 @@
     ///
     /// Returns [`Full`] when the receiver has ended.
     pub async fn push(&self, item: T) -> Result<(), Full> {
-        self.0.send(item).await.map_err(|_| Full)
+        self.sender.send(item).await.map_err(|_| Full)
     }
 
     /// Returns how many places are taken.
     pub fn depth(&self) -> usize {
-        self.0.len()
+        self.sender.len()
+    }
+
+    /// Returns how many offers were refused since the start.
+    pub fn refusals(&self) -> u64 {
+        self.refusals.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -1,10 +1,12 @@
 //! What duties publish to each other: the newest value replaces the older one.
 
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::measure::Counters;
 use pimentovalve_core::contract::request::Reason;
 use pimentovalve_core::ledger::Stream;
 use pimentovalve_core::ledger::fleet::Fleet;
 use pimentovalve_core::ledger::history::History;
+use pimentovalve_core::machine::capacity::Capacity;
 use pimentovalve_core::machine::worker::Epoch;
 use pimentovalve_core::name::Name;
 use pimentovalve_core::zone::membership::{Instance, Role, State};
@@ -111,7 +113,41 @@
 }
 
 /// The workers that the control duty controls.
-pub type Held = Arc<Vec<(Name, Epoch)>>;
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Workers with the epochs of this instance, sorted by name.
+    pub workers: Arc<Vec<(Name, Epoch)>>,
+    /// Adoptions since the start.
+    pub adopted: u64,
+    /// Workers that were handed over, lost or taken since the start.
+    pub given_up: u64,
+}
+
+impl Held {
+    /// Takes in the workers that are controlled now. Returns whether something changed.
+    pub fn update(&mut self, workers: Vec<(Name, Epoch)>) -> bool {
+        if *self.workers == workers {
+            return false;
+        }
+        let lacks =
+            |list: &[(Name, Epoch)], item: &(Name, Epoch)| list.binary_search(item).is_err();
+        self.adopted += workers.iter().filter(|w| lacks(&self.workers, w)).count() as u64;
+        self.given_up += self.workers.iter().filter(|w| lacks(&workers, w)).count() as u64;
+        self.workers = Arc::new(workers);
+        true
+    }
+}
+
+/// What the steward duty measures.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    /// Counters of the scheduler.
+    pub counters: Counters,
+    /// Capacity of the fleet in view.
+    pub total: Capacity,
+    /// Capacity that is free in view.
+    pub free: Capacity,
+}
 
 /// Returns the present time of this process.
 pub fn now() -> Millis {
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod keys;
 pub mod server;
+pub mod traffic;
 
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::finding::List;
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -4,6 +4,7 @@
 //! something between the two ends may have lost track of it while new connections work.
 
 use super::Content;
+use super::traffic::{Counted, Traffic};
 use crate::codec;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,7 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
@@ -133,12 +134,18 @@
 pub struct Client {
     /// Sorted by address.
     hosts: Mutex<Vec<Host>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Client {
     /// Returns a client without connections.
-    pub const fn new() -> Self {
-        Self { hosts: Mutex::new(Vec::new()) }
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns a client whose bytes are counted.
+    pub const fn counted(traffic: Arc<Traffic>) -> Self {
+        Self { hosts: Mutex::new(Vec::new()), traffic }
     }
 
     /// Makes a call and returns whatever status came.
@@ -218,6 +225,7 @@
         let stream =
             TcpStream::connect(call.address).await.map_err(|e| unsent(call, &e.to_string()))?;
         stream.set_nodelay(true).map_err(|e| unsent(call, &e.to_string()))?;
+        let stream = Counted::new(stream, Arc::clone(&self.traffic));
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|e| unsent(call, &e.to_string()))?;
--- a/crates/wire/src/http/server.rs
+++ b/crates/wire/src/http/server.rs
@@ -3,6 +3,7 @@
 //! Bounds on connections, header time, body size and request time hold for every listener. A
 //! stop lets requests in flight finish and closes idle connections.
 
+use super::traffic::{Counted, Traffic};
 use super::{Handler, Request, Response};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -16,6 +17,7 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
@@ -52,10 +54,11 @@
     }
 }
 
-/// Serves a listener until `stop` is cancelled, then waits for the requests in flight.
+/// Serves a listener, counting its bytes in `traffic`, until `stop` is cancelled, then waits for the requests in flight.
 pub async fn serve(
     listener: TcpListener,
     limits: Limits,
+    traffic: Arc<Traffic>,
     handler: Arc<dyn Handler>,
     stop: CancellationToken,
 ) {
@@ -72,6 +75,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let stream = prepared(stream, &traffic);
                 let connection = connection(stream, limits, Arc::clone(&handler), stop.clone());
                 tracker.spawn(async move {
                     connection.await;
@@ -92,14 +96,11 @@
 /// Serves one accepted connection until it ends, or until `stop` is cancelled and its request in
 /// flight is answered. [`serve`] does this for each connection of a listener.
 pub async fn connection(
-    stream: TcpStream,
+    stream: impl AsyncRead + AsyncWrite + Unpin,
     limits: Limits,
     handler: Arc<dyn Handler>,
     stop: CancellationToken,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "TCP_NODELAY could not be set");
-    }
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(answer(request, limits, &*handler).await) }
@@ -122,6 +123,14 @@
     }
 }
 
+/// Returns an accepted stream, counted and without the delay that small answers would suffer.
+fn prepared(stream: TcpStream, traffic: &Arc<Traffic>) -> Counted<TcpStream> {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "TCP_NODELAY could not be set");
+    }
+    Counted::new(stream, Arc::clone(traffic))
+}
+
 async fn answer(
     request: hyper::Request<Incoming>,
     limits: Limits,
