Read the wait of the class that waited in tests/monitor.rs

Cause: the test read the line of another class and failed. Change: it selects the class that its batch has. Conclusion: the metric was right, the test was not.

--- a/tests/monitor.rs
+++ b/tests/monitor.rs
@@ -40,8 +40,7 @@
     ] {
         expect_that!(text, contains_substring(line));
     }
-    let placed =
-        text.lines().find(|l| l.starts_with("pimentovalve_wait_count") && l.contains("normal"));
-    let placed = placed.or_else(|| text.lines().find(|l| l.contains("deferrable")));
+    let waits = |l: &&str| l.starts_with("pimentovalve_wait_count") && l.contains("deferrable");
+    let placed = text.lines().find(waits);
     expect_that!(placed, some(ends_with(" 3")));
 }
