Model adoption and attempts, and follow the models in the code

Cause: the core had rules for fencing that no model had checked. The models of adoption and of attempts found four holes: (1) fence() allowed for one clock skew, but the controller's clock may be ahead when it asks and the worker's behind when the lease ends, so it takes two; (2) a steward that is not on a controller's list yet may count a fence while that controller asks "all listed peers" and renews; restricting who may write a loss does not help, restricting who may count does; (3) an attempt that never started has no lease to lapse, so its start needs a limit that is fixed by its record, and the fence must wait for it; (4) a renewal of everything that runs may revive an attempt whose loss is in force under a newer epoch. Change: specs/adoption.tla, specs/attempt.tla and tests/specs.rs with their mutants; ledger::attempt, ledger::currency, ledger::append, machine::adoption; Bounds::fence with twice the skew and Bounds::start_by; Membership::asked_since and is_current, departed peers are asked until they must have noticed; Arbiter::renew by attempt, and the memory of ended attempts bounded by their start_by and not by a count; Refusal::is_final; a kind's separation is for good, because two instances may rest on different versions. Conclusion: the bound is lease + currency + 2 * skew.

--- a/crates/core/src/contract/configuration.rs
+++ b/crates/core/src/contract/configuration.rs
@@ -1,7 +1,7 @@
 //! Configuration: numbered versions, each made from its predecessor by a patch.
 
 use crate::contract::class::Class;
-use crate::contract::kind::Kind;
+use crate::contract::kind::{Kind, Separation};
 use crate::contract::team::Team;
 use crate::finding::List;
 use crate::machine::runner::Limits;
@@ -98,6 +98,19 @@
     pub shares: Shares,
     /// Weights of placement.
     pub weights: Weights,
+    /// Kinds that were removed, so that what still runs of them keeps its meaning.
+    #[serde(default)]
+    pub removed: Vec<Removed>,
+}
+
+/// A kind that was removed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Removed {
+    /// Its name.
+    pub name: Name,
+    /// What happens to its running tasks when neither the log nor all peers can be asked.
+    pub separation: Separation,
 }
 
 /// A change from one version to the next. Entries with a known name replace it.
@@ -138,6 +151,13 @@
         find(&self.services, name, |s| &s.name)
     }
 
+    /// Returns the `separation` of a kind, also of one that was removed; `None` if there never was
+    /// such a kind.
+    pub fn separation(&self, kind: &str) -> Option<Separation> {
+        let removed = || find(&self.removed, kind, |r| &r.name).map(|r| r.separation);
+        self.kind(kind).map(|k| k.separation).or_else(removed)
+    }
+
     /// Returns the next version, as the patch makes it.
     ///
     /// # Errors
@@ -150,6 +170,7 @@
             findings.note("patch", "changes nothing");
         }
         check_values(patch, &mut findings);
+        self.check_separations(patch, &mut findings);
         let mut next = self.clone();
         next.version += 1;
         remove(&mut next.kinds, &patch.remove_kinds, |k| &k.name, "remove_kinds", &mut findings);
@@ -159,12 +180,39 @@
         upsert(&mut next.kinds, &patch.kinds, |k| &k.name, "kinds", &mut findings);
         upsert(&mut next.teams, &patch.teams, |t| &t.name, "teams", &mut findings);
         upsert(&mut next.services, &patch.services, |s| &s.name, "services", &mut findings);
+        next.note_removed(self);
         next.shares = patch.shares.unwrap_or(next.shares);
         next.weights = patch.weights.unwrap_or(next.weights);
         findings.into_result().map(|()| next)
     }
 }
 
+impl Configuration {
+    /// Checks that no kind changes its `separation`. Two instances may rest on different versions
+    /// for a while: if one held a task that the other moves, it could run in two places.
+    fn check_separations(&self, patch: &Patch, findings: &mut List) {
+        for (i, kind) in patch.kinds.iter().enumerate() {
+            let former = self.separation(kind.name.as_str());
+            if former.is_some_and(|former| former != kind.separation) {
+                let place = format!("kinds[{i}].separation");
+                findings.note(place, format!("{} has another one for good", kind.name));
+            }
+        }
+    }
+
+    /// Keeps the `separation` of kinds that `former` has and this configuration hasn't.
+    fn note_removed(&mut self, former: &Self) {
+        for kind in &former.kinds {
+            if self.kind(kind.name.as_str()).is_none() {
+                let removed = Removed { name: kind.name.clone(), separation: kind.separation };
+                if let Err(i) = self.removed.binary_search_by(|r| r.name.cmp(&kind.name)) {
+                    self.removed.insert(i, removed);
+                }
+            }
+        }
+    }
+}
+
 fn find<'a, T>(items: &'a [T], name: &str, key: impl Fn(&T) -> &Name) -> Option<&'a T> {
     items.binary_search_by(|item| key(item).as_str().cmp(name)).ok().map(|i| &items[i])
 }
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -6,9 +6,13 @@
 //! `specs/claim.tla` and `specs/configuration.tla`.
 //!
 //! [`book`] replays a partition (jobs, tasks, keys), [`fleet`] the losses of workers and
-//! [`history`] the configuration.
+//! [`history`] the configuration. [`append`] writes records, [`attempt`] says when a task may be
+//! placed again, [`currency`] until when a view may be rested on.
 
+pub mod append;
+pub mod attempt;
 pub mod book;
+pub mod currency;
 pub mod fleet;
 pub mod history;
 pub mod record;
--- a/crates/core/src/ledger/fleet.rs
+++ b/crates/core/src/ledger/fleet.rs
@@ -59,6 +59,15 @@
         verdict
     }
 
+    /// Takes over what a peer or a snapshot has, if it is newer. Returns whether it was.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let newer = other.next > self.next;
+        if newer {
+            self.clone_from(other);
+        }
+        newer
+    }
+
     /// Returns the last loss of a worker.
     pub fn loss(&self, worker: &str) -> Option<&Loss> {
         let found = self.losses.binary_search_by(|l| l.worker.as_str().cmp(worker));
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -1,5 +1,6 @@
 //! Machines: workers with capacity that run tasks under leases, and runners that serve requests.
 
+pub mod adoption;
 pub mod arbiter;
 pub mod capacity;
 pub mod controller;
--- a/crates/core/src/machine/arbiter.rs
+++ b/crates/core/src/machine/arbiter.rs
@@ -13,20 +13,39 @@
 };
 use crate::name::Name;
 
-/// Ended attempts that are remembered after they were acknowledged, so that a delayed start order
-/// of an ended attempt stays refused until its `start_by` has passed.
-const REMEMBERED: usize = 4096;
+/// Most attempts that a worker remembers as ended or refused. While as many are remembered it
+/// starts nothing.
+const MAX_PAST: usize = 4096;
+/// How long a stop order for an attempt that doesn't run is remembered; longer than any start
+/// order is valid ([`crate::machine::lease::Bounds::start_by`]).
+const STOP_MEMORY: Millis = Millis::from_secs(600);
+
+/// An attempt that ended or was refused for good. It is remembered until its start orders are too
+/// late by themselves, so that a delayed one can't start it again.
+#[derive(Clone, Debug)]
+struct Past {
+    task: task::Id,
+    attempt: task::Attempt,
+    start_by: Millis,
+}
+
+/// When a running attempt started, and by when it had to.
+#[derive(Clone, Copy, Debug)]
+struct Started {
+    at: Millis,
+    start_by: Millis,
+}
 
 /// The state on which a worker decides.
 #[derive(Clone, Debug)]
 pub struct Arbiter {
     inventory: Inventory,
     /// When each running attempt started, in the order of `inventory.running`.
-    started: Vec<Millis>,
+    started: Vec<Started>,
     /// Last sequence number that was given to an ended attempt.
     sequence: u64,
-    /// Ended attempts, oldest first.
-    past: Vec<(task::Id, task::Attempt)>,
+    /// Attempts that ended or were refused, oldest first.
+    past: Vec<Past>,
 }
 
 impl Arbiter {
@@ -82,7 +101,32 @@
         }
     }
 
+    /// Renews the leases of the given attempts, as far as they are running; starts none. Returns
+    /// whether the epoch is the present one.
+    pub fn renew(
+        &mut self,
+        epoch: Epoch,
+        attempts: &[(task::Id, task::Attempt)],
+        until: Millis,
+        now: Millis,
+    ) -> bool {
+        self.lapse(now);
+        let current = epoch == self.inventory.epoch;
+        for (task, attempt) in attempts.iter().filter(|_| current) {
+            if let Ok(i) = self.position(task) {
+                let holding = &mut self.inventory.running[i];
+                if holding.attempt == *attempt {
+                    holding.until = holding.until.max(until);
+                }
+            }
+        }
+        current
+    }
+
     /// Renews the leases of all running attempts. Returns whether the epoch is the present one.
+    ///
+    /// Right only if no loss covers any of them: an attempt that was recorded under a lost epoch
+    /// must not be renewed under a newer one. [`crate::machine::adoption`] tells which may be.
     pub fn renew_all(&mut self, epoch: Epoch, until: Millis, now: Millis) -> bool {
         self.lapse(now);
         let current = epoch == self.inventory.epoch;
@@ -145,10 +189,10 @@
         }
         let i = match self.position(&order.task) {
             Ok(i) if self.inventory.running[i].attempt == order.attempt => return Reply::Done,
-            Ok(_) => return self.refuse(order, Refusal::Conflict),
+            Ok(_) => return self.refuse(order, Refusal::Conflict, start.start_by, now),
             Err(i) => i,
         };
-        if self.past.iter().any(|(t, a)| *t == order.task && *a >= order.attempt) {
+        if self.past.iter().any(|p| p.task == order.task && p.attempt >= order.attempt) {
             return Reply::Refused(Refusal::Conflict);
         }
         if now > start.start_by || now > start.until {
@@ -157,8 +201,11 @@
         if self.inventory.leaving {
             return Reply::Refused(Refusal::Leaving);
         }
+        if self.is_full(now) {
+            return Reply::Refused(Refusal::Full);
+        }
         if !self.inventory.free().holds(&start.needs) {
-            return self.refuse(order, Refusal::Capacity);
+            return self.refuse(order, Refusal::Capacity, start.start_by, now);
         }
         let holding = Holding {
             task: order.task.clone(),
@@ -171,21 +218,26 @@
             usage: Capacity::ZERO,
         };
         self.inventory.running.insert(i, holding);
-        self.started.insert(i, now);
+        self.started.insert(i, Started { at: now, start_by: start.start_by });
         Reply::Done
     }
 
-    /// Refuses an attempt for good, so that a duplicate of the order can't start it later.
-    fn refuse(&mut self, order: &Order, refusal: Refusal) -> Reply {
-        self.remember(order.task.clone(), order.attempt);
+    /// Refuses an attempt for good, so that a start order under way until `start_by` can't start it
+    /// later.
+    fn refuse(&mut self, order: &Order, refusal: Refusal, start_by: Millis, now: Millis) -> Reply {
+        if self.is_full(now) {
+            return Reply::Refused(Refusal::Full);
+        }
+        let (task, attempt) = (order.task.clone(), order.attempt);
+        self.past.push(Past { task, attempt, start_by });
         Reply::Refused(refusal)
     }
 
-    fn remember(&mut self, task: task::Id, attempt: task::Attempt) {
-        self.past.push((task, attempt));
-        if self.past.len() > REMEMBERED {
-            self.past.remove(0);
-        }
+    /// Forgets the attempts whose start orders are too late by now. Returns whether the rest, with
+    /// those that run, is as much as may be remembered.
+    fn is_full(&mut self, now: Millis) -> bool {
+        self.past.retain(|p| p.start_by >= now);
+        self.past.len() + self.started.len() >= MAX_PAST
     }
 
     fn with_running(&mut self, order: &Order, change: impl FnOnce(&mut Holding)) -> Reply {
@@ -205,7 +257,7 @@
                 Reply::Done
             }
             // A start order that is still under way must not start what was stopped.
-            _ => self.refuse(order, Refusal::Absent),
+            _ => self.refuse(order, Refusal::Absent, now + STOP_MEMORY, now),
         }
     }
 
@@ -213,7 +265,8 @@
         let holding = self.inventory.running.remove(i);
         let started = self.started.remove(i);
         self.sequence += 1;
-        self.remember(holding.task.clone(), holding.attempt);
+        let (task, attempt) = (holding.task.clone(), holding.attempt);
+        self.past.push(Past { task, attempt, start_by: started.start_by });
         self.inventory.ended.push(Ended {
             sequence: self.sequence,
             task: holding.task,
@@ -221,7 +274,10 @@
             team: holding.team,
             ending,
             peak: holding.usage,
-            ran_ms: now.since(started),
+            ran_ms: now.since(started.at),
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/machine/lease.rs
+++ b/crates/core/src/machine/lease.rs
@@ -16,13 +16,29 @@
 }
 
 impl Bounds {
-    /// Returns how long after a loss was recorded another attempt may start at the earliest.
+    /// Returns for how long a loss must have been in force before another attempt may start; the
+    /// time counts from when the steward read the loss ([`crate::ledger::attempt`]).
     ///
-    /// A controller that read the fleet stream just before the loss may renew for `currency`
-    /// more; that renewal lasts for `lease`; the clocks of the writer of the loss and of the
-    /// worker differ by at most `skew`. One millisecond less is violated in the model.
+    /// A controller that asked just before the loss was read may renew for `currency` more, and
+    /// that renewal lasts for `lease`. The controller's clock may be ahead of the steward's when
+    /// it asks, and the worker's behind the steward's when the lease ends, by `skew` each: clocks
+    /// that are corrected in between do both. One millisecond less is violated in the model.
     pub fn fence(&self) -> Millis {
-        self.lease_ms + self.currency_ms + self.skew_ms
+        self.lease_ms + self.currency_ms + self.skew_ms.times(2)
+    }
+
+    /// Returns the instant after which a worker refuses to start an attempt recorded at
+    /// `placed_at`, by the clock of the record's writer.
+    ///
+    /// Without it, an attempt that never started would have no lease that could lapse, and could
+    /// start long after another took its place.
+    pub fn start_by(&self, placed_at: Millis) -> Millis {
+        placed_at + self.lease_ms
+    }
+
+    /// Returns the end of a lease that is given or renewed now.
+    pub fn until(&self, now: Millis) -> Millis {
+        now + self.lease_ms
     }
 }
 
--- a/crates/core/src/machine/worker.rs
+++ b/crates/core/src/machine/worker.rs
@@ -104,6 +104,19 @@
     Absent,
     /// The worker is leaving and starts nothing.
     Leaving,
+    /// The worker remembers as many ended attempts as it can and starts nothing for the moment.
+    Full,
+}
+
+impl Refusal {
+    /// Returns whether the refusal of a start order shows that the attempt never ran here and
+    /// never will.
+    ///
+    /// [`Self::Epoch`] and [`Self::Conflict`] don't: a duplicate of the order may have been taken
+    /// before. [`Self::Full`] doesn't: a duplicate may be taken later. [`Self::Absent`] doesn't answer a start order.
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Late | Self::Capacity | Self::Leaving)
+    }
 }
 
 /// A running attempt in a worker's inventory.
--- a/crates/core/src/zone/membership.rs
+++ b/crates/core/src/zone/membership.rs
@@ -1,5 +1,12 @@
 //! Membership: the instances that exist, from the platform's lagging list joined with what this
 //! instance sees of its peers.
+//!
+//! The list lags, and is read at intervals. A view of it that is relied on trails the list by at
+//! most twice its longest lag: one lag for the list itself, one for the age of the reading. Two
+//! rules follow, without which an outage of the log could hide a loss from a controller: an
+//! instance rests on a loss only once every controller must have it on its list, and an instance
+//! that left the list is still asked until it must have noticed. Assumed of the list: an entry
+//! doesn't come and go faster than it lags. Model: `specs/attempt.tla`.
 
 use crate::clock::Millis;
 use crate::name::Name;
@@ -51,10 +58,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Peer {
     instance: Instance,
-    /// When the list first showed the peer.
-    listed_since: Millis,
-    /// When the list last showed the peer.
-    listed_last: Millis,
+    /// Since when the list doesn't show the peer; `None` while it does.
+    missing_since: Option<Millis>,
     /// When the peer last answered; the first listing counts as an answer.
     heard: Millis,
     /// Whether the peer itself said that it is draining.
@@ -67,16 +72,21 @@
     own: Instance,
     /// Sorted by name.
     peers: Vec<Peer>,
-    /// Longest lag of the list; a peer that left the list is still asked for this long.
+    /// Longest lag of the list, and greatest age of a reading that is relied on.
     lag: Millis,
+    /// When the list was last read.
+    read_at: Option<Millis>,
+    /// Since when the list shows this instance without a gap.
+    own_since: Option<Millis>,
     /// A peer that was not heard for this long counts as dead.
     suspicion: Millis,
 }
 
 impl Membership {
-    /// Returns a membership that knows only this instance.
+    /// Returns a membership that knows only this instance. `lag` is the longest lag of the list,
+    /// the time-out of a reading included.
     pub const fn new(own: Instance, lag: Millis, suspicion: Millis) -> Self {
-        Self { own, peers: Vec::new(), lag, suspicion }
+        Self { own, peers: Vec::new(), lag, read_at: None, own_since: None, suspicion }
     }
 
     /// Returns this instance's own row.
@@ -84,29 +94,66 @@
         &self.own
     }
 
-    /// Takes in a reading of the platform's list.
+    /// Takes in a reading of the platform's list that was asked for at `now`.
     pub fn listed(&mut self, instances: &[Instance], now: Millis) {
-        let own = self.own.name.clone();
-        for instance in instances.iter().filter(|i| i.role == Role::Entry && i.name != own) {
-            match self.peers.binary_search_by(|p| p.instance.name.cmp(&instance.name)) {
-                Ok(i) => {
-                    self.peers[i].instance = instance.clone();
-                    self.peers[i].listed_last = now;
-                }
-                Err(i) => {
-                    let peer = Peer {
-                        instance: instance.clone(),
-                        listed_since: now,
-                        listed_last: now,
-                        heard: now,
-                        draining: false,
-                    };
-                    self.peers.insert(i, peer);
-                }
+        self.note_own(instances.iter().any(|i| i.name == self.own.name), now);
+        self.read_at = Some(now);
+        for peer in &mut self.peers {
+            if !instances.iter().any(|i| i.name == peer.instance.name) {
+                peer.missing_since = peer.missing_since.or(Some(now));
             }
         }
-        let lag = self.lag;
-        self.peers.retain(|p| now.since(p.listed_last) <= lag);
+        for instance in instances {
+            if instance.role == Role::Entry && instance.name != self.own.name {
+                self.note_peer(instance, now);
+            }
+        }
+        let trail = self.trail();
+        self.peers.retain(|p| p.missing_since.is_none_or(|since| now.since(since) <= trail));
+    }
+
+    /// Returns the longest time by which a view that is relied on may trail the list.
+    fn trail(&self) -> Millis {
+        self.lag.times(2)
+    }
+
+    fn note_own(&mut self, shown: bool, now: Millis) {
+        // Between two readings that lie too far apart the instance may have been off the list.
+        let seamless = self.is_current(now);
+        self.own_since = match self.own_since {
+            Some(since) if shown && seamless => Some(since),
+            _ => shown.then_some(now),
+        };
+    }
+
+    fn note_peer(&mut self, instance: &Instance, now: Millis) {
+        match self.peers.binary_search_by(|p| p.instance.name.cmp(&instance.name)) {
+            Ok(i) => {
+                self.peers[i].instance = instance.clone();
+                self.peers[i].missing_since = None;
+            }
+            Err(i) => {
+                let peer = Peer {
+                    instance: instance.clone(),
+                    missing_since: None,
+                    heard: now,
+                    draining: false,
+                };
+                self.peers.insert(i, peer);
+            }
+        }
+    }
+
+    /// Returns whether the last reading of the list is recent enough to be relied on.
+    pub fn is_current(&self, now: Millis) -> bool {
+        self.read_at.is_some_and(|read| read <= now && now.since(read) <= self.lag)
+    }
+
+    /// Returns since when every instance that relies on its view of the list has this one on it,
+    /// and so would ask it; `None` if that can't be shown.
+    pub fn asked_since(&self, now: Millis) -> Option<Millis> {
+        let since = self.own_since.filter(|_| self.is_current(now))? + self.trail();
+        (since <= now).then_some(since)
     }
 
     /// Notes that a peer answered, and whether it said that it is draining.
@@ -117,7 +164,8 @@
         }
     }
 
-    /// Returns the peers that must be asked: all listed now or within the list's lag.
+    /// Returns the peers that must be asked: those listed, and those that left the list so lately
+    /// that they may not know it yet. Sorted by name.
     pub fn peers(&self) -> impl Iterator<Item = &Instance> {
         self.peers.iter().map(|p| &p.instance)
     }
@@ -151,3 +199,6 @@
         self.own.state = State::Leaving;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/tests/specs.rs
@@ -0,0 +1,126 @@
+//! Checks the specifications of the core protocols to exhaustion, and that each guard in them
+//! counts: a mutant that leaves one guard out must break an invariant.
+
+use googletest::prelude::*;
+use std::path::{Path, PathBuf};
+use tla_checker::ast::Value;
+use tla_checker::checker::{self, CheckResult};
+use tla_checker::{config, load};
+
+/// More states than this make the tests slow: the specification must be made smaller.
+const MAX_STATES: usize = 100_000;
+
+/// Returns the verdict on a specification under a configuration and overriding constants.
+fn check(spec: &str, cfg: &str, constants: &[(&str, &str)]) -> CheckResult {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("specs");
+    let constants: Vec<(_, Value)> = constants
+        .iter()
+        .map(|(name, value)| {
+            let value = config::parse_constant_value(value).expect("the constant must parse");
+            ((*name).into(), value)
+        })
+        .collect();
+    let file =
+        |name: &str, extension: &str| -> PathBuf { folder.join(name).with_extension(extension) };
+    let prepared = load::prepare_from_path(&file(spec, "tla"), Some(&file(cfg, "cfg")), &constants)
+        .expect("the specification must parse");
+    let mut checker = prepared.checker_config;
+    checker.max_states = MAX_STATES;
+    checker::check(&prepared.spec, &prepared.domains, &checker)
+}
+
+/// Returns the value of `Skipped` that leaves out one guard.
+fn skipped(guard: &str) -> String {
+    format!("{{\"{guard}\"}}")
+}
+
+/// Checks that the protocol keeps its invariants in every reachable state.
+fn holds(spec: &str, cfg: &str, constants: &[(&str, &str)]) {
+    match check(spec, cfg, constants) {
+        CheckResult::Ok(stats) => {
+            let (states, seconds) = (stats.states_explored, stats.elapsed_secs);
+            println!("{spec} ({cfg}, {constants:?}): {states} states, no error, {seconds:.1} s");
+            assert!(states > 1, "{spec}: nothing was explored");
+        }
+        CheckResult::InvariantViolation(found, _) => {
+            for (state, action) in found.trace.iter().zip(&found.actions) {
+                println!("{action:?} {state:?}");
+            }
+            panic!("{spec} ({cfg}, {constants:?}): invariant {} broken", found.violated_invariant);
+        }
+        other => panic!("{spec} ({cfg}, {constants:?}): {other:?}"),
+    }
+}
+
+/// Checks that the protocol without one guard, or with another constant, breaks an invariant.
+fn rejects(spec: &str, cfg: &str, constants: &[(&str, &str)]) {
+    match check(spec, cfg, constants) {
+        CheckResult::InvariantViolation(found, _) => {
+            let steps = found.trace.len();
+            println!("{spec} ({cfg}, {constants:?}): rejected in {steps} steps");
+        }
+        other => panic!("{spec} ({cfg}, {constants:?}): the mutant passed: {other:?}"),
+    }
+}
+
+#[gtest]
+fn adoption_holds() {
+    holds("adoption", "adoption", &[]);
+}
+
+#[gtest]
+fn adoption_needs_its_guards() {
+    for guard in ["compare", "sender", "start", "record", "past", "newer", "acknowledge"] {
+        rejects("adoption", "adoption", &[("Skipped", &skipped(guard))]);
+    }
+}
+
+#[gtest]
+fn attempt_holds() {
+    holds("attempt", "attempt", &[]);
+}
+
+#[gtest]
+fn attempt_holds_for_kinds_that_hold() {
+    holds("attempt", "attempt", &[("Separation", "\"hold\""), ("Skew", "0")]);
+}
+
+#[gtest]
+fn attempt_holds_while_the_list_changes() {
+    holds("attempt", "attempt-list", &[]);
+}
+
+#[gtest]
+fn attempt_needs_its_guards() {
+    for guard in ["asked", "currency", "lost", "renew"] {
+        rejects("attempt", "attempt", &[("Skew", "0"), ("Skipped", &skipped(guard))]);
+    }
+    let hold = ("Separation", "\"hold\"");
+    rejects("attempt", "attempt", &[("Skew", "0"), hold, ("Skipped", &skipped("hold"))]);
+}
+
+#[gtest]
+fn attempt_needs_the_whole_fence() {
+    rejects("attempt", "attempt", &[("Less", "1")]);
+    rejects("attempt", "attempt", &[("Skew", "0"), ("Less", "1")]);
+}
+
+#[gtest]
+fn attempt_needs_to_be_listed_before_counting() {
+    rejects("attempt", "attempt-list", &[("Skipped", &skipped("listed"))]);
+}
+
+#[gtest]
+fn attempt_needs_to_ask_those_that_left_the_list() {
+    rejects("attempt", "attempt-list", &[("Skipped", &skipped("departed"))]);
+}
+
+#[gtest]
+fn attempt_needs_the_limit_of_its_start() {
+    rejects("attempt", "attempt-list", &[("Skipped", &skipped("start_by"))]);
+}
+
+#[gtest]
+fn attempt_needs_to_wait_for_the_limit_of_its_start() {
+    rejects("attempt", "attempt-list", &[("Skipped", &skipped("placed"))]);
+}
