Measure placement and packing against plain baselines

Change: crates/bench with virtual time, a table of workers, both customers' work, and the experiments placement and packing.

--- /dev/null
+++ b/crates/bench/src/contender.rs
@@ -0,0 +1,48 @@
+//! What is compared: schedulers behind one trait.
+
+pub mod baseline;
+pub mod stewards;
+
+use crate::load::Spec;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::admission::Refusal;
+use pimentovalve_core::contract::scheduler::Decision;
+use pimentovalve_core::machine::capacity::Capacity;
+use pimentovalve_core::machine::worker::{Ending, Worker};
+
+/// A way to place work. It is told of events and asked for decisions.
+pub trait Contender {
+    /// Takes in a report of a worker, made at `at`.
+    fn report(&mut self, worker: &Worker, free: &Capacity, at: Millis);
+
+    /// Takes out a worker that is lost.
+    fn forget(&mut self, worker: &Worker);
+
+    /// Takes a job, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it was refused.
+    fn submit(&mut self, spec: &Spec, now: Millis) -> Result<(), Refusal>;
+
+    /// Queues tasks again that didn't run to their end.
+    fn requeue(&mut self, spec: &Spec, tasks: &[u32], now: Millis);
+
+    /// Cancels a job.
+    fn cancel(&mut self, spec: &Spec);
+
+    /// Notes that a claim was granted or refused.
+    fn answered(&mut self, spec: &Spec, task: u32, granted: bool, now: Millis);
+
+    /// Takes in the usage of a running task.
+    fn usage(&mut self, _spec: &Spec, _task: u32, _usage: &Capacity) {}
+
+    /// Notes the end of an attempt.
+    fn ended(&mut self, spec: &Spec, task: u32, ending: &Ending, ran: Millis, now: Millis);
+
+    /// Lets the parts tell each other what they know; called every second.
+    fn gossip(&mut self, _now: Millis) {}
+
+    /// Decides what is to be done now.
+    fn decide(&mut self, now: Millis) -> Vec<Decision>;
+}
--- /dev/null
+++ b/crates/bench/src/contender/stewards.rs
@@ -0,0 +1,124 @@
+//! The scheduler of the core crate, as several stewards that split the teams among them.
+
+use super::Contender;
+use crate::load::{Spec, name};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::admission::Refusal;
+use pimentovalve_core::contract::configuration::Configuration;
+use pimentovalve_core::contract::scheduler::{Decision, Scheduler};
+use pimentovalve_core::contract::task;
+use pimentovalve_core::ledger::Stream;
+use pimentovalve_core::machine::capacity::Capacity;
+use pimentovalve_core::machine::view::Report;
+use pimentovalve_core::machine::worker::{Ending, Worker};
+use pimentovalve_core::name::Name;
+
+/// Decisions that each steward makes at once.
+const DECISIONS: usize = 64;
+
+/// Several schedulers, each with the work of some teams and an own view of the whole fleet.
+#[derive(Debug)]
+pub struct Stewards {
+    schedulers: Vec<Scheduler>,
+    configuration: Configuration,
+    /// Whether estimates are learned from usage; without, the declared sizes are kept.
+    learn: bool,
+    /// Which scheduler decides first; the order must not favour one.
+    first: usize,
+}
+
+impl Stewards {
+    /// Returns `count` stewards. Without `learn` they place by declared size.
+    pub fn new(count: usize, configuration: &Configuration, learn: bool) -> Self {
+        let schedulers = vec![Scheduler::new(None, configuration); count];
+        Self { schedulers, configuration: configuration.clone(), learn, first: 0 }
+    }
+
+    /// Returns the schedulers.
+    pub fn schedulers(&self) -> &[Scheduler] {
+        &self.schedulers
+    }
+
+    fn of(&mut self, team: &Name) -> &mut Scheduler {
+        let count = u16::try_from(self.schedulers.len()).unwrap_or(u16::MAX);
+        let Stream::Partition(partition) = Stream::of_team(team, count) else {
+            unreachable!("the work of a team is in a partition")
+        };
+        &mut self.schedulers[usize::from(partition)]
+    }
+}
+
+fn task_id(spec: &Spec, index: u32) -> task::Id {
+    task::Id { job: spec.job.id.clone(), index }
+}
+
+impl Contender for Stewards {
+    fn report(&mut self, worker: &Worker, free: &Capacity, at: Millis) {
+        for scheduler in &mut self.schedulers {
+            scheduler.worker(&Report { worker, free, leaving: false, at });
+        }
+    }
+
+    fn forget(&mut self, worker: &Worker) {
+        for scheduler in &mut self.schedulers {
+            scheduler.forget_worker(worker.name.as_str());
+        }
+    }
+
+    fn submit(&mut self, spec: &Spec, now: Millis) -> Result<(), Refusal> {
+        let configuration = std::mem::take(&mut self.configuration);
+        let scheduler = self.of(&spec.job.team);
+        let answer = scheduler.admit(&spec.job, &configuration, now);
+        if answer.is_ok() {
+            let tasks: Vec<u32> = (0..spec.job.tasks).collect();
+            scheduler.enqueue(&spec.job, &spec.kind, &tasks, now);
+        }
+        self.configuration = configuration;
+        answer
+    }
+
+    fn requeue(&mut self, spec: &Spec, tasks: &[u32], _now: Millis) {
+        self.of(&spec.job.team).enqueue(&spec.job, &spec.kind, tasks, spec.at);
+    }
+
+    fn cancel(&mut self, spec: &Spec) {
+        self.of(&spec.job.team).cancel(spec.job.id.as_str());
+    }
+
+    fn answered(&mut self, spec: &Spec, task: u32, granted: bool, now: Millis) {
+        let id = task_id(spec, task);
+        let scheduler = self.of(&spec.job.team);
+        if granted {
+            scheduler.reserved(&id, now);
+        } else {
+            scheduler.reservation_refused(&id, now);
+        }
+    }
+
+    fn usage(&mut self, spec: &Spec, task: u32, usage: &Capacity) {
+        if self.learn {
+            self.of(&spec.job.team).usage_seen(&task_id(spec, task), usage);
+        }
+    }
+
+    fn ended(&mut self, spec: &Spec, task: u32, ending: &Ending, ran: Millis, now: Millis) {
+        let peak = if self.learn { spec.real } else { Capacity::ZERO };
+        self.of(&spec.job.team).ended(&task_id(spec, task), ending, &peak, ran, now);
+    }
+
+    fn gossip(&mut self, now: Millis) {
+        let totals: Vec<_> = self.schedulers.iter().map(|s| *s.totals()).collect();
+        for (i, scheduler) in self.schedulers.iter_mut().enumerate() {
+            for (j, totals) in totals.iter().enumerate().filter(|(j, _)| *j != i) {
+                scheduler.gossip(&name(&format!("steward-{j}")), totals, now);
+            }
+        }
+    }
+
+    fn decide(&mut self, now: Millis) -> Vec<Decision> {
+        let count = self.schedulers.len();
+        self.first = (self.first + 1) % count;
+        let order = (0..count).map(|i| (self.first + i) % count);
+        order.flat_map(|i| self.schedulers[i].decide(now, DECISIONS)).collect()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment.rs
@@ -0,0 +1,18 @@
+//! The experiments, one module each.
+
+pub mod packing;
+pub mod placement;
+
+use crate::report::Report;
+
+/// Names of the experiments.
+pub const NAMES: [&str; 2] = ["placement", "packing"];
+
+/// Returns the experiment with the given name: a function from the seed to the report.
+pub fn find(name: &str) -> Option<fn(u64) -> Report> {
+    match name {
+        "placement" => Some(placement::run),
+        "packing" => Some(packing::run),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/placement.rs
@@ -0,0 +1,211 @@
+//! How fast decisions are made, at the two-year size and a tenth or ten times of it.
+
+use crate::contender::Contender as _;
+use crate::contender::baseline::{Baseline, Fit};
+use crate::load::{self, Customer, Spec, Stream};
+use crate::report::{Report, Series, Target};
+use hdrhistogram::Histogram;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::scheduler::{Decision, Scheduler};
+use pimentovalve_core::contract::task;
+use pimentovalve_core::machine::capacity::Capacity;
+use pimentovalve_core::machine::view;
+use pimentovalve_core::machine::worker::Ending;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::{Duration, Instant};
+
+/// Sizes at two years.
+const WORKERS: usize = 640;
+const ACCELERATORS: u64 = 1400;
+const TEAMS: usize = 55;
+const DOMAINS: usize = 7;
+const RUNNING: usize = 4600;
+const QUEUED: usize = 100_000;
+/// Decisions that are timed.
+const DECISIONS: usize = 30_000;
+/// Decisions that are asked for at once.
+const BATCH: usize = 8;
+
+/// Time that decisions took.
+struct Timing {
+    /// Time of each call for decisions, divided by its decisions, in nanoseconds.
+    each: Histogram<u64>,
+    total: Duration,
+    decisions: usize,
+}
+
+impl Timing {
+    fn mean_us(&self) -> f64 {
+        self.total.as_secs_f64() * 1e6 / self.decisions.max(1) as f64
+    }
+}
+
+/// Runs the experiment.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("placement", seed);
+    let middle = measure(WORKERS, QUEUED, seed);
+    let baseline = measure_baseline(seed);
+    let rate = |t: &Timing| t.decisions as f64 / t.total.as_secs_f64();
+    let p99 = |t: &Timing| t.each.value_at_quantile(0.99) as f64 / 1e6;
+    let least = Some(Target::AtLeast(10_000.0));
+    report.row("decisions a second on one core", rate(&middle), Some(rate(&baseline)), least);
+    let most = Some(Target::AtMost(1.0));
+    report.row("p99 of a decision, ms", p99(&middle), Some(p99(&baseline)), most);
+    report.row("mean of a decision, us", middle.mean_us(), Some(baseline.mean_us()), None);
+    let mut by_workers = Vec::new();
+    for (label, workers, queued) in [
+        ("64 workers", WORKERS / 10, QUEUED),
+        ("6400 workers", WORKERS * 10, QUEUED),
+        ("10,000 queued", WORKERS, QUEUED / 10),
+        ("1,000,000 queued", WORKERS, QUEUED * 10),
+    ] {
+        let other = measure(workers, queued, seed);
+        let (small, large) = if workers < WORKERS || queued < QUEUED {
+            (other.mean_us(), middle.mean_us())
+        } else {
+            (middle.mean_us(), other.mean_us())
+        };
+        let most = Some(Target::AtMost(2.0));
+        report.row(
+            format!("cost of a decision, tenfold against {label}"),
+            large / small,
+            None,
+            most,
+        );
+        by_workers.push((label, other.mean_us()));
+    }
+    for (label, mean) in by_workers {
+        report.row(format!("mean of a decision with {label}, us"), mean, None, None);
+    }
+    let points = |t: &Timing| {
+        let quantiles = (0..100).map(|i| f64::from(i) / 100.0);
+        quantiles.map(|q| (100.0 * q, t.each.value_at_quantile(q) as f64 / 1e3)).collect()
+    };
+    report.axes = ("percent of decisions", "microseconds");
+    report.figure.push(Series { name: "scheduler".into(), points: points(&middle) });
+    report
+}
+
+/// Times decisions of one scheduler while tasks end and others are queued.
+fn measure(workers: usize, queued: usize, seed: u64) -> Timing {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let accelerators = ACCELERATORS * workers as u64 / WORKERS as u64;
+    let configuration = load::configuration(Customer::Andino, TEAMS);
+    let mut scheduler = Scheduler::new(None, &configuration);
+    for worker in &load::fleet(Customer::Andino, workers, DOMAINS, accelerators) {
+        let free = &worker.capacity;
+        scheduler.worker(&view::Report { worker, free, leaving: false, at: Millis(1) });
+    }
+    let target = RUNNING * workers / WORKERS;
+    let specs = jobs(&mut rng, queued + target + DECISIONS);
+    let mut next = specs.iter();
+    for spec in next.by_ref().take(queued + target) {
+        scheduler.enqueue(&spec.job, &spec.kind, &[0], Millis(1));
+    }
+    let mut now = Millis(1000);
+    let mut running: Vec<task::Id> = Vec::new();
+    for _ in 0..64 {
+        now = now + Millis(1000);
+        let room = target.saturating_sub(running.len());
+        running.extend(placed(scheduler.decide(now, room)));
+    }
+    let each = Histogram::new_with_max(10_000_000_000, 3).expect("valid bounds");
+    let mut timing = Timing { each, total: Duration::ZERO, decisions: 0 };
+    while timing.decisions < DECISIONS {
+        now = now + Millis(5);
+        let start = Instant::now();
+        for _ in 0..BATCH {
+            if running.is_empty() {
+                break;
+            }
+            let task = running.swap_remove(rng.random_range(0..running.len()));
+            let ending = Ending::Completed(String::new());
+            scheduler.ended(&task, &ending, &Capacity::ZERO, Millis(60_000), now);
+            if let Some(spec) = next.next() {
+                scheduler.enqueue(&spec.job, &spec.kind, &[0], now);
+            }
+        }
+        let decisions = scheduler.decide(now, BATCH);
+        let took = start.elapsed();
+        let count = decisions.len();
+        running.extend(placed(decisions));
+        timing.total += took;
+        timing.decisions += count.max(1);
+        let each = took.as_nanos() / count.max(1) as u128;
+        timing.each.saturating_record(u64::try_from(each).unwrap_or(u64::MAX));
+    }
+    timing
+}
+
+/// Times the same for first in first out with first fit.
+fn measure_baseline(seed: u64) -> Timing {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut baseline = Baseline::new(Fit::First, seed);
+    for worker in &load::fleet(Customer::Andino, WORKERS, DOMAINS, ACCELERATORS) {
+        baseline.report(worker, &worker.capacity, Millis(1));
+    }
+    let specs = jobs(&mut rng, QUEUED + RUNNING + DECISIONS);
+    for spec in &specs {
+        let _ = baseline.submit(spec, Millis(1));
+    }
+    let mut by_id: Vec<&Spec> = specs.iter().collect();
+    by_id.sort_by(|a, b| a.job.id.cmp(&b.job.id));
+    let mut running = placed(baseline.decide(Millis(1)));
+    let each = Histogram::new_with_max(10_000_000_000, 3).expect("valid bounds");
+    let mut timing = Timing { each, total: Duration::ZERO, decisions: 0 };
+    while timing.decisions < DECISIONS && !running.is_empty() {
+        let start = Instant::now();
+        for _ in 0..BATCH.min(running.len()) {
+            let task = running.swap_remove(rng.random_range(0..running.len()));
+            let found = by_id.binary_search_by(|s| s.job.id.cmp(&task.job));
+            let spec = by_id[found.expect("a placed job was submitted")];
+            let ending = Ending::Completed(String::new());
+            baseline.ended(spec, task.index, &ending, Millis(1), Millis(1));
+        }
+        let decisions = placed(baseline.decide(Millis(1)));
+        let took = start.elapsed();
+        timing.total += took;
+        timing.decisions += decisions.len().max(1);
+        let each = took.as_nanos() / decisions.len().max(1) as u128;
+        timing.each.saturating_record(u64::try_from(each).unwrap_or(u64::MAX));
+        running.extend(decisions);
+    }
+    timing
+}
+
+fn placed(decisions: Vec<Decision>) -> Vec<task::Id> {
+    let task = |decision| match decision {
+        Decision::Place { task, .. } => Some(task),
+        Decision::Preempt { .. } => None,
+    };
+    decisions.into_iter().filter_map(task).collect()
+}
+
+/// Draws jobs of all classes, a part of them with accelerators, in a mixed order.
+fn jobs(rng: &mut ChaCha8Rng, count: usize) -> Vec<Spec> {
+    let stream = |kind, prefix, percent: usize, cpu_milli, accelerators| Stream {
+        kind,
+        prefix,
+        teams: (0, TEAMS),
+        rate: (count * percent / 100 + 1) as f64,
+        span: (Millis(0), Millis(1000)),
+        tasks: (1, 1),
+        cpu_milli,
+        memory_per_core: (1000, 4000),
+        accelerators,
+        run: Millis::from_secs(60),
+        error: 1.0,
+    };
+    let streams = [
+        stream("lookup", "l", 20, (250, 2000), 0),
+        stream("sealing", "s", 30, (500, 8000), 0),
+        stream("inspection", "i", 10, (1000, 4000), 1),
+        stream("reindex", "r", 30, (1000, 16_000), 0),
+        stream("audit", "a", 10, (2000, 8000), 2),
+    ];
+    let mut specs: Vec<Spec> = streams.iter().flat_map(|s| s.draw(rng)).collect();
+    specs.sort_by_key(|s| s.at);
+    specs.truncate(count);
+    specs
+}
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,213 @@
+//! Fleets and work of both customers, drawn from a seed.
+
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::class::Class;
+use pimentovalve_core::contract::configuration::{Configuration, Patch, Weights};
+use pimentovalve_core::contract::job::Job;
+use pimentovalve_core::contract::kind::{Kind, Separation, Shape};
+use pimentovalve_core::contract::team::Team;
+use pimentovalve_core::machine::capacity::Capacity;
+use pimentovalve_core::machine::worker::Worker;
+use pimentovalve_core::name::Name;
+use pimentovalve_core::zone::Place;
+use rand::{Rng, RngExt};
+use rand_distr::{Distribution, LogNormal};
+
+/// Workers of a rack.
+const RACK: usize = 8;
+/// Accelerators of a worker that has any.
+pub const ACCELERATORS: u64 = 8;
+
+/// Whose weightings and machines are taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Customer {
+    /// Archivo Andino Digital, which weighs packing and control cost more.
+    Andino,
+    /// The Hooghly Riverside board, which weighs waiting time more.
+    Board,
+}
+
+impl Customer {
+    /// Returns the customer's weights of placement.
+    pub const fn weights(self) -> Weights {
+        match self {
+            Self::Andino => Weights { packing: 80, waiting: 40, spread: 50, locality: 80 },
+            Self::Board => Weights { packing: 40, waiting: 100, spread: 50, locality: 50 },
+        }
+    }
+
+    /// Returns the memory of the customer's workers in mebibytes.
+    const fn memory_mib(self) -> u64 {
+        match self {
+            Self::Andino => 128 * 1024,
+            Self::Board => 64 * 1024,
+        }
+    }
+}
+
+/// Returns a checked name.
+pub fn name(text: &str) -> Name {
+    Name::try_from(text).expect("a generated name is valid")
+}
+
+/// Returns a fleet over `domains` failure domains in three regions; the last workers of each
+/// domain have accelerators, `accelerators` in all.
+pub fn fleet(customer: Customer, workers: usize, domains: usize, accelerators: u64) -> Vec<Worker> {
+    let accelerated = usize::try_from(accelerators / ACCELERATORS).unwrap_or(0);
+    (0..workers)
+        .map(|i| {
+            let domain = i % domains;
+            let place = Place {
+                region: name(&format!("region-{}", domain % 3)),
+                domain: name(&format!("domain-{domain}")),
+                rack: name(&format!("rack-{}", i / domains / RACK)),
+            };
+            let has = i >= workers - accelerated;
+            let accelerators = if has { ACCELERATORS } else { 0 };
+            let capacity = Capacity::new(32_000, customer.memory_mib(), accelerators);
+            Worker { name: name(&format!("worker-{i:04}")), place, capacity }
+        })
+        .collect()
+}
+
+/// Returns a configuration with `teams` teams of equal weight and quotas beyond the fleet, and
+/// the kinds of [`KINDS`].
+pub fn configuration(customer: Customer, teams: usize) -> Configuration {
+    let quota = Capacity::new(1 << 40, 1 << 40, 1 << 20);
+    let teams = (0..teams).map(|i| Team { name: team(i), weight: 1, quota }).collect();
+    let patch =
+        Patch { kinds: kinds(), teams, weights: Some(customer.weights()), ..Patch::default() };
+    Configuration::default().patched(&patch).expect("a generated configuration is valid")
+}
+
+/// Returns the name of a team.
+pub fn team(i: usize) -> Name {
+    name(&format!("team-{i:02}"))
+}
+
+/// Names of the kinds of work with their shape and class.
+pub const KINDS: [(&str, Shape, Class); 8] = [
+    ("lookup", Shape::Batch, Class::Urgent),
+    ("sealing", Shape::Batch, Class::Normal),
+    ("inspection", Shape::Batch, Class::Normal),
+    ("reindex", Shape::Batch, Class::Deferrable),
+    ("audit", Shape::Batch, Class::Deferrable),
+    ("training", Shape::Gang, Class::Normal),
+    ("reconcile", Shape::Gang, Class::Deferrable),
+    ("engine", Shape::Service, Class::Normal),
+];
+
+/// Returns the kinds of work, sorted by name.
+pub fn kinds() -> Vec<Kind> {
+    let kind = |(text, shape, class): (&str, Shape, Class)| Kind {
+        name: name(text),
+        shape,
+        separation: Separation::Move,
+        class,
+        attempts: 100,
+    };
+    let mut kinds = KINDS.map(kind).to_vec();
+    kinds.sort_by(|a, b| a.name.cmp(&b.name));
+    kinds
+}
+
+/// A job with what it really takes.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// The job as it is submitted.
+    pub job: Job,
+    /// Its kind.
+    pub kind: Kind,
+    /// What each task really takes.
+    pub real: Capacity,
+    /// How long each task really runs.
+    pub run: Millis,
+    /// Whether each task fails wherever it runs.
+    pub fails: bool,
+    /// When it is submitted.
+    pub at: Millis,
+}
+
+impl Spec {
+    /// Returns how urgent the job is.
+    pub fn class(&self) -> Class {
+        self.job.class.unwrap_or(self.kind.class)
+    }
+}
+
+/// A stream of jobs of one kind.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    /// Name of the kind.
+    pub kind: &'static str,
+    /// Prefix of the job ids.
+    pub prefix: &'static str,
+    /// Teams that submit in turn, from the first to before the second.
+    pub teams: (usize, usize),
+    /// Jobs a second.
+    pub rate: f64,
+    /// First and last instant of submission.
+    pub span: (Millis, Millis),
+    /// Tasks of a job, drawn between these.
+    pub tasks: (u32, u32),
+    /// Thousandths of a core of a task, drawn between these, and mebibytes for each of 1000.
+    pub cpu_milli: (u64, u64),
+    /// Mebibytes for each core, drawn between these.
+    pub memory_per_core: (u64, u64),
+    /// Accelerators of a task.
+    pub accelerators: u64,
+    /// Median run time.
+    pub run: Millis,
+    /// Declared size to real size is drawn between 1 / this and this, once for each kind and
+    /// team, and again within a tenth of it for each job.
+    pub error: f64,
+}
+
+impl Stream {
+    /// Returns the jobs of the stream in order of time.
+    pub fn draw(&self, rng: &mut impl Rng) -> Vec<Spec> {
+        let kind = kinds().into_iter().find(|k| k.name.as_str() == self.kind);
+        let kind = kind.expect("a stream names a known kind");
+        let (from, to) = (self.span.0.get(), self.span.1.get());
+        let count = (to - from) as f64 / 1000.0 * self.rate;
+        let run = LogNormal::new((self.run.get() as f64).ln(), 0.6).expect("a finite deviation");
+        let bias = log_uniform(rng, self.error);
+        (0..count as usize)
+            .map(|i| {
+                let at = Millis(rng.random_range(from..=to));
+                let cores = rng.random_range(self.cpu_milli.0..=self.cpu_milli.1);
+                let per_core = rng.random_range(self.memory_per_core.0..=self.memory_per_core.1);
+                let real = Capacity::new(cores, cores * per_core / 1000, self.accelerators);
+                let error = bias * log_uniform(rng, 1.0 + (self.error - 1.0) / 10.0);
+                let declared = Capacity {
+                    cpu_milli: ((cores as f64 * error) as u64).clamp(1, 30_000),
+                    memory_mib: ((real.memory_mib as f64 * error) as u64).clamp(1, 60_000),
+                    accelerators: self.accelerators,
+                };
+                let ran = run.sample(rng).clamp(50.0, 20.0 * self.run.get() as f64);
+                let team = team(self.teams.0 + i % (self.teams.1 - self.teams.0));
+                let job = Job {
+                    id: name(&format!("{}-{i}", self.prefix)),
+                    team,
+                    kind: kind.name.clone(),
+                    class: None,
+                    tasks: rng.random_range(self.tasks.0..=self.tasks.1),
+                    needs: declared,
+                    run_ms: self.run,
+                    payload: String::new(),
+                };
+                let run = Millis(ran as u64);
+                Spec { job, kind: kind.clone(), real, run, fails: false, at }
+            })
+            .collect()
+    }
+}
+
+/// Returns a factor between `1 / bound` and `bound`, uniform in its logarithm.
+fn log_uniform(rng: &mut impl Rng, bound: f64) -> f64 {
+    if bound <= 1.0 {
+        return 1.0;
+    }
+    let logarithm = bound.ln();
+    rng.random_range(-logarithm..=logarithm).exp()
+}
--- /dev/null
+++ b/crates/bench/src/plot.rs
@@ -0,0 +1,41 @@
+//! Drawing of a report's main figure.
+
+use crate::report::Report;
+use plotters::prelude::*;
+use std::error::Error;
+use std::path::Path;
+
+/// Size of the drawing in pixels.
+const SIZE: (u32, u32) = (900, 540);
+/// Space for the labels of an axis in pixels.
+const LABELS: u32 = 60;
+
+/// Draws the main figure into an SVG file.
+///
+/// # Errors
+///
+/// Returns why the file could not be written.
+pub fn draw(report: &Report, path: &Path) -> Result<(), Box<dyn Error>> {
+    let points = || report.figure.iter().flat_map(|s| &s.points);
+    let right = points().map(|p| p.0).fold(1.0, f64::max);
+    let top = points().map(|p| p.1).fold(1.0, f64::max);
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(10)
+        .x_label_area_size(LABELS)
+        .y_label_area_size(LABELS)
+        .build_cartesian_2d(0.0..right, 0.0..top * 1.05)?;
+    let (x, y) = report.axes;
+    chart.configure_mesh().x_desc(x).y_desc(y).draw()?;
+    for (i, series) in report.figure.iter().enumerate() {
+        let color = Palette99::pick(i).to_rgba();
+        chart
+            .draw_series(LineSeries::new(series.points.iter().copied(), &color))?
+            .label(&series.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color));
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw()?;
+    root.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,155 @@
+//! What an experiment prints: rows of measured figures with baseline, ratio and target.
+
+use serde_json::{Map, Value, json};
+use std::fmt;
+
+/// What a figure must reach.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Target {
+    /// The measured figure must not be above.
+    AtMost(f64),
+    /// The measured figure must not be below.
+    AtLeast(f64),
+}
+
+impl Target {
+    fn is_met(self, measured: f64) -> bool {
+        match self {
+            Self::AtMost(bound) => measured <= bound,
+            Self::AtLeast(bound) => measured >= bound,
+        }
+    }
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::AtMost(bound) => write!(f, "<= {bound}"),
+            Self::AtLeast(bound) => write!(f, ">= {bound}"),
+        }
+    }
+}
+
+/// One figure.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// What was measured, with its unit.
+    pub metric: String,
+    /// The figure.
+    pub measured: f64,
+    /// The same of the baseline in the same run.
+    pub baseline: Option<f64>,
+    /// What it must reach.
+    pub target: Option<Target>,
+}
+
+impl Row {
+    /// Returns whether the target is met; `None` without a target. A figure that is no number
+    /// meets nothing.
+    pub fn is_met(&self) -> Option<bool> {
+        self.target.map(|target| target.is_met(self.measured))
+    }
+
+    fn ratio(&self) -> Option<f64> {
+        self.baseline.filter(|&b| b != 0.0).map(|b| self.measured / b)
+    }
+}
+
+/// A line of a figure.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Series {
+    /// Its name in the legend.
+    pub name: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// The outcome of one experiment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Name of the experiment.
+    pub experiment: &'static str,
+    /// Seed of all random numbers.
+    pub seed: u64,
+    /// The figures.
+    pub rows: Vec<Row>,
+    /// Number of broken promises, over-capacity and double runs among them.
+    pub violations: u64,
+    /// The main figure, with the names of its axes.
+    pub figure: Vec<Series>,
+    /// Names of the axes of the main figure.
+    pub axes: (&'static str, &'static str),
+}
+
+impl Report {
+    /// Returns an empty report.
+    pub const fn new(experiment: &'static str, seed: u64) -> Self {
+        Self {
+            experiment,
+            seed,
+            rows: Vec::new(),
+            violations: 0,
+            figure: Vec::new(),
+            axes: ("", ""),
+        }
+    }
+
+    /// Adds a figure.
+    pub fn row(
+        &mut self,
+        metric: impl Into<String>,
+        measured: f64,
+        baseline: Option<f64>,
+        target: Option<Target>,
+    ) {
+        self.rows.push(Row { metric: metric.into(), measured, baseline, target });
+    }
+
+    /// Returns whether all targets are met and no promise was broken.
+    pub fn is_met(&self) -> bool {
+        self.violations == 0 && self.rows.iter().all(|row| row.is_met() != Some(false))
+    }
+
+    /// Returns the report as one JSON object.
+    pub fn to_json(&self) -> Value {
+        let map = |value: &dyn Fn(&Row) -> Option<Value>| {
+            let pairs = self.rows.iter().filter_map(|r| Some((r.metric.clone(), value(r)?)));
+            Value::Object(pairs.collect::<Map<String, Value>>())
+        };
+        let unmet = self.rows.iter().filter(|r| r.is_met() == Some(false));
+        json!({
+            "experiment": self.experiment,
+            "seed": self.seed,
+            "measured": map(&|r| Some(json!(r.measured))),
+            "baseline": map(&|r| r.baseline.map(|b| json!(b))),
+            "ratio": map(&|r| r.ratio().map(|ratio| json!(ratio))),
+            "target": map(&|r| r.target.map(|target| json!(target.to_string()))),
+            "met": self.is_met(),
+            "unmet": unmet.map(|r| r.metric.as_str()).collect::<Vec<_>>(),
+            "violations": self.violations,
+        })
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { experiment, seed, violations, .. } = self;
+        writeln!(f, "{experiment}, seed {seed}")?;
+        let width = self.rows.iter().map(|r| r.metric.len()).max().unwrap_or(0).max(6);
+        let heads = ["measured", "baseline", "ratio", "target", "met"];
+        write!(f, "{:width$}", "metric")?;
+        for head in heads {
+            write!(f, " {head:>12}")?;
+        }
+        writeln!(f)?;
+        for row in &self.rows {
+            let number = |n: Option<f64>| n.map_or_else(|| "-".into(), |n| format!("{n:.3}"));
+            let target = row.target.map_or_else(|| "-".into(), |t| t.to_string());
+            let met = row.is_met().map_or("-", |met| if met { "yes" } else { "NO" });
+            write!(f, "{:width$} {:>12.3}", row.metric, row.measured)?;
+            let (baseline, ratio) = (number(row.baseline), number(row.ratio()));
+            writeln!(f, " {baseline:>12} {ratio:>12} {target:>12} {met:>12}")?;
+        }
+        writeln!(f, "violations: {violations}")
+    }
+}
--- /dev/null
+++ b/crates/bench/src/world/tally.rs
@@ -0,0 +1,156 @@
+//! What is counted while a world runs.
+
+use crate::load::Spec;
+use hdrhistogram::Histogram;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::class::Class;
+use pimentovalve_core::machine::capacity::Capacity;
+use pimentovalve_core::name::Name;
+
+const CLASSES: usize = Class::ALL.len();
+/// Longest wait that is told apart, in milliseconds.
+const LONGEST_MS: u64 = 100 * 3600 * 1000;
+
+/// Use of the fleet by one team in one class.
+#[derive(Clone, Debug)]
+struct Use {
+    team: Name,
+    class: Class,
+    /// Part of the fleet times milliseconds.
+    part_ms: f64,
+}
+
+/// Measures of one run.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Waits from submission to start in milliseconds, by class, of work submitted within the
+    /// window. Work that never started counts with its wait until the end.
+    pub waits: [Histogram<u64>; CLASSES],
+    /// Jobs that were accepted, by class.
+    pub accepted: [u64; CLASSES],
+    /// Jobs that were refused with a time to come back, by class.
+    pub refused: [u64; CLASSES],
+    /// Jobs that were refused since nothing could run them.
+    pub impossible: u64,
+    /// Tasks that ran to their end.
+    pub completed: u64,
+    /// Tasks that were ordered to checkpoint.
+    pub preempted: u64,
+    /// Claims on workers that had no room.
+    pub reservations_refused: u64,
+    /// Starts after which more was reserved on a worker than it has.
+    pub over_capacity: u64,
+    /// Starts after which more was really used on a worker than it has.
+    pub overused: u64,
+    /// Starts of tasks that ran already, or were over.
+    pub double_runs: u64,
+    /// Starts on each worker while it failed everything.
+    pub wasted: Vec<u64>,
+    /// Real size of running work times milliseconds within the window.
+    pub real_ms: [f64; 3],
+    /// Reserved size times milliseconds within the window.
+    pub reserved_ms: [f64; 3],
+    total: Capacity,
+    window: (Millis, Millis),
+    uses: Vec<Use>,
+}
+
+impl Tally {
+    /// Returns a tally for a fleet of `workers` workers with `total` capacity.
+    pub fn new(total: Capacity, window: (Millis, Millis), workers: usize) -> Self {
+        let histogram = || Histogram::new_with_max(LONGEST_MS, 3).expect("valid bounds");
+        Self {
+            waits: [histogram(), histogram(), histogram()],
+            accepted: [0; CLASSES],
+            refused: [0; CLASSES],
+            impossible: 0,
+            completed: 0,
+            preempted: 0,
+            reservations_refused: 0,
+            over_capacity: 0,
+            overused: 0,
+            double_runs: 0,
+            wasted: vec![0; workers],
+            real_ms: [0.0; 3],
+            reserved_ms: [0.0; 3],
+            total,
+            window,
+            uses: Vec::new(),
+        }
+    }
+
+    pub(super) fn accepted(&mut self, spec: &Spec) {
+        self.accepted[spec.class().index()] += 1;
+    }
+
+    pub(super) fn refused(&mut self, spec: &Spec, impossible: bool) {
+        if impossible {
+            self.impossible += 1;
+        } else {
+            self.refused[spec.class().index()] += 1;
+        }
+    }
+
+    pub(super) fn started(&mut self, spec: &Spec, at: Millis) {
+        if self.window.0 <= spec.at && spec.at < self.window.1 {
+            self.waits[spec.class().index()].saturating_record(at.since(spec.at).get());
+        }
+    }
+
+    pub(super) fn unstarted(&mut self, spec: &Spec, now: Millis) {
+        self.started(spec, now);
+    }
+
+    pub(super) fn ran(&mut self, spec: &Spec, needs: &Capacity, from: Millis, to: Millis) {
+        let ms = to.min(self.window.1).since(from.max(self.window.0)).get() as f64;
+        let part = spec.real.least(needs).dominant(&self.total) as f64 / 1e6;
+        let amounts = |c: &Capacity| [c.cpu_milli, c.memory_mib, c.accelerators].map(|n| n as f64);
+        for (r, amount) in amounts(&spec.real).into_iter().enumerate() {
+            self.real_ms[r] += amount * ms;
+        }
+        for (r, amount) in amounts(needs).into_iter().enumerate() {
+            self.reserved_ms[r] += amount * ms;
+        }
+        let (team, class) = (&spec.job.team, spec.class());
+        match self.uses.iter_mut().find(|u| u.team == *team && u.class == class) {
+            Some(entry) => entry.part_ms += part * ms,
+            None => self.uses.push(Use { team: team.clone(), class, part_ms: part * ms }),
+        }
+    }
+
+    fn length(&self) -> f64 {
+        self.window.1.since(self.window.0).get() as f64
+    }
+
+    /// Returns the mean part of the fleet that a class used within the window.
+    pub fn class_part(&self, class: Class) -> f64 {
+        let of_class = self.uses.iter().filter(|u| u.class == class);
+        of_class.map(|u| u.part_ms).sum::<f64>() / self.length()
+    }
+
+    /// Returns the mean part of the fleet that a team used in a class within the window.
+    pub fn team_part(&self, team: &Name, class: Class) -> f64 {
+        let found = self.uses.iter().find(|u| u.team == *team && u.class == class);
+        found.map_or(0.0, |u| u.part_ms) / self.length()
+    }
+
+    /// Returns the mean part of the fleet's scarcest resource that was really used, or reserved.
+    pub fn packed(&self, sums: &[f64; 3]) -> f64 {
+        let total = [self.total.cpu_milli, self.total.memory_mib, self.total.accelerators];
+        let part = |(sum, total): (&f64, u64)| match total {
+            0 => 0.0,
+            _ => sum / self.length() / total as f64,
+        };
+        sums.iter().zip(total).map(part).fold(0.0, f64::max)
+    }
+
+    /// Returns the wait in milliseconds that a part of a class's work stayed below.
+    pub fn wait(&self, class: Class, quantile: f64) -> f64 {
+        self.waits[class.index()].value_at_quantile(quantile) as f64
+    }
+
+    /// Returns the number of broken promises.
+    pub const fn violations(&self) -> u64 {
+        self.over_capacity + self.double_runs
+    }
+}
