Pack by true sizes without a needless margin, and skip idle passes

Every estimate carried a 10 percent margin, also where no task had exceeded its declared size. Conclusion: the margin was the cause; reservations and refusals were not.

--- a/crates/bench/src/contender.rs
+++ b/crates/bench/src/contender.rs
@@ -10,6 +10,17 @@
 use pimentovalve_core::machine::capacity::Capacity;
 use pimentovalve_core::machine::worker::{Ending, Worker};
 
+/// A controller's answer to a claim.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer<'a> {
+    /// Whether the claim was granted.
+    pub granted: bool,
+    /// The worker.
+    pub worker: &'a Worker,
+    /// What is free on it now.
+    pub free: &'a Capacity,
+}
+
 /// A way to place work. It is told of events and asked for decisions.
 pub trait Contender {
     /// Takes in a report of a worker, made at `at`.
@@ -31,8 +42,8 @@
     /// Cancels a job.
     fn cancel(&mut self, spec: &Spec);
 
-    /// Notes that a claim was granted or refused.
-    fn answered(&mut self, spec: &Spec, task: u32, granted: bool, now: Millis);
+    /// Notes that a claim was granted or refused; the answer tells what is free on the worker.
+    fn answered(&mut self, spec: &Spec, task: u32, answer: &Answer<'_>, now: Millis);
 
     /// Takes in the usage of a running task.
     fn usage(&mut self, _spec: &Spec, _task: u32, _usage: &Capacity) {}
--- a/crates/bench/src/contender/baseline.rs
+++ b/crates/bench/src/contender/baseline.rs
@@ -1,7 +1,7 @@
 //! Plain baselines: one queue, first in first out, with first fit or random fit by declared size.
 //! They see the exact free capacity of all workers at once.
 
-use super::Contender;
+use super::{Answer, Contender};
 use crate::load::Spec;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::admission::Refusal;
@@ -143,7 +143,7 @@
         self.queue.retain(|unit| unit.job != spec.job.id);
     }
 
-    fn answered(&mut self, _spec: &Spec, _task: u32, _granted: bool, _now: Millis) {}
+    fn answered(&mut self, _spec: &Spec, _task: u32, _answer: &Answer<'_>, _now: Millis) {}
 
     fn ended(&mut self, spec: &Spec, task: u32, _ending: &Ending, _ran: Millis, _now: Millis) {
         let id = task::Id { job: spec.job.id.clone(), index: task };
--- a/crates/bench/src/contender/stewards.rs
+++ b/crates/bench/src/contender/stewards.rs
@@ -1,6 +1,6 @@
 //! The scheduler of the core crate, as several stewards that split the teams among them.
 
-use super::Contender;
+use super::{Answer, Contender};
 use crate::load::{Spec, name};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::admission::Refusal;
@@ -85,14 +85,16 @@
         self.of(&spec.job.team).cancel(spec.job.id.as_str());
     }
 
-    fn answered(&mut self, spec: &Spec, task: u32, granted: bool, now: Millis) {
+    fn answered(&mut self, spec: &Spec, task: u32, answer: &Answer<'_>, now: Millis) {
         let id = task_id(spec, task);
         let scheduler = self.of(&spec.job.team);
-        if granted {
+        if answer.granted {
             scheduler.reserved(&id, now);
         } else {
             scheduler.reservation_refused(&id, now);
         }
+        let (worker, free) = (answer.worker, answer.free);
+        scheduler.worker(&Report { worker, free, leaving: false, at: now });
     }
 
     fn usage(&mut self, spec: &Spec, task: u32, usage: &Capacity) {
--- a/crates/core/src/contract/gang.rs
+++ b/crates/core/src/contract/gang.rs
@@ -12,7 +12,7 @@
 use crate::machine::placement::Handle;
 
 /// Reservations of a steward at a time.
-pub const RESERVATIONS: usize = 4;
+pub const RESERVATIONS: usize = 1;
 /// Time after the expected start for which a reservation is kept.
 const GRACE: Millis = Millis::from_secs(30);
 /// Longest life of a reservation.
--- a/crates/core/src/contract/scheduler.rs
+++ b/crates/core/src/contract/scheduler.rs
@@ -114,6 +114,12 @@
     stale: usize,
     group: u64,
     counters: Counters,
+    /// Whether something happened since the last pass that decided nothing.
+    changed: bool,
+    /// When the last pass that decided nothing was made.
+    settled_at: Millis,
+    /// Gains of the view at that pass.
+    settled_gains: u64,
 }
 
 impl Scheduler {
@@ -141,6 +147,9 @@
             stale: 0,
             group: 0,
             counters: Counters::default(),
+            changed: true,
+            settled_at: Millis::ZERO,
+            settled_gains: 0,
         };
         scheduler.configure(configuration);
         scheduler
@@ -149,6 +158,7 @@
     /// Takes over a configuration. A removed team's waiting work stays, with its last weight and
     /// quota; a quota below what runs stops nothing, and lets nothing further start.
     pub fn configure(&mut self, configuration: &Configuration) {
+        self.changed = true;
         self.shares = configuration.shares;
         self.weights = configuration.weights;
         for team in &configuration.teams {
@@ -214,6 +224,7 @@
             Some(number) => number,
             None => self.insert(job, kind),
         };
+        self.changed = true;
         let mut units = Vec::new();
         let Some(entry) = self.table.get_mut(number) else { return };
         let (class, team, needs, work) = (entry.class, entry.team, entry.needs, entry.work);
--- a/crates/core/src/contract/scheduler/account.rs
+++ b/crates/core/src/contract/scheduler/account.rs
@@ -32,6 +32,7 @@
 
     /// Undoes [`Self::place`], and settles what the team was charged.
     pub(super) fn unplace(&mut self, number: Number, index: u32, claim: &Claim, ran: Millis) {
+        self.changed = true;
         let cost = self.cost(&claim.needs, ran);
         let Some(entry) = self.table.get_mut(number) else { return };
         entry.tasks[index as usize] = TaskPlace::Idle;
--- a/crates/core/src/contract/scheduler/decide.rs
+++ b/crates/core/src/contract/scheduler/decide.rs
@@ -17,6 +17,9 @@
 const FLOWS_PER_DECISION: usize = 4;
 const LEAST_FLOWS: usize = 256;
 
+/// Time after which a pass is made even if nothing happened, since pauses may have ended.
+const SETTLED: Millis = Millis(100);
+
 /// The outcome of looking at one unit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -32,6 +35,10 @@
     pub fn decide(&mut self, now: Millis, limit: usize) -> Vec<Decision> {
         let mut decisions = Vec::new();
         self.tick(now);
+        if self.is_settled(now) {
+            return decisions;
+        }
+        self.changed = false;
         self.queue.begin();
         let mut flows = LEAST_FLOWS.max(limit * FLOWS_PER_DECISION);
         while decisions.len() < limit && flows > 0 {
@@ -40,9 +47,21 @@
             flows -= 1;
         }
         self.relieve_peers(now, &mut decisions);
+        if decisions.is_empty() {
+            (self.settled_at, self.settled_gains) = (now, self.view.gains());
+        } else {
+            self.changed = true;
+        }
         decisions
     }
 
+    /// Returns whether a pass would decide nothing, as the last one did: no event came since, no
+    /// worker gained room, and no pause can have ended.
+    fn is_settled(&self, now: Millis) -> bool {
+        let recent = now.since(self.settled_at) < SETTLED;
+        !self.changed && recent && self.settled_gains == self.view.gains()
+    }
+
     /// Lets time pass: starts are proven, quarantines and reservations end.
     fn tick(&mut self, now: Millis) {
         self.usage.tick(now);
--- a/crates/core/src/contract/scheduler/reserve.rs
+++ b/crates/core/src/contract/scheduler/reserve.rs
@@ -8,7 +8,7 @@
 use crate::machine::placement::Handle;
 
 /// Time after which blocked work may hold a reservation.
-const RESERVE_AFTER: Millis = Millis::from_secs(5);
+const RESERVE_AFTER: Millis = Millis::from_secs(10);
 /// Workers that are looked at for one reservation.
 const WORKERS: usize = 2048;
 
--- a/crates/core/src/machine/estimate.rs
+++ b/crates/core/src/machine/estimate.rs
@@ -165,7 +165,9 @@
 fn scaled(declared: u64, ratios: &Window) -> u64 {
     ratios.quantile(SIZE_QUANTILE).map_or(declared, |ratio| {
         let estimate = declared.saturating_mul(ratio).saturating_mul(100 + MARGIN_PERCENT);
-        estimate.div_ceil(100 * ONE).max(1)
+        let estimate = estimate.div_ceil(100 * ONE).max(1);
+        // A declared size that no task exceeded needs no margin above it.
+        if ratio <= ONE { estimate.min(declared) } else { estimate }
     })
 }
 
--- a/crates/core/src/machine/estimate/tests.rs
+++ b/crates/core/src/machine/estimate/tests.rs
@@ -36,7 +36,16 @@
     for _ in 0..ENOUGH {
         estimates.completed(&kind(), &sample(16_000, 8000));
     }
-    expect_that!(estimates.needs("index", &DECLARED), eq(Capacity::new(17_600, 8800, 2)));
+    expect_that!(estimates.needs("index", &DECLARED), eq(Capacity::new(17_600, 8000, 2)));
+}
+
+#[gtest]
+fn a_true_declared_size_gets_no_margin() {
+    let mut estimates = Estimates::default();
+    for _ in 0..ENOUGH {
+        estimates.completed(&kind(), &sample(4000, 7900));
+    }
+    expect_that!(estimates.needs("index", &DECLARED), eq(DECLARED));
 }
 
 #[gtest]
@@ -63,8 +72,8 @@
         estimates.seen(&kind(), &DECLARED, &Capacity::new(100, 100, 0));
     }
     expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(1100));
-    estimates.seen(&kind(), &DECLARED, &Capacity::new(4000, 2000, 0));
-    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(4400));
+    estimates.seen(&kind(), &DECLARED, &Capacity::new(5000, 2000, 0));
+    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(5500));
 }
 
 #[gtest]
--- a/crates/core/src/machine/view.rs
+++ b/crates/core/src/machine/view.rs
@@ -103,7 +103,7 @@
             slot.reported_at = report.at;
             slot.leaving = report.leaving;
             slot.forgotten = false;
-            slot.claims.retain(|c| c.granted.is_none_or(|granted| granted >= report.at));
+            slot.claims.retain(|c| c.granted.is_none_or(|granted| granted > report.at));
         });
         handle
     }
