Release held tasks from the command line and read ledgers past their horizon

Cause: an operator could release a held task only by hand-written HTTP, and the ledger of a log that had dropped its oldest records could not be read at all. Change: pimentovalve release; rows start at the first offset that the log still keeps.

--- a/crates/daemon/src/duty/ledger.rs
+++ b/crates/daemon/src/duty/ledger.rs
@@ -219,8 +219,7 @@
             Command::Rows { stream, from, reply } => {
                 let log = Arc::clone(&self.duty.log);
                 tokio::spawn(async move {
-                    let rows = log.read(&stream.to_string(), from, READ_MAX, Millis::ZERO).await;
-                    let rows = rows.map(|chunk| decode(from, &chunk)).map_err(|e| format!("{e:?}"));
+                    let rows = rows(&*log, stream, from).await.map_err(|e| format!("{e:?}"));
                     if reply.send(rows).is_err() {
                         tracing::debug!("an operator no longer waits for rows");
                     }
@@ -487,6 +486,23 @@
     }
 }
 
+/// Reads rows from an offset on, or from the first that the log still keeps.
+async fn rows(
+    log: &dyn Log,
+    stream: Stream,
+    from: Offset,
+) -> Result<Vec<(Offset, Record)>, Failure> {
+    let name = stream.to_string();
+    match log.read(&name, from, READ_MAX, Millis::ZERO).await {
+        Ok(chunk) => Ok(decode(from, &chunk)),
+        Err(Failure::Gone { horizon }) => {
+            let chunk = log.read(&name, horizon, READ_MAX, Millis::ZERO).await?;
+            Ok(decode(horizon, &chunk))
+        }
+        Err(failure) => Err(failure),
+    }
+}
+
 /// Reads a stream for as long as it is wanted.
 async fn follow(stream: Stream, log: Arc<dyn Log>, wait: Millis, events: Sender<Event>) {
     let name = stream.to_string();
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -13,6 +13,7 @@
 pub mod input;
 pub mod patch;
 pub mod reader;
+pub mod release;
 pub mod status;
 pub mod submit;
 pub mod timeline;
@@ -62,6 +63,8 @@
     Patch(patch::Arguments),
     /// Show the configuration or its history
     Config(config::Arguments),
+    /// Release a held task for another place
+    Release(release::Arguments),
     /// Merge the time lines of several processes
     Timeline(timeline::Arguments),
     /// Show the main job on embedded stand-ins
@@ -80,6 +83,7 @@
             Self::Cancel(arguments) => arguments,
             Self::Patch(arguments) => arguments,
             Self::Config(arguments) => arguments,
+            Self::Release(arguments) => arguments,
             Self::Timeline(arguments) => arguments,
             Self::Demo(arguments) => arguments,
             Self::Audit(arguments) => arguments,
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -4,8 +4,18 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
-const COMMANDS: [&str; 7] =
-    ["submit", "status", "cancel", "patch", "config", "timeline", "check-settings"];
+const COMMANDS: [&str; 10] = [
+    "submit",
+    "status",
+    "cancel",
+    "patch",
+    "config",
+    "release",
+    "timeline",
+    "audit",
+    "demo",
+    "check-settings",
+];
 
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_pimentovalve")).args(arguments).output().unwrap()
@@ -75,6 +85,9 @@
         vec!["check-settings"],
         vec!["status", "two words", "--team", "notaries", daemon[0], daemon[1]],
         vec!["status", "deed-7", "--team", "notaries"],
+        vec!["release", "deed-7", "--team", "notaries", daemon[0], daemon[1]],
+        vec!["audit"],
+        vec!["audit", "--job", "a", "--request", "b", "/dev/null"],
         vec!["status", "deed-7", "--team", "notaries", "--daemon", "entry.example:7100"],
     ] {
         let output = run(&arguments);
