--- a/crates/core/src/audit/tests.rs
+++ b/crates/core/src/audit/tests.rs
@@ -86,7 +86,7 @@
     scene.submit("deed-3", 20_000);
     scene.attempt("deed-3", 1, "worker-3", None, 20_010);
     let loss = scene.loss("worker-3", 30_000);
-    scene.attempt("deed-3", 2, "worker-1", Some(loss), 30_000 + 40_499);
+    scene.attempt("deed-3", 2, "worker-1", Some(loss), 30_000 + 40_999);
     expect_broken(&scene, Promise::OnePlace, "1 ms before the fence");
     let report = scene.audit(&Scope::Job(name("deed-3")));
     expect_that!(standing(&report, Promise::OnePlace), eq(Standing::Broken));
@@ -404,9 +404,9 @@
     scene.attempt("deed-3", 1, "worker-3", None, 20_010);
     scene.run("deed-3", 1, "worker-3", 20_020, None);
     let loss = scene.loss("worker-3", 40_000);
-    scene.attempt("deed-3", 2, "worker-1", Some(loss), 40_000 + 40_500);
-    scene.run("deed-3", 2, "worker-1", 80_600, Some(100));
-    scene.over("deed-3", 2, End::Completed("sealed".into()), 80_800);
+    scene.attempt("deed-3", 2, "worker-1", Some(loss), 40_000 + 41_000);
+    scene.run("deed-3", 2, "worker-1", 81_100, Some(100));
+    scene.over("deed-3", 2, End::Completed("sealed".into()), 81_300);
     let report = scene.audit(&Scope::All);
     expect_that!(report.is_kept(), eq(true), "{report:?}");
     // The worker comes back and reports when the lease lapsed.
