Measure real daemons at the size of two years

Cause: control cost was not measured on daemons. Change: experiment live: eight daemons as processes against 640 stand-in workers, at rest, with 4,600 tasks running, and at 63 task starts a second.

--- /dev/null
+++ b/crates/bench/src/experiment/live.rs
@@ -0,0 +1,115 @@
+//! What control costs on real daemons at the size of two years from now: eight daemons as
+//! processes of their own with the times of production, against 640 stand-in workers.
+//!
+//! Rest: nothing runs. Running: 4,600 tasks run, a fifth of them services. Peak: 63 task starts a
+//! second on top. Processor time, memory and bytes are those of the daemons' processes only.
+
+mod cell;
+
+use crate::node::Account;
+use crate::report::{Report, Target};
+use cell::Cell;
+use std::time::Duration;
+
+/// Daemons.
+const DAEMONS: usize = 8;
+/// Workers in each of seven failure domains; 640 together, and 2 to spare.
+const WORKERS_PER_DOMAIN: usize = 92;
+/// Failure domains.
+const DOMAINS: usize = 7;
+/// Running tasks.
+const RUNNING: u32 = 4600;
+/// Tasks of one job.
+const TASKS_PER_JOB: u32 = 20;
+/// Teams.
+const TEAMS: u32 = 55;
+/// Task starts a second at the peak.
+const PEAK: f64 = 63.0;
+/// Length of a measurement.
+const WINDOW: Duration = Duration::from_secs(6);
+/// Processor time that a daemon may spend, in percent of a core.
+const CPU_PERCENT: f64 = 3.7;
+/// Memory that a daemon may take, in MB.
+const MEMORY_MB: f64 = 64.0;
+/// Bytes of control that a daemon may exchange, in KB a second.
+const KB_PER_SECOND: f64 = 6.0;
+
+/// Runs the experiment. It needs the daemon's program beside this one.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("live", seed);
+    if let Err(error) = measure(&mut report) {
+        eprintln!("live: {error}");
+        report.violations += 1;
+    }
+    report
+}
+
+fn measure(report: &mut Report) -> Result<(), cell::Error> {
+    let mut cell = Cell::start(DAEMONS, DOMAINS, WORKERS_PER_DOMAIN, TEAMS)?;
+    report.row("workers controlled", cell.adopted() as f64, None, None);
+    let rest = window(&cell, |_| {});
+    rows(report, "rest", &rest, true);
+    cell.submit_running(RUNNING, TASKS_PER_JOB);
+    let running = cell.await_running(RUNNING);
+    report.row("tasks running", f64::from(running), None, Some(Target::AtLeast(RUNNING.into())));
+    let settled = window(&cell, |_| {});
+    rows(report, "running", &settled, true);
+    let before = cell.started();
+    let peak = window(&cell, |cell| cell.load(PEAK, WINDOW));
+    rows(report, "peak", &peak, true);
+    let starts = (cell.started() - before) as f64 / WINDOW.as_secs_f64();
+    report.row("task starts per second at the peak", starts, None, None);
+    let waits = cell.waits();
+    report.row("urgent wait to start p50, ms", waits.0, None, None);
+    report.row("urgent wait to start p99, ms", waits.1, None, Some(Target::AtMost(1400.0)));
+    report.violations += cell.violations();
+    Ok(())
+}
+
+/// What daemons used in one window.
+struct Used {
+    /// For each daemon: percent of a core, MB resident, KB/s with platform, machines, peers.
+    daemons: Vec<(f64, f64, [f64; 3])>,
+}
+
+fn window(cell: &Cell, load: impl FnOnce(&Cell)) -> Used {
+    let before = cell.accounts();
+    let started = std::time::Instant::now();
+    load(cell);
+    std::thread::sleep(WINDOW.saturating_sub(started.elapsed()));
+    let seconds = started.elapsed().as_secs_f64();
+    let after = cell.accounts();
+    let used = |(a, b): (&Account, &Account)| {
+        let cpu = (b.cpu_seconds - a.cpu_seconds) / seconds * 100.0;
+        let memory = b.resident_bytes as f64 / 1e6;
+        let mut rates = [0.0; 3];
+        for (i, rate) in rates.iter_mut().enumerate() {
+            *rate = (b.bytes[i] - a.bytes[i]) as f64 / seconds / 1e3;
+        }
+        (cpu, memory, rates)
+    };
+    Used { daemons: before.iter().zip(&after).map(used).collect() }
+}
+
+fn rows(report: &mut Report, phase: &str, used: &Used, targets: bool) {
+    let target = |bound: f64| targets.then_some(Target::AtMost(bound));
+    let mean = |of: &dyn Fn(&(f64, f64, [f64; 3])) -> f64| {
+        used.daemons.iter().map(of).sum::<f64>() / used.daemons.len() as f64
+    };
+    let most =
+        |of: &dyn Fn(&(f64, f64, [f64; 3])) -> f64| used.daemons.iter().map(of).fold(0.0, f64::max);
+    let wire = |d: &(f64, f64, [f64; 3])| d.2.iter().sum::<f64>();
+    report.row(
+        format!("{phase}: cpu mean, % of a core"),
+        mean(&|d| d.0),
+        None,
+        target(CPU_PERCENT),
+    );
+    report.row(format!("{phase}: cpu most, % of a core"), most(&|d| d.0), None, None);
+    report.row(format!("{phase}: memory most, MB"), most(&|d| d.1), None, target(MEMORY_MB));
+    report.row(format!("{phase}: wire mean, KB/s"), mean(&wire), None, target(KB_PER_SECOND));
+    report.row(format!("{phase}: wire most, KB/s"), most(&wire), None, None);
+    for (i, with) in ["platform", "machines", "peers"].into_iter().enumerate() {
+        report.row(format!("{phase}: wire with {with}, KB/s"), mean(&|d| d.2[i]), None, None);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/live/cell.rs
@@ -0,0 +1,324 @@
+//! Stand-ins in this process, daemons as processes of their own, and a load.
+
+use crate::node::{Account, Node, metric};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::finding::List;
+use pimentovalve_core::machine::capacity::Capacity;
+use pimentovalve_core::name::Name;
+use pimentovalve_core::zone::Place;
+use pimentovalve_core::zone::membership::{Instance, Role, State};
+use pimentovalve_standin::fleet::{self, Fleet, Plan, Zone};
+use pimentovalve_wire::http::Content;
+use pimentovalve_wire::http::client::{Call, Client};
+use snafu::{ResultExt, Snafu};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+
+/// Key of the operator.
+const KEY: &str = "bench-operator:only-for-stand-ins-0001";
+/// Longest time for one call.
+const CALL_TIMEOUT: Millis = Millis::from_secs(10);
+/// Longest time for something to come about.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Urgent jobs of the load have this prefix.
+const URGENT: &str = "urgent-";
+
+/// Why the cell can't be measured.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The daemon's program is not beside this one.
+    #[snafu(display("pimentovalved is not built beside this program"))]
+    Program,
+    /// The stand-ins could not be started.
+    #[snafu(display("the stand-ins could not be started: {source}"))]
+    Fleet {
+        /// Why.
+        source: fleet::Error,
+    },
+    /// The system gave no file or process.
+    #[snafu(display("the system refused: {source}"))]
+    System {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A name is not valid.
+    #[snafu(context(false), display("{source}"))]
+    Invalid {
+        /// What is wrong.
+        source: List,
+    },
+    /// Something did not come about.
+    #[snafu(display("{what} did not come about"))]
+    Late {
+        /// What.
+        what: &'static str,
+    },
+}
+
+/// Stand-ins and daemons.
+pub struct Cell {
+    fleet: Fleet,
+    nodes: Vec<Node>,
+    client: Client,
+    runtime: Runtime,
+    folder: PathBuf,
+    teams: u32,
+}
+
+impl Cell {
+    /// Starts everything, makes a configuration with `teams` teams and waits until all workers
+    /// are controlled.
+    pub fn start(
+        daemons: usize,
+        domains: usize,
+        workers: usize,
+        teams: u32,
+    ) -> Result<Self, Error> {
+        let program = Node::program().ok_or(Error::Program)?;
+        let plan = plan(domains, workers)?;
+        let fleet = Fleet::start(&plan).context(FleetSnafu)?;
+        let folder =
+            std::env::temp_dir().join(format!("pimentovalve-bench-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).context(SystemSnafu)?;
+        let keys = folder.join("operators.keys");
+        std::fs::write(&keys, KEY).context(SystemSnafu)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context(SystemSnafu)?;
+        let mut cell =
+            Self { fleet, nodes: Vec::new(), client: Client::new(), runtime, folder, teams };
+        for i in 0..daemons {
+            cell.add(&program, &plan, i)?;
+        }
+        cell.configure()?;
+        cell.until("control of all workers", |cell| cell.adopted() >= domains * workers)?;
+        Ok(cell)
+    }
+
+    fn add(&mut self, program: &std::path::Path, plan: &Plan, i: usize) -> Result<(), Error> {
+        let zone = &plan.zones[i % plan.zones.len()];
+        let name = Name::try_from(format!("entry-{i}"))?;
+        let rack = Name::try_from("entry")?;
+        let place = Place { region: zone.region.clone(), domain: zone.domain.clone(), rack };
+        let (log, list) = (self.fleet.log.address(), self.fleet.list.address());
+        let text = |a: &[SocketAddr; 4]| settings(&name, &place, a, log, list);
+        let node = Node::start(program, &self.folder, text).context(SystemSnafu)?;
+        self.fleet.list.show(&Instance {
+            name: name.clone(),
+            role: Role::Entry,
+            place,
+            address: node.addresses[2].to_string(),
+            state: State::Live,
+            worker: None,
+            service: None,
+        });
+        self.nodes.push(node);
+        Ok(())
+    }
+
+    fn configure(&self) -> Result<(), Error> {
+        let mut patch = String::new();
+        for (name, shape, class) in [
+            ("service", "service", "normal"),
+            ("batch", "batch", "deferrable"),
+            ("urgent", "batch", "urgent"),
+        ] {
+            let _ = writeln!(
+                patch,
+                "[[kinds]]\nname = \"{name}\"\nshape = \"{shape}\"\nseparation = \"move\"\n\
+                 class = \"{class}\"\nattempts = 3"
+            );
+        }
+        for team in 0..self.teams {
+            let _ = writeln!(
+                patch,
+                "[[teams]]\nname = \"team-{team}\"\nweight = 1\n\
+                 quota = {{ cpu_milli = 2000000, memory_mib = 9000000, accelerators = 100 }}"
+            );
+        }
+        self.until("the configuration", |cell| {
+            let path = "/v1/configuration?base=0";
+            cell.post(0, 1, path, Content::Text, &patch) == Some(200)
+        })
+    }
+
+    fn until(&self, what: &'static str, holds: impl Fn(&Self) -> bool) -> Result<(), Error> {
+        let started = Instant::now();
+        while !holds(self) {
+            if started.elapsed() > PATIENCE {
+                return Err(Error::Late { what });
+            }
+            std::thread::sleep(PAUSE);
+        }
+        Ok(())
+    }
+
+    /// Posts to a daemon's callers (0) or operators (1).
+    fn post(
+        &self,
+        node: usize,
+        front: usize,
+        path: &str,
+        content: Content,
+        body: &str,
+    ) -> Option<u16> {
+        let address = self.nodes[node].addresses[front].to_string();
+        let call = Call {
+            content,
+            key: Some(KEY),
+            ..Call::post(&address, path, body.as_bytes(), CALL_TIMEOUT)
+        };
+        self.runtime.block_on(self.client.call(call)).ok().map(|r| r.status)
+    }
+
+    /// Returns the number of workers that the daemons control.
+    pub fn adopted(&self) -> usize {
+        let held = |node: &Node| {
+            let text = node.metrics(&self.runtime, &self.client);
+            metric(&text, "pimentovalve_workers{", "held").unwrap_or(0)
+        };
+        usize::try_from(self.nodes.iter().map(held).sum::<u64>()).unwrap_or(usize::MAX)
+    }
+
+    /// Returns what each daemon has used.
+    pub fn accounts(&self) -> Vec<Account> {
+        self.nodes.iter().map(|n| n.account(&self.runtime, &self.client)).collect()
+    }
+
+    /// Submits jobs whose tasks run for as long as the measurement lasts; a fifth are services.
+    pub fn submit_running(&self, tasks: u32, per_job: u32) {
+        for i in 0..tasks / per_job {
+            let kind = if i % 5 == 0 { "service" } else { "batch" };
+            let body = job(&format!("running-{i}"), kind, i % self.teams, per_job, "run_ms=600000");
+            self.submit(i as usize, &body);
+        }
+    }
+
+    fn submit(&self, i: usize, body: &str) -> bool {
+        let node = i % self.nodes.len();
+        (0..20).any(|_| {
+            let accepted = self.post(node, 0, "/v1/jobs", Content::Json, body) == Some(202);
+            if !accepted {
+                std::thread::sleep(PAUSE);
+            }
+            accepted
+        })
+    }
+
+    /// Waits until so many tasks run, and returns how many do.
+    pub fn await_running(&self, tasks: u32) -> u32 {
+        let started = Instant::now();
+        let mut running = 0;
+        while running < tasks && started.elapsed() < PATIENCE {
+            running = u32::try_from(self.fleet.observer.summary().running).unwrap_or(u32::MAX);
+            std::thread::sleep(PAUSE);
+        }
+        running
+    }
+
+    /// Returns how many attempts were started so far.
+    pub fn started(&self) -> usize {
+        self.fleet.observer.summary().starts
+    }
+
+    /// Submits urgent single-task jobs at a rate for a time.
+    pub fn load(&self, rate: f64, time: Duration) {
+        let started = Instant::now();
+        let count = (rate * time.as_secs_f64()) as u32;
+        for i in 0..count {
+            let due = Duration::from_secs_f64(f64::from(i) / rate);
+            std::thread::sleep(due.saturating_sub(started.elapsed()));
+            let sent = millis_now();
+            let id = format!("{URGENT}{i}-{sent}");
+            self.submit(i as usize, &job(&id, "urgent", i % self.teams, 1, "run_ms=300"));
+        }
+    }
+
+    /// Returns the median and the 99th percentile of the time from submission to start of the
+    /// load's tasks, in ms. A task that did not start counts as waiting for ever.
+    pub fn waits(&self) -> (f64, f64) {
+        let mut waits: Vec<f64> = Vec::new();
+        for span in self.fleet.observer.all_spans() {
+            let sent = span.task.job.as_str().strip_prefix(URGENT);
+            if let Some(sent) = sent.and_then(|s| s.split_once('-')?.1.parse::<u64>().ok()) {
+                waits.push(span.start.since(Millis(sent)).get() as f64);
+            }
+        }
+        waits.sort_by(f64::total_cmp);
+        let at = |quantile: f64| {
+            let i = (waits.len() as f64 * quantile) as usize;
+            waits.get(i.min(waits.len().saturating_sub(1))).copied().unwrap_or(f64::INFINITY)
+        };
+        (at(0.5), at(0.99))
+    }
+
+    /// Returns the number of double runs and of starts over capacity.
+    pub fn violations(&self) -> u64 {
+        let summary = self.fleet.observer.summary();
+        (summary.double_runs + summary.over_capacity) as u64
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        self.fleet.stop();
+        // The folder holds only what this run wrote.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn millis_now() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |s| Millis::from(s).get())
+}
+
+fn job(id: &str, kind: &str, team: u32, tasks: u32, payload: &str) -> String {
+    serde_json::json!({
+        "id": id, "team": format!("team-{team}"), "kind": kind, "tasks": tasks,
+        "payload": payload, "needs": {"cpu_milli": 1000, "memory_mib": 2048}, "run_ms": 300,
+    })
+    .to_string()
+}
+
+/// Returns failure domains in three regions.
+fn plan(domains: usize, workers: usize) -> Result<Plan, Error> {
+    let mut plan = Plan::andino(1, 0)?;
+    let zone = |i: usize| {
+        Ok(Zone {
+            region: Name::try_from(format!("region-{}", i % 3))?,
+            domain: Name::try_from(format!("domain-{i}"))?,
+            workers,
+            capacity: Capacity::new(32_000, 128 * 1024, 2),
+            runners: 0,
+            service: Name::try_from("retention-engine")?,
+        })
+    };
+    plan.zones = (0..domains).map(zone).collect::<Result<_, List>>()?;
+    Ok(plan)
+}
+
+fn settings(
+    name: &Name,
+    place: &Place,
+    addresses: &[SocketAddr; 4],
+    log: SocketAddr,
+    list: SocketAddr,
+) -> String {
+    let Place { region, domain, rack } = place;
+    let [callers, operators, peers, metrics] = addresses;
+    format!(
+        "name = \"{name}\"\noperator_keys = \"operators.keys\"\nlog_level = \"error\"\n\
+         [place]\nregion = \"{region}\"\ndomain = \"{domain}\"\nrack = \"{rack}\"\n\
+         [listen]\ncallers = \"{callers}\"\noperators = \"{operators}\"\npeers = \"{peers}\"\n\
+         metrics = \"{metrics}\"\n\
+         [platform]\nlog = \"{log}\"\nlist = \"{list}\"\nlist_lag_ms = 5000\n\
+         retention_ms = 3600000\n"
+    )
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod contender;
 pub mod experiment;
 pub mod load;
+pub mod node;
 pub mod plot;
 pub mod report;
 pub mod world;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,7 +13,7 @@
 struct Options {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "placement, packing, flood, faults, control or config")]
+    #[options(free, help = "placement, packing, flood, faults, control, config or live")]
     name: Option<String>,
     #[options(help = "seed of all random numbers", default = "1", meta = "N")]
     seed: u64,
