Read the instance list only when it changed

Cause: 120 of 158 KB/s of a resting daemon were the whole list of 644 instances, once a second. Change: the list is asked for with its tag (ETag, If-None-Match); an unchanged list is 304.

--- a/crates/daemon/src/duty/gossip.rs
+++ b/crates/daemon/src/duty/gossip.rs
@@ -45,7 +45,7 @@
 }
 
 enum Event {
-    Listed(Result<Vec<Instance>, Failure>),
+    Listed(Result<Arc<Vec<Instance>>, Failure>),
     Pong { peer: Instance, asked: Millis, pong: Option<Ping> },
     Pulled(Pulled),
 }
@@ -61,7 +61,7 @@
     duty: Gossip,
     client: Arc<Client>,
     events: Sender<Event>,
-    listed: Vec<Instance>,
+    listed: Arc<Vec<Instance>>,
     list_read: Millis,
     first_listed: Option<Millis>,
     words: Vec<Word>,
@@ -84,7 +84,7 @@
                 duty: *self,
                 client,
                 events,
-                listed: Vec::new(),
+                listed: Arc::default(),
                 list_read: Millis::ZERO,
                 first_listed: None,
                 words: Vec::new(),
@@ -175,7 +175,7 @@
         }
     }
 
-    fn listed(&mut self, instances: Vec<Instance>) {
+    fn listed(&mut self, instances: Arc<Vec<Instance>>) {
         let now = view::now();
         self.list_read = now;
         let own = &self.duty.membership.own().name;
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -10,6 +10,7 @@
 use pimentovalve_wire::log::Chunk;
 use pimentovalve_wire::runner::{Call, Done};
 use pimentovalve_wire::worker::{Adopt, Adopted, Beat, Heartbeat, Orders, Replies};
+use std::sync::Arc;
 
 /// How a call of the platform failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,8 +50,8 @@
 
 /// The lagging list of instances.
 pub trait List: Send + Sync {
-    /// Reads the list.
-    fn instances(&self) -> Pending<'_, Result<Vec<Instance>, Failure>>;
+    /// Reads the list. An unchanged list costs only the question.
+    fn instances(&self) -> Pending<'_, Result<Arc<Vec<Instance>>, Failure>>;
 }
 
 /// A worker. What is assumed of it is [`pimentovalve_core::machine::arbiter`].
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -14,10 +14,12 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_bytes::ByteBuf;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// Status of a service that is out, and did nothing.
 const OUT: u16 = 503;
+/// Status of a content that the asker has already.
+const UNCHANGED: u16 = 304;
 /// Status of an offset that is no longer kept.
 const GONE: u16 = 410;
 
@@ -34,6 +36,13 @@
     }
 }
 
+/// The list as it was last read.
+#[derive(Clone, Debug)]
+struct Known {
+    tag: String,
+    instances: Arc<Vec<Instance>>,
+}
+
 /// The log service and the instance list at fixed addresses.
 #[derive(Debug)]
 pub struct Service {
@@ -41,6 +50,7 @@
     log: String,
     list: String,
     timeout: Millis,
+    known: Mutex<Option<Known>>,
 }
 
 impl Service {
@@ -56,6 +66,25 @@
             log: log.to_string(),
             list: list.to_string(),
             timeout,
+            known: Mutex::new(None),
+        }
+    }
+
+    async fn read_list(&self) -> Result<Arc<Vec<Instance>>, Failure> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let unless = known.as_ref().map(|k| k.tag.as_str());
+        let call = client::Call::get(&self.list, "/instances", self.timeout);
+        let reply = self.client.call(client::Call { unless, ..call }).await?;
+        match (reply.status, known) {
+            (UNCHANGED, Some(known)) => Ok(known.instances),
+            (200, _) => {
+                let read = codec::from_json(&reply.body);
+                let instances = Arc::new(read.map_err(|e| Failure::Refused(e.to_string()))?);
+                let known = reply.tag.map(|tag| Known { tag, instances: Arc::clone(&instances) });
+                *self.known.lock().unwrap_or_else(PoisonError::into_inner) = known;
+                Ok(instances)
+            }
+            (status, _) => Err(Failure::Refused(format!("the list answered {status}"))),
         }
     }
 
@@ -103,15 +132,8 @@
 }
 
 impl List for Service {
-    fn instances(&self) -> Pending<'_, Result<Vec<Instance>, Failure>> {
-        Box::pin(async move {
-            let call = client::Call::get(&self.list, "/instances", self.timeout);
-            let reply = self.client.call(call).await?;
-            if reply.status != 200 {
-                return Err(Failure::Refused(format!("the list answered {}", reply.status)));
-            }
-            codec::from_json(&reply.body).map_err(|e| Failure::Refused(e.to_string()))
-        })
+    fn instances(&self) -> Pending<'_, Result<Arc<Vec<Instance>>, Failure>> {
+        Box::pin(self.read_list())
     }
 }
 
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -306,6 +306,7 @@
     method: String,
     path: String,
     query: String,
+    unless: Option<String>,
     body: Vec<u8>,
 }
 
@@ -315,6 +316,7 @@
             method: request.method.into(),
             path: request.path.into(),
             query: request.query.into(),
+            unless: request.unless.map(Into::into),
             body: request.body.into(),
         }
     }
@@ -327,6 +329,7 @@
             path: &self.path,
             query: &self.query,
             key: None,
+            unless: self.unless.as_deref(),
             body: &self.body,
         }
     }
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -192,7 +192,7 @@
         match (request.method, request.segments().as_slice()) {
             ("GET", ["instances"]) => {
                 rows.catch_up(now);
-                Response::json(200, &rows.shown)
+                Response::json(200, &rows.shown).tagged(&request)
             }
             ("POST", ["instances"]) => match codec::from_json::<Instance>(request.body) {
                 Ok(instance) => {
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -10,6 +10,7 @@
 use pimentovalve_core::finding::List;
 use serde::Serialize;
 use std::future::Future;
+use std::hash::Hasher;
 use std::pin::Pin;
 
 use crate::codec;
@@ -50,6 +51,8 @@
     pub query: &'a str,
     /// Name and secret from the `Authorization: Bearer name:secret` header.
     pub key: Option<&'a str>,
+    /// Tag of the content that the sender has, from the `If-None-Match` header.
+    pub unless: Option<&'a str>,
     /// Body.
     pub body: &'a [u8],
 }
@@ -78,6 +81,8 @@
     pub body: Vec<u8>,
     /// When the caller should come back, for the `Retry-After` header.
     pub retry_after: Option<Millis>,
+    /// Tag of the content, for the `ETag` header.
+    pub tag: Option<String>,
 }
 
 impl Response {
@@ -94,7 +99,17 @@
     /// Returns a response with a text body.
     pub fn text(status: u16, body: impl Into<String>) -> Self {
         let body = body.into().into_bytes();
-        Self { status, content: Content::Text, body, retry_after: None }
+        Self { status, content: Content::Text, body, retry_after: None, tag: None }
+    }
+
+    /// Gives the content a tag, and leaves it out (304) when the sender has it already.
+    #[must_use]
+    pub fn tagged(self, request: &Request<'_>) -> Self {
+        let tag = format!("\"{:016x}\"", fingerprint(&self.body));
+        if request.unless == Some(tag.as_str()) {
+            return Self { status: 304, body: Vec::new(), tag: Some(tag), ..self };
+        }
+        Self { tag: Some(tag), ..self }
     }
 
     /// Returns a response that lists findings.
@@ -108,12 +123,19 @@
 
     fn encoded(status: u16, content: Content, body: Result<Vec<u8>, List>) -> Self {
         match body {
-            Ok(body) => Self { status, content, body, retry_after: None },
+            Ok(body) => Self { status, content, body, retry_after: None, tag: None },
             Err(findings) => Self::text(500, findings.to_string()),
         }
     }
 }
 
+/// Returns a hash of a body, the same in every process of a release.
+fn fingerprint(body: &[u8]) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    hasher.write(body);
+    hasher.finish()
+}
+
 /// Serves requests; the border between the protocol and whoever decides.
 pub trait Handler: Send + Sync {
     /// Answers a request.
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, ETAG, HOST, IF_NONE_MATCH};
 use hyper_util::rt::TokioIo;
 use pimentovalve_core::clock::Millis;
 use serde::Serialize;
@@ -72,6 +72,8 @@
     pub body: &'a [u8],
     /// Name and secret of the key to show, as `name:secret`.
     pub key: Option<&'a str>,
+    /// Tag of the content that the caller has; 304 answers that it is still that.
+    pub unless: Option<&'a str>,
     /// Longest time for the whole call.
     pub timeout: Millis,
     /// Whether to open a new connection even if there is an idle one.
@@ -88,6 +90,7 @@
             content: Content::Pack,
             body,
             key: None,
+            unless: None,
             timeout,
             fresh: false,
         }
@@ -102,6 +105,7 @@
             content: Content::Json,
             body: &[],
             key: None,
+            unless: None,
             timeout,
             fresh: false,
         }
@@ -113,6 +117,8 @@
 pub struct Reply {
     /// Status code.
     pub status: u16,
+    /// Tag of the content.
+    pub tag: Option<String>,
     /// Body.
     pub body: Bytes,
 }
@@ -277,6 +283,9 @@
     if let Some(key) = call.key {
         builder = builder.header(AUTHORIZATION, format!("Bearer {key}"));
     }
+    if let Some(tag) = call.unless {
+        builder = builder.header(IF_NONE_MATCH, tag);
+    }
     let request = builder
         .body(Full::new(Bytes::copy_from_slice(call.body)))
         .map_err(|e| Failure::Unknown(e.to_string()))?;
@@ -291,11 +300,12 @@
         }
     })?;
     let status = response.status().as_u16();
+    let tag = response.headers().get(ETAG).and_then(|v| v.to_str().ok()).map(String::from);
     let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
         .collect()
         .await
         .map_err(|e| Failure::Unknown(e.to_string()))?;
-    Ok(Reply { status, body: body.to_bytes() })
+    Ok(Reply { status, tag, body: body.to_bytes() })
 }
 
 fn unsent(call: Call<'_>, message: &str) -> Error {
--- a/crates/wire/src/http/server.rs
+++ b/crates/wire/src/http/server.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, ETAG, HeaderValue, IF_NONE_MATCH, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use pimentovalve_core::clock::Millis;
@@ -166,6 +166,7 @@
         path: head.uri.path(),
         query: head.uri.query().unwrap_or_default(),
         key: authorization.and_then(|v| v.strip_prefix("Bearer ")),
+        unless: head.headers.get(IF_NONE_MATCH).and_then(|v| v.to_str().ok()),
         body: &body,
     };
     handler.handle(request).await
@@ -180,5 +181,8 @@
     if let Some(after) = response.retry_after {
         headers.insert(RETRY_AFTER, HeaderValue::from(after.get().div_ceil(1000)));
     }
+    if let Some(tag) = response.tag.and_then(|t| HeaderValue::try_from(t).ok()) {
+        headers.insert(ETAG, tag);
+    }
     encoded
 }
