Keep the state of every stream beyond the log's retention

Cause: a reader whose offset was no longer kept went on at the horizon, so a daemon that started after the retention had no configuration and no jobs, and said nothing of it. Ruled out: reading the state of partitions from peers; only the steward has it, and it may be dead. The fence follows the ruling of the model: a steward rests on a loss only once every controller must ask it, and a start order is valid for one lease after its record. A cancelled task on a lost worker ends when its fence has passed. Conclusion: the state outlives its records.

--- a/crates/core/src/contract/steward/ask.rs
+++ b/crates/core/src/contract/steward/ask.rs
@@ -58,8 +58,8 @@
             self.tell(ticket, told);
             return;
         }
-        if let Err(reason) = self.open.clone() {
-            let refusal = Refusal::not_run(reason, RETRY_AFTER);
+        let register = Register::Job(job.id.clone());
+        if let Err(refusal) = self.may_take(i, &register) {
             self.tell(ticket, Told::Refused(refusal));
             return;
         }
@@ -79,11 +79,18 @@
             self.tell(ticket, Told::Refused(refusal));
             return;
         }
-        let register = Register::Job(job.id.clone());
         let partition = self.partitions[i].index;
         self.append(partition, register, 0, Change::Submit { job, kind }, Some(ticket), now);
     }
 
+    /// Says whether new work under this id may be taken.
+    fn may_take(&self, i: usize, register: &Register) -> Result<(), Refusal> {
+        if self.partitions[i].book.is_expired(register) {
+            return Err(Refusal::not_run(Reason::Expired, Millis::ZERO));
+        }
+        self.open.clone().map_err(|reason| Refusal::not_run(reason, RETRY_AFTER))
+    }
+
     fn cancel(&mut self, i: usize, ticket: Ticket, id: &job::Id, now: Millis) {
         let Some(entry) = self.partitions[i].book.job(id.as_str()) else {
             self.tell(ticket, Told::Nothing);
@@ -106,12 +113,11 @@
             self.tell(ticket, told);
             return;
         }
-        if let Err(reason) = self.open.clone() {
-            let refusal = Refusal::not_run(reason, RETRY_AFTER);
+        let register = Register::Key(request.id.clone());
+        if let Err(refusal) = self.may_take(i, &register) {
             self.tell(ticket, Told::Refused(refusal));
             return;
         }
-        let register = Register::Key(request.id.clone());
         let partition = self.partitions[i].index;
         self.append(partition, register, 0, Change::Claim { digest }, Some(ticket), now);
     }
@@ -190,11 +196,11 @@
         match (&record.register, &record.change) {
             (Register::Job(id), Change::Submit { job, .. }) => book
                 .job(id.as_str())
-                .map_or(Told::Nothing, |entry| same_job(entry.job == *job, entry.into())),
+                .map_or_else(expired, |entry| same_job(entry.job == *job, entry.into())),
             (Register::Job(id), _) => self.job(i, id).map_or(Told::Nothing, Told::Job),
             (Register::Key(_), Change::Claim { .. }) if accepted => Told::Claimed,
             (Register::Key(id), Change::Claim { digest }) => {
-                book.key(id.as_str()).map_or(Told::Nothing, |key| same_request(key, *digest))
+                book.key(id.as_str()).map_or_else(expired, |key| same_request(key, *digest))
             }
             (Register::Key(_), _) => Told::Settled,
             _ if accepted => Told::Settled,
@@ -203,6 +209,10 @@
     }
 }
 
+fn expired() -> Told {
+    Told::Refused(Refusal::not_run(Reason::Expired, Millis::ZERO))
+}
+
 fn same_job(same: bool, status: status::Job) -> Told {
     if same {
         Told::Job(status)
--- a/crates/core/src/contract/steward/place.rs
+++ b/crates/core/src/contract/steward/place.rs
@@ -6,16 +6,20 @@
 use super::{Effect, Steward};
 use crate::clock::Millis;
 use crate::contract::job;
-use crate::contract::kind::{Separation, Shape};
+use crate::contract::kind::Shape;
 use crate::contract::planner::{Decision, Placement};
 use crate::contract::request::Reason;
 use crate::contract::task::{self, Attempt, State};
 use crate::ledger::Offset;
+use crate::ledger::attempt::{self, Ruling};
 use crate::ledger::record::{Change, End, Record, Register};
 use crate::machine::controller::{Ending, Grant, Wish};
 use crate::machine::worker::{Ended, Epoch, Start};
 use crate::name::Name;
 
+/// Looks at all flights in the time after which an unanswered wish is repeated.
+const LOOKS_PER_REPEAT: u64 = 8;
+
 /// How far a task has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Stage {
@@ -283,8 +287,12 @@
     fn withdraw_all(&mut self, i: usize, id: &job::Id, now: Millis) {
         let Some(entry) = self.partitions[i].book.job(id.as_str()) else { return };
         for (task, index) in entry.tasks.iter().zip(0..) {
+            let task_id = task::Id { job: id.clone(), index };
             if task.state == State::Cancelled {
-                self.planner.withdraw(&task::Id { job: id.clone(), index }, now);
+                self.planner.withdraw(&task_id, now);
+            } else if let Ok(f) = self.flights.binary_search_by(|f| f.task.cmp(&task_id)) {
+                self.flights[f].asked = Millis::ZERO;
+                self.urgent = true;
             }
         }
     }
@@ -309,6 +317,7 @@
         };
         self.planner.placed(&entry.job, &entry.kind, &placement, now);
         self.put_flight(flight);
+        self.urgent = true;
     }
 
     /// A recorded attempt is over.
@@ -358,7 +367,7 @@
         if let Ok(f) = self.flight(id) {
             self.flights[f].ended = Some(ending.ended.clone());
         }
-        self.append_over(i, id, *attempt, End::from(end), now);
+        self.append_over(i, id, *attempt, attempt::end(end), now);
         false
     }
 
@@ -379,8 +388,14 @@
         }
     }
 
-    /// Repeats what was not answered, and passes fences.
+    /// Repeats what was not answered, and passes fences. All flights are looked at several times
+    /// in each repetition and not at every tick, so that an idle steward costs little.
     pub(super) fn follow_up(&mut self, now: Millis) {
+        let pause = Millis(self.config.repeat.get() / LOOKS_PER_REPEAT);
+        if !self.urgent && now.since(self.followed) < pause {
+            return;
+        }
+        (self.urgent, self.followed) = (false, now);
         let due: Vec<task::Id> = self
             .flights
             .iter()
@@ -413,6 +428,7 @@
         let Flight { task, team, worker, attempt, placement, stage, .. } = self.flights[f].clone();
         let Some(i) = self.partition_of(&team) else { return };
         let Some(entry) = self.partitions[i].book.job(task.job.as_str()) else { return };
+        let placed_at = entry.tasks.get(task.index as usize).map_or(Millis::ZERO, |t| t.placed_at);
         if entry.cancelled || self.is_broken_gang(i, &task) {
             let checkpoint = !entry.cancelled;
             let stop =
@@ -422,8 +438,8 @@
             let start = Start {
                 epoch,
                 needs: placement.needs,
-                start_by: now + self.config.start_by,
-                until: now + self.config.bounds.lease_ms,
+                start_by: self.config.bounds.start_by(placed_at),
+                until: self.config.bounds.until(now),
                 team: team.clone(),
                 kind: entry.kind.name.clone(),
                 payload: entry.job.payload.clone(),
@@ -433,7 +449,25 @@
             self.flights[f].stage = Stage::Starting(epoch);
             self.effects.push(Effect::Wish(start));
         }
-        if let Some(offset) = self.passed_fence(i, &task, &worker, epoch, now) {
+        self.pass_fence(f, i, now);
+    }
+
+    /// Lets go of an attempt on a lost worker once it can't run any more: the task is placed
+    /// again, or is over if its job was cancelled.
+    fn pass_fence(&mut self, f: usize, i: usize, now: Millis) {
+        let Flight { task, worker, attempt, .. } = self.flights[f].clone();
+        let Some(entry) = self.partitions[i].book.job(task.job.as_str()) else { return };
+        let Some(placed) = entry.tasks.get(task.index as usize) else { return };
+        let view = attempt::View {
+            fleet: &self.fleet,
+            sightings: &self.sightings,
+            asked_since: self.asked_since,
+            bounds: &self.config.bounds,
+        };
+        let Ruling::Fenced(offset) = view.rule(placed, entry.kind.separation, now) else { return };
+        if entry.cancelled {
+            self.append_over(i, &task, attempt, End::Evicted, now);
+        } else {
             self.flights[f].stage = Stage::Fenced;
             self.flights[f].fence = Some(offset);
             self.planner.over(&task, &worker, None, now);
@@ -441,23 +475,6 @@
         }
     }
 
-    /// Returns the loss that covers an attempt whose next one may be recorded now.
-    fn passed_fence(
-        &self,
-        i: usize,
-        task: &task::Id,
-        worker: &Name,
-        epoch: Epoch,
-        now: Millis,
-    ) -> Option<Offset> {
-        let entry = self.partitions[i].book.job(task.job.as_str())?;
-        let loss = self.fleet.covers(worker.as_str(), epoch)?;
-        let seen = self.losses.binary_search_by(|l| l.worker.cmp(worker)).ok()?;
-        let passed = now.since(self.losses[seen].at) > self.config.bounds.fence();
-        let moves = entry.kind.separation == Separation::Move && !entry.cancelled;
-        (passed && moves).then_some(loss.offset)
-    }
-
     /// Returns whether a task of the gang waits while another is placed: the gang must run as a
     /// whole, so the rest is checkpointed and placed again together.
     fn is_broken_gang(&self, i: usize, task: &task::Id) -> bool {
@@ -490,14 +507,3 @@
         }
     }
 }
-
-impl From<&crate::machine::worker::Ending> for End {
-    fn from(ending: &crate::machine::worker::Ending) -> Self {
-        use crate::machine::worker::Ending;
-        match ending {
-            Ending::Completed(result) => Self::Completed(result.clone()),
-            Ending::Failed(reason) => Self::Failed(reason.clone()),
-            Ending::Stopped | Ending::Checkpointed | Ending::Lapsed => Self::Evicted,
-        }
-    }
-}
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -10,8 +10,14 @@
 use crate::machine::capacity::Capacity;
 use crate::machine::worker::Epoch;
 use crate::name::Name;
+use crate::zone::stewardship;
 use serde::{Deserialize, Serialize};
 
+/// Sweeps in one window, each of which forgets what is older than the window.
+const SWEEPS_PER_WINDOW: u64 = 16;
+/// Windows for which the hash of a forgotten id is kept.
+const EXPIRED_WINDOWS: u64 = 24;
+
 /// A task in the book.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Task {
@@ -42,6 +48,8 @@
     pub kind: Kind,
     /// When it was accepted, by its writer's clock.
     pub at: Millis,
+    /// When it last changed, by its writer's clock.
+    pub touched: Millis,
     /// Whether it was cancelled.
     pub cancelled: bool,
     /// Its tasks, by index.
@@ -65,21 +73,64 @@
     pub answer: Option<Answer>,
 }
 
+/// An id that was used and whose content is forgotten.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Expired {
+    /// Hash of the id and of what it named.
+    id: u64,
+    /// When it was forgotten, by the time of the stream.
+    at: Millis,
+}
+
 /// The state of one partition.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// It is a function of the records alone: what is forgotten, and when, goes by the time in the
+/// records, so that all readers and all snapshots agree on every verdict.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Book {
     /// Offset of the next record to be read.
     pub next: Offset,
+    /// Time for which ended jobs and keys are kept.
+    window: Millis,
+    /// Latest time in any record.
+    time: Millis,
+    /// When something was last forgotten, by [`Self::time`].
+    swept: Millis,
     /// Sorted by id.
     jobs: Vec<Entry>,
     /// Sorted by request.
     keys: Vec<Key>,
+    /// Sorted by id.
+    expired: Vec<Expired>,
+}
+
+impl Default for Book {
+    /// Returns an empty book that forgets nothing.
+    fn default() -> Self {
+        Self::new(Millis::MAX)
+    }
 }
 
 impl Book {
+    /// Returns an empty book that keeps ended jobs and keys for `window`, which must be the same
+    /// for all readers of a stream.
+    pub const fn new(window: Millis) -> Self {
+        Self {
+            next: 0,
+            window,
+            time: Millis::ZERO,
+            swept: Millis::ZERO,
+            jobs: Vec::new(),
+            keys: Vec::new(),
+            expired: Vec::new(),
+        }
+    }
+
     /// Takes in the record at `offset`.
     pub fn apply(&mut self, offset: Offset, record: &Record) -> Verdict {
         self.next = offset + 1;
+        self.time = self.time.max(record.at);
+        self.sweep();
         match &record.register {
             Register::Job(id) => self.apply_job(id, record),
             Register::Task(id) => self.apply_task(id, record),
@@ -88,6 +139,12 @@
         }
     }
 
+    /// Returns whether a job or key with this id was there and is forgotten.
+    pub fn is_expired(&self, register: &Register) -> bool {
+        let id = identity(register);
+        self.expired.binary_search_by_key(&id, |e| e.id).is_ok()
+    }
+
     /// Returns a job.
     pub fn job(&self, id: &str) -> Option<&Entry> {
         self.job_position(id).ok().map(|i| &self.jobs[i])
@@ -113,11 +170,26 @@
         &self.keys
     }
 
-    /// Forgets jobs that ended and keys that were claimed before `horizon`.
-    pub fn forget(&mut self, horizon: Millis) {
-        let ended = |entry: &Entry| entry.tasks.iter().all(|t| t.state.is_final());
-        self.jobs.retain(|entry| entry.at >= horizon || !ended(entry));
-        self.keys.retain(|key| key.at >= horizon);
+    /// Forgets what is older than the window, now and then. Of what it forgets it keeps a hash of
+    /// the id for some windows more, so that the id isn't taken for a new one.
+    fn sweep(&mut self) {
+        let pause = Millis(self.window.get() / SWEEPS_PER_WINDOW);
+        if self.time.since(self.swept) < pause.max(Millis(1)) {
+            return;
+        }
+        self.swept = self.time;
+        let horizon = self.time.since(self.window);
+        let jobs = self.jobs.extract_if(.., |e| e.touched < horizon && e.has_ended());
+        let jobs: Vec<u64> = jobs.map(|e| identity(&Register::Job(e.job.id))).collect();
+        let keys = self.keys.extract_if(.., |k| k.at < horizon);
+        let keys: Vec<u64> = keys.map(|k| identity(&Register::Key(k.request))).collect();
+        for id in jobs.into_iter().chain(keys) {
+            if let Err(i) = self.expired.binary_search_by_key(&id, |e| e.id) {
+                self.expired.insert(i, Expired { id, at: self.time });
+            }
+        }
+        let oldest = self.time.since(self.window.times(EXPIRED_WINDOWS));
+        self.expired.retain(|e| e.at >= oldest);
     }
 
     fn job_position(&self, id: &str) -> Result<usize, usize> {
@@ -132,7 +204,9 @@
         let found = self.job_position(id.as_str());
         let version = found.map_or(0, |i| self.jobs[i].version);
         let legal = match &record.change {
-            Change::Submit { job, .. } => job.id == *id && found.is_err(),
+            Change::Submit { job, .. } => {
+                job.id == *id && found.is_err() && !self.is_expired(&record.register)
+            }
             Change::Cancel => found.is_ok_and(|i| !self.jobs[i].cancelled),
             _ => false,
         };
@@ -142,7 +216,10 @@
                 (Change::Submit { job, kind }, Err(i)) => {
                     self.jobs.insert(i, Entry::new(job, kind, record.at));
                 }
-                (_, Ok(i)) => self.jobs[i].cancel(),
+                (_, Ok(i)) => {
+                    self.jobs[i].touched = record.at;
+                    self.jobs[i].cancel();
+                }
                 (_, Err(_)) => {}
             }
         }
@@ -153,13 +230,14 @@
         let Ok(i) = self.job_position(id.job.as_str()) else {
             return judge(record.expect, 0, false);
         };
-        let Entry { kind, cancelled, tasks, .. } = &mut self.jobs[i];
+        let Entry { kind, cancelled, tasks, touched, .. } = &mut self.jobs[i];
         let Some(task) = tasks.get_mut(id.index as usize) else {
             return judge(record.expect, 0, false);
         };
         let verdict = judge(record.expect, task.version, task.permits(&record.change));
         if verdict == Verdict::Accepted {
             task.version += 1;
+            *touched = record.at;
             task.apply(&record.change, record.at, kind.attempts, *cancelled);
         }
         verdict
@@ -169,7 +247,7 @@
         let found = self.key_position(id.as_str());
         let version = found.map_or(0, |i| self.keys[i].version);
         let legal = match &record.change {
-            Change::Claim { .. } => found.is_err(),
+            Change::Claim { .. } => found.is_err() && !self.is_expired(&record.register),
             Change::Answer(_) => found.is_ok_and(|i| self.keys[i].answer.is_none()),
             _ => false,
         };
@@ -214,11 +292,17 @@
             job: job.clone(),
             kind: kind.clone(),
             at,
+            touched: at,
             cancelled: false,
             tasks: vec![task; job.tasks as usize],
         }
     }
 
+    /// Returns whether all tasks have ended for good.
+    pub fn has_ended(&self) -> bool {
+        self.tasks.iter().all(|t| t.state.is_final())
+    }
+
     /// Cancels the job. A task that is placed stays so until its worker says that it is over.
     fn cancel(&mut self) {
         self.version += 1;
@@ -288,3 +372,17 @@
         }
     }
 }
+
+/// Returns a hash of a job's or key's id.
+fn identity(register: &Register) -> u64 {
+    match register {
+        Register::Job(id) => stewardship::hash(&["job", id.as_str()]),
+        Register::Key(id) => stewardship::hash(&["key", id.as_str()]),
+        Register::Task(id) => stewardship::hash(&["job", id.job.as_str()]),
+        Register::Configuration => stewardship::hash(&["configuration"]),
+        Register::Worker(name) => stewardship::hash(&["worker", name.as_str()]),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -323,10 +323,13 @@
     let platform = &settings.platform;
     let service = || Arc::new(Service::new(&platform.log, &platform.list, timing.log_ms));
     let gossip = Gossip {
-        membership: Membership::new(own, platform.list_lag_ms, timing.suspicion_ms),
+        membership: Membership::new(
+            own,
+            platform.list_lag_ms + timing.list_ms + timing.log_ms,
+            timing.suspicion_ms,
+        ),
         list: service(),
         list_every: timing.list_ms,
-        list_lag: platform.list_lag_ms,
         ping_every: timing.ping_ms,
         skew: settings.bounds.skew_ms,
         key: key.clone(),
@@ -339,6 +342,7 @@
         writer: writer_name(&settings.name, "ledger"),
         log: service(),
         partitions: settings.partitions,
+        retention: platform.retention_ms,
         read_wait: Millis(settings.bounds.currency_ms.get() / READS_PER_CURRENCY),
         commands: wiring.ledger.1.clone(),
         steward: wiring.steward.0.clone(),
--- a/crates/daemon/src/duty/control.rs
+++ b/crates/daemon/src/duty/control.rs
@@ -135,7 +135,12 @@
     fn members(&mut self, members: &Members) {
         let workers: Vec<Instance> = members.of_role(Role::Worker).cloned().collect();
         let candidates: Vec<&Instance> = members.candidates.iter().collect();
-        self.duty.controller.members(&workers, &candidates, members.settled, view::now());
+        self.duty.controller.members(
+            &workers,
+            &candidates,
+            members.asked_since.is_some(),
+            view::now(),
+        );
     }
 
     fn facts(&mut self, facts: &Facts) {
--- a/crates/daemon/src/duty/gossip.rs
+++ b/crates/daemon/src/duty/gossip.rs
@@ -23,8 +23,6 @@
     pub list: Arc<dyn List>,
     /// Time between two readings of the list.
     pub list_every: Millis,
-    /// Longest time by which the list lags.
-    pub list_lag: Millis,
     /// Time between two signs of life to each peer.
     pub ping_every: Millis,
     /// Greatest difference between clocks.
@@ -42,7 +40,7 @@
 }
 
 enum Event {
-    Listed(Result<Vec<Instance>, Failure>),
+    Listed { asked: Millis, result: Result<Vec<Instance>, Failure> },
     Pong { peer: Instance, asked: Millis, pong: Option<Ping> },
     Pulled(Pulled),
 }
@@ -60,7 +58,6 @@
     events: Sender<Event>,
     listed: Vec<Instance>,
     list_read: Millis,
-    first_listed: Option<Millis>,
     words: Vec<Word>,
     pinging: Vec<Instance>,
 }
@@ -82,7 +79,6 @@
                 events,
                 listed: Vec::new(),
                 list_read: Millis::ZERO,
-                first_listed: None,
                 words: Vec::new(),
                 pinging: Vec::new(),
             };
@@ -108,9 +104,10 @@
 impl State {
     fn list(&self) {
         let (list, events) = (Arc::clone(&self.duty.list), self.events.clone());
+        let asked = view::now();
         tokio::spawn(async move {
             let result = list.instances().await;
-            if events.push(Event::Listed(result)).await.is_err() {
+            if events.push(Event::Listed { asked, result }).await.is_err() {
                 tracing::debug!("the gossip duty has ended");
             }
         });
@@ -153,8 +150,8 @@
 
     fn event(&mut self, event: Event) {
         match event {
-            Event::Listed(Ok(instances)) => self.listed(instances),
-            Event::Listed(Err(failure)) => {
+            Event::Listed { asked, result: Ok(instances) } => self.listed(instances, asked),
+            Event::Listed { result: Err(failure), .. } => {
                 tracing::debug!(?failure, "the instance list could not be read");
             }
             Event::Pong { peer, asked, pong } => {
@@ -171,14 +168,10 @@
         }
     }
 
-    fn listed(&mut self, instances: Vec<Instance>) {
-        let now = view::now();
-        self.list_read = now;
-        let own = &self.duty.membership.own().name;
-        if self.first_listed.is_none() && instances.iter().any(|i| i.name == *own) {
-            self.first_listed = Some(now);
-        }
-        self.duty.membership.listed(&instances, now);
+    /// Takes in a reading of the list, which is as old as its question.
+    fn listed(&mut self, instances: Vec<Instance>, asked: Millis) {
+        self.list_read = asked;
+        self.duty.membership.listed(&instances, asked);
         self.listed = instances;
     }
 
@@ -232,7 +225,7 @@
         let peers: Vec<&Instance> = membership.peers().collect();
         self.words.retain(|w| peers.iter().any(|p| p.name == w.peer.name));
         let facts = self.duty.facts.borrow().clone();
-        let list_current = view::now().since(self.list_read) <= self.duty.list_lag;
+        let list_current = membership.is_current(view::now());
         let quiet = self.words.iter().all(|w| !w.pong.loss_pending);
         if !facts.log_out || !list_current || !quiet || peers.len() != self.words.len() {
             return;
@@ -255,7 +248,6 @@
     fn publish(&self) {
         let now = view::now();
         let membership = &self.duty.membership;
-        let settled = self.first_listed.is_some_and(|first| now.since(first) >= self.duty.list_lag);
         let own = membership.own().clone();
         let draining = own.state == membership::State::Leaving;
         let members = Members {
@@ -263,7 +255,7 @@
             listed: self.listed.iter().filter(|i| i.role != Role::Entry).cloned().collect(),
             candidates: membership.candidates(now).into_iter().cloned().collect(),
             peers: membership.peers().cloned().collect(),
-            settled,
+            asked_since: membership.asked_since(now),
             draining,
         };
         self.duty.members.send_if_modified(|old| {
--- a/crates/daemon/src/duty/ledger.rs
+++ b/crates/daemon/src/duty/ledger.rs
@@ -1,4 +1,8 @@
-//! The ledger duty: tails the streams, groups appends, replays what everybody reads.
+//! The ledger duty: tails the streams, groups appends, replays what everybody reads, and writes
+//! snapshots of the streams that this instance is the steward of.
+
+mod snapshots;
+mod tail;
 
 use crate::duty::Duty;
 use crate::duty::steward;
@@ -7,9 +11,11 @@
 use crate::view::{self, Facts, Members};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::steward::Landing;
+use pimentovalve_core::ledger::book::Book;
 use pimentovalve_core::ledger::fleet::Fleet;
 use pimentovalve_core::ledger::history::History;
 use pimentovalve_core::ledger::record::{self, Change, Record, Register};
+use pimentovalve_core::ledger::snapshot::{self, Schedule};
 use pimentovalve_core::ledger::{Offset, Stream, Verdict};
 use pimentovalve_core::name::Name;
 use pimentovalve_wire::codec;
@@ -17,13 +23,13 @@
 use pimentovalve_wire::log::Chunk;
 use pimentovalve_wire::peer::Pulled;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tail::{Tail, decode};
 use tokio_util::sync::CancellationToken;
 
 /// Most entries that one read returns.
 const READ_MAX: u32 = 1024;
-/// Pause after a read that failed.
-const READ_PAUSE: Duration = Duration::from_millis(300);
 /// Most entries of one append.
 const APPEND_MAX: usize = 256;
 /// Most records that wait for an append of one stream; more are refused.
@@ -54,6 +60,13 @@
         /// The record.
         record: Record,
     },
+    /// Append a snapshot of a partition.
+    Save {
+        /// The partition.
+        index: u16,
+        /// Its book.
+        book: Book,
+    },
     /// Append a record to a stream that everybody reads, and judge it.
     Publish {
         /// The register, which tells the stream.
@@ -90,8 +103,30 @@
 
 /// What calls of the log come back with.
 enum Event {
-    Read { stream: Stream, asked: Millis, from: Offset, result: Result<Chunk, Failure> },
-    Appended { stream: Stream, ids: Vec<record::Id>, result: Result<Offset, Failure> },
+    Read {
+        stream: Stream,
+        asked: Millis,
+        from: Offset,
+        result: Result<Chunk, Failure>,
+    },
+    /// The state from which the reading of a stream goes on; none at the start of the stream.
+    Restored {
+        stream: Stream,
+        state: Option<snapshot::State>,
+    },
+    /// The log could not be read.
+    Out,
+    /// A snapshot that was begun at `at` was appended.
+    Saved {
+        stream: Stream,
+        next: Offset,
+        at: Millis,
+    },
+    Appended {
+        stream: Stream,
+        ids: Vec<record::Id>,
+        result: Result<Offset, Failure>,
+    },
 }
 
 /// An append whose answer was lost.
@@ -114,11 +149,14 @@
 }
 
 /// One stream that is tailed.
-struct Tail {
+struct Open {
     stream: Stream,
     stop: CancellationToken,
     queue: Vec<Record>,
     appending: bool,
+    /// What this instance has of it.
+    known: Arc<AtomicU64>,
+    snapshots: Schedule,
 }
 
 /// The ledger duty.
@@ -129,6 +167,8 @@
     pub log: Arc<dyn Log>,
     /// Partitions of the ledger.
     pub partitions: u16,
+    /// Time for which the log keeps records.
+    pub retention: Millis,
     /// How long a read at the end of a stream waits for the next entry. What is known is as old
     /// as the last read, so it must be well below the currency that renewals rest on.
     pub read_wait: Millis,
@@ -149,7 +189,7 @@
     history: History,
     fleet: Fleet,
     facts: Facts,
-    tails: Vec<Tail>,
+    tails: Vec<Open>,
     waiters: Vec<Waiter>,
     lost: Vec<Lost>,
     unsettled: Vec<Unsettled>,
@@ -192,7 +232,10 @@
                         let seen = Arc::clone(&members.borrow_and_update());
                         state.members(&seen).await;
                     }
-                    _ = tick.tick() => state.expire().await,
+                    _ = tick.tick() => {
+                        state.expire().await;
+                        state.snapshots().await;
+                    }
                 }
             }
         })
@@ -203,6 +246,9 @@
     async fn command(&mut self, command: Command) {
         match command {
             Command::Append { stream, record } => self.append(stream, record).await,
+            Command::Save { index, book } => {
+                self.save(Stream::Partition(index), &snapshot::State::Book(book));
+            }
             Command::Publish { register, expect, change, reply } => {
                 self.publish(register, expect, change, reply).await;
             }
@@ -255,8 +301,15 @@
         if let Some(history) = pulled.history {
             self.history.merge(&history);
         }
-        if let Some(fleet) = pulled.fleet.filter(|f| f.next > self.fleet.next) {
-            self.fleet = fleet;
+        if let Some(fleet) = pulled.fleet {
+            self.fleet.merge(&fleet);
+        }
+        for (stream, next) in
+            [(Stream::Configuration, self.history.next), (Stream::Fleet, self.fleet.next)]
+        {
+            if let Some(i) = self.position(stream) {
+                self.tails[i].known.fetch_max(next, Ordering::Relaxed);
+            }
         }
         if pulled.history_next <= self.history.next {
             self.facts.history_as_of = self.facts.history_as_of.max(pulled.history_as_of);
@@ -273,10 +326,7 @@
             let stream = Stream::Partition(index);
             let mine = members.steward(stream).is_some_and(|s| s.name == members.own.name);
             match (mine, self.position(stream)) {
-                (true, None) => {
-                    self.tell(steward::Event::Take { index }).await;
-                    self.open(stream);
-                }
+                (true, None) => self.open(stream),
                 (false, Some(i)) => {
                     let tail = self.tails.remove(i);
                     tail.stop.cancel();
@@ -296,14 +346,26 @@
 
     fn open(&mut self, stream: Stream) {
         let stop = self.stop.child_token();
-        let tail = Tail { stream, stop: stop.clone(), queue: Vec::new(), appending: false };
-        self.tails.push(tail);
-        let (log, events) = (Arc::clone(&self.duty.log), self.events.clone());
-        let wait = self.duty.read_wait;
+        let known = Arc::<AtomicU64>::default();
+        let tail = Tail {
+            stream,
+            log: Arc::clone(&self.duty.log),
+            wait: self.duty.read_wait,
+            events: self.events.clone(),
+            known: Arc::clone(&known),
+        };
+        self.tails.push(Open {
+            stream,
+            stop: stop.clone(),
+            queue: Vec::new(),
+            appending: false,
+            known,
+            snapshots: Schedule::new(self.duty.retention),
+        });
         tokio::spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = follow(stream, log, wait, events) => {}
+                () = tail.run() => {}
             }
         });
     }
@@ -341,6 +403,16 @@
     async fn event(&mut self, event: Event) {
         match event {
             Event::Appended { stream, ids, result } => self.appended(stream, ids, result).await,
+            Event::Restored { stream, state } => self.restored(stream, state).await,
+            Event::Out => {
+                self.facts.log_out = true;
+                self.publish_facts();
+            }
+            Event::Saved { stream, next, at } => {
+                if let Some(i) = self.position(stream) {
+                    self.tails[i].snapshots.written(next, at);
+                }
+            }
             Event::Read { stream, asked, from, result } => match result {
                 Ok(chunk) => {
                     self.facts.log_out = false;
@@ -410,6 +482,10 @@
             }
             _ => {}
         }
+        if let Some(i) = self.position(stream) {
+            let next = from + chunk.entries.len() as u64;
+            self.tails[i].known.fetch_max(next, Ordering::Relaxed);
+        }
         if at_end {
             self.read_back(stream, asked).await;
         }
@@ -486,32 +562,3 @@
         self.duty.facts.send_replace(self.facts.clone());
     }
 }
-
-/// Reads a stream for as long as it is wanted.
-async fn follow(stream: Stream, log: Arc<dyn Log>, wait: Millis, events: Sender<Event>) {
-    let name = stream.to_string();
-    let mut from = 0;
-    loop {
-        let asked = view::now();
-        let result = log.read(&name, from, READ_MAX, wait).await;
-        let failed = result.is_err();
-        let next = match &result {
-            Ok(chunk) => from + chunk.entries.len() as u64,
-            Err(Failure::Gone { horizon }) => *horizon,
-            Err(_) => from,
-        };
-        if events.push(Event::Read { stream, asked, from, result }).await.is_err() {
-            return;
-        }
-        from = next;
-        if failed {
-            tokio::time::sleep(READ_PAUSE).await;
-        }
-    }
-}
-
-/// Decodes the entries of a chunk. An entry that is not a record is skipped by every reader.
-fn decode(from: Offset, chunk: &Chunk) -> Vec<(Offset, Record)> {
-    let numbered = (from..).zip(&chunk.entries);
-    numbered.filter_map(|(offset, entry)| Some((offset, codec::unpack(entry).ok()?))).collect()
-}
--- /dev/null
+++ b/crates/daemon/src/duty/ledger/snapshots.rs
@@ -0,0 +1,82 @@
+//! Writing snapshots, and starting from them.
+
+use super::{Event, State};
+use crate::duty::steward;
+use crate::view;
+use pimentovalve_core::ledger::Stream;
+use pimentovalve_core::ledger::snapshot;
+use pimentovalve_wire::codec;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+impl State {
+    /// Takes over a snapshot if it is newer, so that no version ever goes back.
+    pub(super) async fn restored(&mut self, stream: Stream, state: Option<snapshot::State>) {
+        let Some(i) = self.position(stream) else { return };
+        let now = view::now();
+        if let Some(state) = &state {
+            self.tails[i].snapshots.written(state.next(), now);
+        }
+        match (stream, state) {
+            (Stream::Partition(index), state) => {
+                let book = match state {
+                    Some(snapshot::State::Book(book)) => Some(book),
+                    _ => None,
+                };
+                self.tell(steward::Event::GiveUp { index }).await;
+                self.tell(steward::Event::Take { index, book }).await;
+            }
+            (_, Some(snapshot::State::History(history))) => {
+                self.history.merge(&history);
+            }
+            (_, Some(snapshot::State::Fleet(fleet))) => {
+                self.fleet.merge(&fleet);
+            }
+            _ => {}
+        }
+        self.publish_facts();
+    }
+
+    /// Begins the snapshots that are due of the streams that this instance is the steward of.
+    pub(super) async fn snapshots(&mut self) {
+        let now = view::now();
+        let members = Arc::clone(&self.duty.members.borrow());
+        for i in 0..self.tails.len() {
+            let tail = &mut self.tails[i];
+            let (stream, next) = (tail.stream, tail.known.load(Ordering::Relaxed));
+            let mine = members.steward(stream).is_some_and(|s| s.name == members.own.name);
+            if !mine || !tail.snapshots.is_due(next, now) {
+                continue;
+            }
+            tail.snapshots.tried(now);
+            match stream {
+                Stream::Configuration => {
+                    let history = snapshot::State::History(self.history.clone());
+                    self.save(stream, &history);
+                }
+                Stream::Fleet => self.save(stream, &snapshot::State::Fleet(self.fleet.clone())),
+                Stream::Partition(index) => self.tell(steward::Event::Save { index }).await,
+            }
+        }
+    }
+
+    /// Appends a snapshot; if that fails, a later one takes its place.
+    pub(super) fn save(&self, stream: Stream, state: &snapshot::State) {
+        let (next, at) = (state.next(), view::now());
+        let Ok(entry) = codec::pack(state) else {
+            tracing::error!(%stream, "a snapshot could not be encoded");
+            return;
+        };
+        let (log, events) = (Arc::clone(&self.duty.log), self.events.clone());
+        tokio::spawn(async move {
+            match log.append(&snapshot::name(stream), vec![entry]).await {
+                Ok(_) => {
+                    if events.push(Event::Saved { stream, next, at }).await.is_err() {
+                        tracing::debug!("the ledger duty has ended");
+                    }
+                }
+                Err(failure) => tracing::warn!(%stream, ?failure, "a snapshot was not written"),
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/duty/ledger/tail.rs
@@ -0,0 +1,148 @@
+//! Reading one stream: the best snapshot first, then the records from its offset on.
+
+use super::{Event, READ_MAX};
+use crate::platform::{Failure, Log};
+use crate::ring::Sender;
+use crate::view;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::ledger::record::Record;
+use pimentovalve_core::ledger::snapshot::{self, State};
+use pimentovalve_core::ledger::{Offset, Stream};
+use pimentovalve_wire::codec;
+use pimentovalve_wire::log::Chunk;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Pause after a read that failed.
+const READ_PAUSE: Duration = Duration::from_millis(300);
+/// Snapshots that are looked at first; older ones only if these are of no use.
+const LATEST: u64 = 2;
+
+/// The reader of one stream. It works until it is dropped.
+pub(super) struct Tail {
+    pub stream: Stream,
+    pub log: Arc<dyn Log>,
+    /// How long a read at the end waits.
+    pub wait: Millis,
+    pub events: Sender<Event>,
+    /// What the duty has by now, which may come from a peer.
+    pub known: Arc<AtomicU64>,
+}
+
+impl Tail {
+    /// Restores the state of the stream, then reads on.
+    pub async fn run(self) {
+        let name = self.stream.to_string();
+        let Some(mut from) = self.restore(0).await else { return };
+        loop {
+            let asked = view::now();
+            let result = self.log.read(&name, from, READ_MAX, self.wait).await;
+            let (stream, failed) = (self.stream, result.is_err());
+            let gone = match &result {
+                Err(Failure::Gone { horizon }) => Some(*horizon),
+                _ => None,
+            };
+            let read = result.as_ref().map_or(0, |chunk| chunk.entries.len() as u64);
+            if self.events.push(Event::Read { stream, asked, from, result }).await.is_err() {
+                return;
+            }
+            from += read;
+            if let Some(horizon) = gone {
+                let Some(next) = self.restore(horizon).await else { return };
+                from = next;
+            } else if failed {
+                tokio::time::sleep(READ_PAUSE).await;
+            }
+        }
+    }
+
+    /// Finds a state from which the records of the stream lead on: that of a snapshot, or what the
+    /// duty has from a peer. Tries until there is one, because without it the records in between
+    /// would be lost without a word. Returns the offset at which it goes on, `None` at the end.
+    async fn restore(&self, mut horizon: Offset) -> Option<Offset> {
+        loop {
+            match self.latest(horizon).await {
+                Ok(Some(state)) => {
+                    let next = state.next();
+                    let event = Event::Restored { stream: self.stream, state: Some(state) };
+                    return self.events.push(event).await.ok().map(|()| next);
+                }
+                Ok(None) if horizon == 0 => {
+                    let event = Event::Restored { stream: self.stream, state: None };
+                    return self.events.push(event).await.ok().map(|()| 0);
+                }
+                Ok(None) => {
+                    let stream = self.stream;
+                    tracing::error!(%stream, horizon, "no snapshot reaches the kept records");
+                }
+                Err(failure) => {
+                    tracing::debug!(stream = %self.stream, ?failure, "no snapshot could be read");
+                    self.events.push(Event::Out).await.ok()?;
+                }
+            }
+            let known = self.known.load(Ordering::Relaxed);
+            if horizon > 0 && known >= horizon {
+                return Some(known);
+            }
+            tokio::time::sleep(READ_PAUSE).await;
+            horizon = self.horizon(horizon).await;
+        }
+    }
+
+    /// Returns the first offset that is kept, or the one that is known if the log is out.
+    async fn horizon(&self, known: Offset) -> Offset {
+        let name = self.stream.to_string();
+        match self.log.read(&name, known, 1, Millis::ZERO).await {
+            Err(Failure::Gone { horizon }) => horizon,
+            Ok(_) | Err(_) => known,
+        }
+    }
+
+    /// Returns the best snapshot that leads on to the kept records.
+    async fn latest(&self, horizon: Offset) -> Result<Option<State>, Failure> {
+        let name = snapshot::name(self.stream);
+        let (first, end) = match self.log.read(&name, 0, 1, Millis::ZERO).await {
+            Ok(chunk) => (chunk.horizon, chunk.end),
+            Err(Failure::Gone { horizon }) => {
+                (horizon, self.log.read(&name, horizon, 1, Millis::ZERO).await?.end)
+            }
+            Err(failure) => return Err(failure),
+        };
+        for from in [first.max(end.saturating_sub(LATEST)), first] {
+            let states = self.snapshots(&name, from, end).await?;
+            let best = snapshot::best(self.stream, states);
+            if let Some(state) = best.filter(|s| s.next() >= horizon) {
+                return Ok(Some(state));
+            }
+        }
+        Ok(None)
+    }
+
+    async fn snapshots(
+        &self,
+        name: &str,
+        mut from: Offset,
+        end: Offset,
+    ) -> Result<Vec<State>, Failure> {
+        let mut states = Vec::new();
+        while from < end {
+            match self.log.read(name, from, READ_MAX, Millis::ZERO).await {
+                Ok(chunk) if chunk.entries.is_empty() => break,
+                Ok(chunk) => {
+                    from += chunk.entries.len() as u64;
+                    states.extend(chunk.entries.iter().filter_map(|e| codec::unpack(e).ok()));
+                }
+                Err(Failure::Gone { horizon }) => from = horizon,
+                Err(failure) => return Err(failure),
+            }
+        }
+        Ok(states)
+    }
+}
+
+/// Decodes the entries of a chunk. An entry that is not a record is skipped by every reader.
+pub(super) fn decode(from: Offset, chunk: &Chunk) -> Vec<(Offset, Record)> {
+    let numbered = (from..).zip(&chunk.entries);
+    numbered.filter_map(|(offset, entry)| Some((offset, codec::unpack(entry).ok()?))).collect()
+}
--- a/crates/daemon/src/duty/steward.rs
+++ b/crates/daemon/src/duty/steward.rs
@@ -38,6 +38,13 @@
     Take {
         /// The partition.
         index: u16,
+        /// The best snapshot of it.
+        book: Option<Book>,
+    },
+    /// Write a snapshot of a partition.
+    Save {
+        /// The partition.
+        index: u16,
     },
     /// This instance is no longer the steward of a partition.
     GiveUp {
@@ -173,6 +180,7 @@
 
     /// Forgets workers that have left the list.
     fn members(&mut self, members: &Members) {
+        self.duty.steward.asked_since(members.asked_since);
         let listed = |name: &Name| members.of_role(Role::Worker).any(|w| w.name == *name);
         let gone = self.reporters.extract_if(.., |(worker, _)| !listed(worker));
         for (worker, _) in gone.collect::<Vec<_>>() {
@@ -184,7 +192,14 @@
         let now = view::now();
         let steward = &mut self.duty.steward;
         match event {
-            Event::Take { index } => steward.take(index, Book::default()),
+            Event::Take { index, book } => steward.take(index, book),
+            Event::Save { index } => {
+                if let Some(book) = steward.book(index).cloned()
+                    && self.duty.ledger.offer(Command::Save { index, book }).is_err()
+                {
+                    tracing::warn!(index, "the ledger duty is behind; a snapshot is put off");
+                }
+            }
             Event::GiveUp { index } => steward.give_up(index),
             Event::Rows { index, rows, at_end } => steward.rows(index, &rows, at_end, now),
             Event::Landed { id, landing } => steward.landed(&id, landing),
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -23,8 +23,9 @@
     pub candidates: Vec<Instance>,
     /// Entry instances that must be told, listed now or within the list's lag.
     pub peers: Vec<Instance>,
-    /// Whether this instance has been listed for the list's longest lag.
-    pub settled: bool,
+    /// Since when every instance that relies on its list must ask this one, if that can be shown.
+    /// Only then may it record a loss or rest on one.
+    pub asked_since: Option<Millis>,
     /// Whether this instance drains.
     pub draining: bool,
 }
@@ -37,7 +38,7 @@
             listed: Vec::new(),
             candidates: Vec::new(),
             peers: Vec::new(),
-            settled: false,
+            asked_since: None,
             draining: false,
         }
     }
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -174,3 +174,24 @@
     })
     .to_string()
 }
+
+/// Posts JSON from a thread of its own until it is accepted.
+pub fn post_until_accepted(address: std::net::SocketAddr, path: &str, body: &str) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be had");
+    let (client, address) = (Client::new(), address.to_string());
+    let started = Instant::now();
+    loop {
+        let call = Call {
+            content: Content::Json,
+            ..Call::post(&address, path, body.as_bytes(), CALL_TIMEOUT)
+        };
+        if runtime.block_on(client.call(call)).is_ok_and(|reply| reply.status == 202) {
+            return;
+        }
+        assert!(started.elapsed() < PATIENCE, "never accepted: {body}");
+        std::thread::sleep(PAUSE);
+    }
+}
