--- a/crates/daemon/src/duty/ledger.rs
+++ b/crates/daemon/src/duty/ledger.rs
@@ -25,7 +25,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tail::{Tail, decode};
+use tail::{Tail, decode, rows};
 use tokio_util::sync::CancellationToken;
 
 /// Most entries that one read returns.
@@ -265,8 +265,7 @@
             Command::Rows { stream, from, reply } => {
                 let log = Arc::clone(&self.duty.log);
                 tokio::spawn(async move {
-                    let rows = log.read(&stream.to_string(), from, READ_MAX, Millis::ZERO).await;
-                    let rows = rows.map(|chunk| decode(from, &chunk)).map_err(|e| format!("{e:?}"));
+                    let rows = rows(&*log, stream, from).await.map_err(|e| format!("{e:?}"));
                     if reply.send(rows).is_err() {
                         tracing::debug!("an operator no longer waits for rows");
                     }
--- a/crates/daemon/src/duty/ledger/tail.rs
+++ b/crates/daemon/src/duty/ledger/tail.rs
@@ -146,3 +146,20 @@
     let numbered = (from..).zip(&chunk.entries);
     numbered.filter_map(|(offset, entry)| Some((offset, codec::unpack(entry).ok()?))).collect()
 }
+
+/// Reads rows from an offset on, or from the first that the log still keeps.
+pub(super) async fn rows(
+    log: &dyn Log,
+    stream: Stream,
+    from: Offset,
+) -> Result<Vec<(Offset, Record)>, Failure> {
+    let name = stream.to_string();
+    match log.read(&name, from, READ_MAX, Millis::ZERO).await {
+        Ok(chunk) => Ok(decode(from, &chunk)),
+        Err(Failure::Gone { horizon }) => {
+            let chunk = log.read(&name, horizon, READ_MAX, Millis::ZERO).await?;
+            Ok(decode(horizon, &chunk))
+        }
+        Err(failure) => Err(failure),
+    }
+}
