--- a/crates/daemon/src/front/peer.rs
+++ b/crates/daemon/src/front/peer.rs
@@ -20,6 +20,8 @@
     pub keys: Option<Keys>,
     /// The way to the steward duty of this instance.
     pub route: Route,
+    /// The gossip duty.
+    pub gossip: Sender<Ping>,
     /// The control duty.
     pub control: Sender<control::Event>,
     /// The dispatch duty.
@@ -39,7 +41,7 @@
                 return Response::findings(401, &List::one("key", "is missing or wrong"));
             }
             match (request.method, request.path) {
-                ("POST", "/peer/ping") => decoded::<Ping>(request, |_| self.pong()),
+                ("POST", "/peer/ping") => decoded::<Ping>(request, |ping| self.pong(ping)),
                 ("POST", "/peer/pull") => decoded::<Pull>(request, |pull| self.pulled(pull)),
                 ("POST", "/peer/wishes") => self.wishes(request).await,
                 ("POST", "/peer/standings") => self.standings(request).await,
@@ -52,7 +54,10 @@
 }
 
 impl Peer {
-    fn pong(&self) -> Response {
+    fn pong(&self, ping: Ping) -> Response {
+        if self.gossip.offer(ping).is_err() {
+            tracing::warn!("the gossip duty is behind; a sign of life is dropped");
+        }
         let members = self.members.borrow();
         Response::pack(200, &self.facts.borrow().word(&members.own))
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -133,10 +133,10 @@
     fn default() -> Self {
         Self {
             list_ms: Millis::from_secs(1),
-            ping_ms: Millis(500),
-            suspicion_ms: Millis(2500),
-            heartbeat_ms: Millis::from_secs(5),
-            loss_ms: Millis::from_secs(20),
+            ping_ms: Millis(1500),
+            suspicion_ms: Millis(4500),
+            heartbeat_ms: Millis::from_secs(10),
+            loss_ms: Millis::from_secs(30),
             log_ms: Millis::from_secs(2),
             term_ms: Millis::from_secs(10),
             drain_ms: Millis(500),
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -20,26 +20,27 @@
     /// This instance.
     pub own: Instance,
     /// All listed instances.
-    pub listed: Vec<Instance>,
+    pub listed: Arc<Vec<Instance>>,
     /// Entry instances that may own something, sorted by name.
     pub candidates: Vec<Instance>,
     /// Entry instances that must be told, listed now or within the list's lag.
     pub peers: Vec<Instance>,
-    /// Whether this instance has been listed for the list's longest lag.
-    pub settled: bool,
+    /// Since when every instance that relies on its list must ask this one, if that can be shown.
+    /// Only then may it record a loss or rest on one.
+    pub asked_since: Option<Millis>,
     /// Whether this instance drains.
     pub draining: bool,
 }
 
 impl Members {
     /// Returns a view that knows only this instance.
-    pub const fn alone(own: Instance) -> Self {
+    pub fn alone(own: Instance) -> Self {
         Self {
             own,
-            listed: Vec::new(),
+            listed: Arc::default(),
             candidates: Vec::new(),
             peers: Vec::new(),
-            settled: false,
+            asked_since: None,
             draining: false,
         }
     }
@@ -86,6 +87,7 @@
     pub fn word(&self, own: &Instance) -> Ping {
         Ping {
             from: own.name.clone(),
+            at: now(),
             draining: own.state == State::Leaving,
             version: self.history.configuration().version,
             history_next: self.history.next,
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -4,13 +4,14 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// Encodes a message as MessagePack, with field names so that either end may be newer.
+/// Encodes a message as MessagePack. Fields stand in their order without names, which halves the
+/// bytes; a newer release may only append fields, with a default for what an older end leaves out.
 ///
 /// # Errors
 ///
 /// Returns a finding when the message can't be expressed, which is a defect of its type.
 pub fn pack<T: Serialize>(message: &T) -> Result<Vec<u8>, List> {
-    rmp_serde::to_vec_named(message).map_err(|e| List::one("body", e.to_string()))
+    rmp_serde::to_vec(message).map_err(|e| List::one("body", e.to_string()))
 }
 
 /// Decodes a MessagePack message.
