--- /dev/null
+++ b/tests/operating.rs
@@ -0,0 +1,184 @@
+//! The operators' page: its commands run, and its settings reference is that of the code.
+
+use googletest::prelude::*;
+use pimentovalve::daemon::settings::Settings;
+use serde_json::Value;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+/// Longest time of the whole trial, in seconds; it ends by itself long before.
+const TRIAL_SECONDS: &str = "120";
+/// What every address of the trial begins with; two digits follow.
+const ADDRESS: &str = "127.0.0.1:74";
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+fn page() -> String {
+    std::fs::read_to_string(root().join("docs/OPERATING.md")).unwrap()
+}
+
+/// Returns the part of the page under a heading.
+fn section(heading: &str) -> String {
+    let page = page();
+    let (_, rest) = page.split_once(&format!("\n## {heading}\n")).unwrap();
+    rest.split("\n## ").next().unwrap().into()
+}
+
+/// Returns the commands of a part of the page.
+fn commands(part: &str) -> String {
+    let blocks = part.split("```sh\n").skip(1).map(|rest| rest.split("```").next().unwrap());
+    blocks.collect::<Vec<_>>().concat()
+}
+
+/// Replaces the addresses of the trial by free ones, the same everywhere.
+struct Ports(Vec<(String, String)>);
+
+impl Ports {
+    fn new() -> Self {
+        let numbers = [1, 2, 3].into_iter().chain((11..=34).filter(|n| n % 10 < 5 && n % 10 > 0));
+        let listeners: Vec<_> = numbers
+            .map(|n| (format!("{ADDRESS}{n:02}"), TcpListener::bind("127.0.0.1:0").unwrap()))
+            .collect();
+        let free = |(old, listener): &(String, TcpListener)| {
+            (old.clone(), listener.local_addr().unwrap().to_string())
+        };
+        Self(listeners.iter().map(free).collect())
+    }
+
+    fn replace(&self, text: &str) -> String {
+        self.0.iter().fold(text.into(), |text: String, (old, new)| text.replace(old, new))
+    }
+}
+
+/// A folder that is removed with the value.
+struct Folder(PathBuf);
+
+impl Folder {
+    /// Returns a copy of the examples with other addresses.
+    fn new(ports: &Ports) -> Self {
+        let path = std::env::temp_dir().join(format!("operating-{}", std::process::id()));
+        copy(&root().join("examples"), &path.join("examples"), ports);
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn copy(from: &Path, to: &Path, ports: &Ports) {
+    std::fs::create_dir_all(to).unwrap();
+    for entry in std::fs::read_dir(from).unwrap() {
+        let (path, target) = {
+            let entry = entry.unwrap();
+            (entry.path(), to.join(entry.file_name()))
+        };
+        if path.is_dir() {
+            copy(&path, &target, ports);
+        } else {
+            std::fs::write(&target, ports.replace(&std::fs::read_to_string(&path).unwrap()))
+                .unwrap();
+        }
+    }
+}
+
+/// Returns the folder of the programs, after the stand-ins were built into it.
+fn programs() -> PathBuf {
+    let own = Path::new(env!("CARGO_BIN_EXE_pimentovalve"));
+    let folder = own.parent().unwrap().to_path_buf();
+    let mut build = Command::new(env!("CARGO"));
+    build.args(["build", "--locked", "--package", "pimentovalve-standin", "--bins"]);
+    if folder.ends_with("release") {
+        build.arg("--release");
+    }
+    assert!(build.current_dir(root()).status().unwrap().success());
+    folder
+}
+
+#[gtest]
+fn the_commands_of_the_first_trial_run() {
+    let ports = Ports::new();
+    let folder = Folder::new(&ports);
+    let script = ports.replace(&commands(&section("A first trial")));
+    // Whatever a failing trial leaves behind is ended with it.
+    let script = format!("set -eu\ntrap 'kill $(jobs -p) 2> /dev/null || true' EXIT\n{script}");
+    let path = std::env::var("PATH").unwrap();
+    let output = Command::new("timeout")
+        .args([TRIAL_SECONDS, "bash", "-c", &script])
+        .env("PATH", format!("{}:{path}", programs().display()))
+        .current_dir(&folder.0)
+        .stdin(Stdio::null())
+        .output()
+        .unwrap();
+    let shown = String::from_utf8_lossy(&output.stdout).into_owned();
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    expect_that!(output.status.code(), some(eq(0)), "{shown}\n{errors}");
+    for part in ["version 1 is accepted", "completed: sealed", "completed: indexed", "purged"] {
+        expect_that!(shown, contains_substring(part));
+    }
+    expect_that!(shown, not(contains_substring("BROKEN")));
+    expect_that!(shown, not(contains_substring("UNPROVABLE")));
+    let drawn = std::fs::read_to_string(folder.0.join("trial/seal-1.svg")).unwrap();
+    expect_that!(drawn, contains_substring("<circle"));
+}
+
+/// Settings with only what must be there.
+const LEAST: &str = "name = 'e'\nplace = { region = 'r', domain = 'd', rack = 'k' }\n\
+    listen = { callers = '10.0.0.1:1', operators = '10.0.0.1:2', peers = '10.0.0.1:3', \
+    metrics = '10.0.0.1:4' }\n";
+const PLATFORM: &str = "log = '10.0.0.1:5'\nlist = '10.0.0.1:6'\n";
+
+/// Returns the rows of the settings reference: key and default.
+fn reference() -> Vec<(String, String)> {
+    let part = section("Settings");
+    let rows = part.lines().filter(|line| line.starts_with("| `"));
+    let cells = rows.map(|row| row.split('|').map(|c| c.trim().trim_matches('`')).collect());
+    cells.map(|c: Vec<&str>| (c[1].into(), c[3].into())).collect()
+}
+
+/// Returns the paths of all values.
+fn paths(prefix: &str, value: &Value) -> Vec<String> {
+    let Value::Object(fields) = value else { return vec![prefix.into()] };
+    let nested = fields.iter().flat_map(|(key, value)| {
+        let path = if prefix.is_empty() { key.clone() } else { format!("{prefix}.{key}") };
+        paths(&path, value)
+    });
+    nested.collect()
+}
+
+#[gtest]
+fn the_settings_reference_has_every_key() {
+    let least = Settings::parse(&format!("{LEAST}[platform]\n{PLATFORM}")).unwrap();
+    let mut in_code = paths("", &serde_json::to_value(&least).unwrap());
+    let mut on_page: Vec<String> = reference().into_iter().map(|(key, _)| key).collect();
+    in_code.sort();
+    on_page.sort();
+    expect_that!(on_page, eq(&in_code));
+}
+
+#[gtest]
+fn the_settings_reference_has_the_defaults() {
+    let least = Settings::parse(&format!("{LEAST}[platform]\n{PLATFORM}")).unwrap();
+    let json = serde_json::to_value(&least).unwrap();
+    for (key, default) in reference() {
+        let value = key.split('.').fold(&json, |value, part| &value[part]);
+        match default.as_str() {
+            "" => expect_that!(required(&key), eq(true), "{key}"),
+            "none" => expect_that!(*value, eq(&Value::Null), "{key}"),
+            default => {
+                expect_that!(serde_json::from_str::<Value>(default).unwrap(), eq(value), "{key}");
+            }
+        }
+    }
+}
+
+/// Returns whether settings without the key are refused for that.
+fn required(key: &str) -> bool {
+    let findings = Settings::parse("").unwrap_err();
+    findings.as_slice().iter().any(|f| f.place == key && f.message.contains("is missing"))
+}
