--- a/crates/core/src/audit/case.rs
+++ b/crates/core/src/audit/case.rs
@@ -4,6 +4,7 @@
 use super::runs::{self, Run};
 use super::{Row, Scope, Sheet, Step, Subject};
 use crate::clock::Millis;
+use crate::contract::request;
 use crate::ledger::Stream;
 use crate::ledger::record::{Change, Register};
 use crate::machine::lease;
@@ -17,6 +18,8 @@
     /// Runs of attempts as the time line has them.
     pub(super) runs: Vec<Run<'a>>,
     pub(super) bounds: lease::Bounds,
+    /// Positions in `lines` of the events about each request, sorted by request and position.
+    requests: Vec<(&'a request::Id, usize)>,
 }
 
 impl<'a> Case<'a> {
@@ -24,7 +27,23 @@
     pub fn new(rows: &'a [Row], events: &'a [Event], bounds: lease::Bounds) -> Self {
         let lines = merge(events);
         let runs = runs::collect(&lines);
-        Self { replay: Replay::new(rows), lines, runs, bounds }
+        let about = |(i, line): (usize, &Line<'a>)| Some((line.event.what.request()?, i));
+        let mut requests: Vec<_> = lines.iter().enumerate().filter_map(about).collect();
+        requests.sort_unstable();
+        Self { replay: Replay::new(rows), lines, runs, bounds, requests }
+    }
+
+    /// Returns the events about a request after the first `from` ones of the merged time line, in
+    /// order, each with its position there.
+    pub(super) fn of_request(
+        &self,
+        request: &request::Id,
+        from: usize,
+    ) -> impl Iterator<Item = (usize, &'a Event)> {
+        let start = self.requests.partition_point(|(id, i)| (*id, *i) < (request, from));
+        let rest = &self.requests[start..];
+        let own = rest.iter().take_while(move |(id, _)| *id == request);
+        own.map(|(_, i)| (*i, self.lines[*i].event))
     }
 
     /// Notes what is missing of the time line, for checks that rest on it.
--- a/crates/core/src/audit/configuration.rs
+++ b/crates/core/src/audit/configuration.rs
@@ -14,9 +14,13 @@
 /// Checks the versions in the ledger and those in force in each process.
 pub(super) struct Configuration;
 
-/// The versions of one process, in its sequence.
+/// What one process says of its configuration, in its sequence.
 struct Timeline<'a> {
     process: &'a Name,
+    /// Whether it is a daemon; workers and runners take no configuration.
+    is_daemon: bool,
+    first: Millis,
+    last: Millis,
     events: Vec<&'a Event>,
 }
 
@@ -45,7 +49,19 @@
     }
 }
 
-impl Timeline<'_> {
+impl<'a> Timeline<'a> {
+    fn take(&mut self, event: &'a Event) {
+        self.last = self.last.max(event.at);
+        match event.what {
+            What::ProcessStarted => self.is_daemon = true,
+            What::ConfigurationInForce { .. }
+            | What::ConfigurationLapsed { .. }
+            | What::LogLost
+            | What::LogRegained => self.events.push(event),
+            _ => {}
+        }
+    }
+
     /// Returns what the process said last before an instant.
     fn state_at(&self, at: Millis) -> State {
         let told = self.events.iter().take_while(|event| event.at <= at);
@@ -82,14 +98,18 @@
 fn timelines<'a>(case: &Case<'a>) -> Vec<Timeline<'a>> {
     let mut found: Vec<Timeline<'a>> = Vec::new();
     for line in &case.lines {
-        let process = &line.event.process;
-        match found.binary_search_by(|t| t.process.cmp(process)) {
-            Ok(i) => found[i].events.push(line.event),
-            Err(i) => found.insert(i, Timeline { process, events: vec![line.event] }),
-        }
+        let (process, at) = (&line.event.process, line.event.at);
+        let i = match found.binary_search_by(|t| t.process.cmp(process)) {
+            Ok(i) => i,
+            Err(i) => {
+                let (first, last, events) = (at, at, Vec::new());
+                found.insert(i, Timeline { process, is_daemon: false, first, last, events });
+                i
+            }
+        };
+        found[i].take(line.event);
     }
-    // Workers and runners may keep time lines of their own; they take no configuration.
-    found.retain(|t| t.events.iter().any(|e| matches!(e.what, What::ProcessStarted)));
+    found.retain(|timeline| timeline.is_daemon);
     found
 }
 
@@ -122,8 +142,7 @@
 ) {
     let skew = case.bounds.skew_ms;
     let due = patched.row.record.at + IN_FORCE + skew;
-    let lived = timeline.events.first().is_some_and(|e| e.at + IN_FORCE <= due)
-        && timeline.events.last().is_some_and(|e| e.at > due);
+    let lived = timeline.first + IN_FORCE <= due && timeline.last > due;
     if !lived {
         return;
     }
--- a/crates/core/src/audit/request.rs
+++ b/crates/core/src/audit/request.rs
@@ -6,7 +6,7 @@
 use crate::contract::request::{self, Answer, MAX_WAIT};
 use crate::ledger::Stream;
 use crate::name::Name;
-use crate::timeline::{Event, Line, What};
+use crate::timeline::{Event, What};
 
 /// A request is answered at the latest this long after its caller's longest wait.
 const ANSWER_MARGIN: Millis = Millis::from_secs(15);
@@ -21,13 +21,14 @@
 
     fn check(&self, case: &Case<'_>, sheet: &mut Sheet) {
         case.need_timeline(sheet);
+        let tries = tries(case);
         for (i, line) in case.lines.iter().enumerate() {
             if let What::RequestReceived { request, .. } = &line.event.what {
                 sheet.look(vec![Subject::Request(request.clone())]);
                 check_outcome(request, i, case, sheet);
             }
             if let What::RequestAnswered { request, attempt: Some(attempt) } = &line.event.what {
-                check_owner(request, attempt, line.event, case, sheet);
+                check_owner(request, attempt, line.event, &tries, sheet);
             }
         }
         for key in &case.replay.keys {
@@ -46,9 +47,9 @@
 fn check_outcome(request: &request::Id, i: usize, case: &Case<'_>, sheet: &mut Sheet) {
     let received = case.lines[i].event;
     let process = &received.process;
-    let is_told = case.lines[i + 1..]
-        .iter()
-        .any(|line| line.event.process == *process && outcome(&line.event.what) == Some(request));
+    let is_told = case
+        .of_request(request, i + 1)
+        .any(|(_, event)| event.process == *process && outcome(&event.what).is_some());
     if is_told {
         return;
     }
@@ -77,19 +78,28 @@
     }
 }
 
+/// Returns the tries that were sent, each with its request, sorted by try.
+fn tries<'a>(case: &Case<'a>) -> Vec<(&'a Name, &'a request::Id)> {
+    let sent = case.lines.iter().filter_map(|line| match &line.event.what {
+        What::RequestSent { request, attempt, .. } => Some((attempt, request)),
+        _ => None,
+    });
+    let mut tries: Vec<_> = sent.collect();
+    tries.sort_unstable();
+    tries
+}
+
 /// Checks that the try whose answer was given was one of this request.
 fn check_owner(
     request: &request::Id,
     attempt: &Name,
     answered: &Event,
-    case: &Case<'_>,
+    tries: &[(&Name, &request::Id)],
     sheet: &mut Sheet,
 ) {
-    let sent = case.lines.iter().find_map(|line| match &line.event.what {
-        What::RequestSent { request, attempt: other, .. } if other == attempt => Some(request),
-        _ => None,
-    });
-    if let Some(other) = sent.filter(|other| *other != request) {
+    let Ok(i) = tries.binary_search_by(|(other, _)| (*other).cmp(attempt)) else { return };
+    let other = tries[i].1;
+    if other != request {
         let message = format!("{request} was given the answer to {other}");
         let about = vec![Subject::Request(request.clone()), Subject::Request(other.clone())];
         sheet.broken(message, about).event(answered);
@@ -125,7 +135,7 @@
         case.need_timeline(sheet);
         for request in non_idempotent(case) {
             sheet.look(vec![Subject::Request(request.clone())]);
-            check_tries(request, &Tries::of(request, &case.lines), case, sheet);
+            check_tries(request, &Tries::of(request, case), case, sheet);
         }
     }
 }
@@ -144,13 +154,13 @@
 }
 
 impl<'a> Tries<'a> {
-    fn of(wanted: &request::Id, lines: &[Line<'a>]) -> Self {
+    fn of(request: &request::Id, case: &Case<'a>) -> Self {
         let mut tries = Self::default();
-        for line in lines.iter().filter(|line| line.event.what.request() == Some(wanted)) {
-            match &line.event.what {
-                What::RequestSent { attempt, .. } => tries.sent.push((attempt, line.event)),
+        for (_, event) in case.of_request(request, 0) {
+            match &event.what {
+                What::RequestSent { attempt, .. } => tries.sent.push((attempt, event)),
                 What::TryRefused { attempt, .. } => tries.refused.push(attempt),
-                What::RequestServed { attempt, .. } => tries.served.push((attempt, line.event)),
+                What::RequestServed { attempt, .. } => tries.served.push((attempt, event)),
                 _ => {}
             }
         }
--- a/crates/core/src/audit/truth.rs
+++ b/crates/core/src/audit/truth.rs
@@ -61,26 +61,28 @@
 
 /// Checks that nothing of a refused request ran from its arrival on until it comes again.
 fn check_request(request: &request::Id, refused: usize, case: &Case<'_>, sheet: &mut Sheet) {
-    let process = &case.lines[refused].event.process;
-    let is_arrival = |what: &What| matches!(what, What::RequestReceived { request: other, .. } if other == request);
-    let start = case.lines[..refused]
-        .iter()
-        .rposition(|line| line.event.process == *process && is_arrival(&line.event.what))
-        .unwrap_or(refused);
-    let again = case.lines[refused + 1..].iter().position(|line| is_arrival(&line.event.what));
-    let end = again.map_or(case.lines.len(), |next| refused + 1 + next);
-    for line in &case.lines[start..end] {
+    let refusal = case.lines[refused].event;
+    let is_arrival = |what: &What| matches!(what, What::RequestReceived { .. });
+    let start = case
+        .of_request(request, 0)
+        .take_while(|(i, _)| *i < refused)
+        .filter(|(_, event)| event.process == refusal.process && is_arrival(&event.what))
+        .last()
+        .map_or(refused, |(i, _)| i);
+    let again = case.of_request(request, refused + 1).find(|(_, e)| is_arrival(&e.what));
+    let end = again.map_or(case.lines.len(), |(i, _)| i);
+    for (_, event) in case.of_request(request, start).take_while(|(i, _)| *i < end) {
         let about = vec![Subject::Request(request.clone())];
-        match &line.event.what {
-            What::RequestServed { request: other, attempt } if other == request => {
+        match &event.what {
+            What::RequestServed { attempt, .. } => {
                 let message = format!("{request} was refused as not run, but ran as try {attempt}");
-                sheet.broken(message, about).event(case.lines[refused].event).event(line.event);
+                sheet.broken(message, about).event(refusal).event(event);
             }
-            What::SlotHeld { request: other, runner } if other == request => {
+            What::SlotHeld { runner, .. } => {
                 let message = format!(
                     "{request} was refused as not run, although a try on {runner} went silent"
                 );
-                sheet.unprovable(message, about).event(case.lines[refused].event).event(line.event);
+                sheet.unprovable(message, about).event(refusal).event(event);
             }
             _ => {}
         }
@@ -93,12 +95,12 @@
         let Some((Answer::NotRun { .. }, row)) = key.answer else { continue };
         let about = vec![Subject::Request(key.request.clone())];
         sheet.look(about.clone());
-        let served = case.lines.iter().find(|line| {
-            matches!(&line.event.what, What::RequestServed { request, .. } if request == key.request)
-        });
-        if let Some(line) = served {
+        let served = case
+            .of_request(key.request, 0)
+            .find(|(_, event)| matches!(event.what, What::RequestServed { .. }));
+        if let Some((_, event)) = served {
             let message = format!("{} is recorded as not run, but ran", key.request);
-            sheet.broken(message, about).record(row.stream, row.offset).event(line.event);
+            sheet.broken(message, about).record(row.stream, row.offset).event(event);
         }
     }
 }
