Sort once in the audit instead of inserting in order

Cause: records and runs come by partition and time, so that each insertion into a sorted vector moved half of it. Change: the audit collects first and sorts once; lines of files are parsed without buffering.

--- a/crates/core/src/audit/replay.rs
+++ b/crates/core/src/audit/replay.rs
@@ -115,9 +115,40 @@
                 replay.accept(row);
             }
         }
+        replay.sort();
         replay
     }
 
+    /// Sorts what was accepted, then ties what ends something to it.
+    fn sort(&mut self) {
+        self.attempts.sort_by(|a, b| (a.task, a.number).cmp(&(b.task, b.number)));
+        self.jobs.sort_by(|a, b| a.job.id.cmp(&b.job.id));
+        self.keys.sort_by(|a, b| a.request.cmp(b.request));
+        for Judged { row, verdict } in &self.judged {
+            if *verdict != Verdict::Accepted {
+                continue;
+            }
+            match (&row.record.register, &row.record.change) {
+                (
+                    Register::Task(task),
+                    Change::Over { attempt, .. } | Change::Release { attempt, .. },
+                ) => {
+                    let key = (task, *attempt);
+                    let found = self.attempts.binary_search_by(|a| (a.task, a.number).cmp(&key));
+                    if let Ok(i) = found {
+                        self.attempts[i].over = Some(row);
+                    }
+                }
+                (Register::Key(request), Change::Answer(answer)) => {
+                    if let Ok(i) = self.keys.binary_search_by(|k| k.request.cmp(request)) {
+                        self.keys[i].answer = Some((answer, row));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Returns an attempt that is in force.
     pub(super) fn attempt(&self, task: &task::Id, number: task::Attempt) -> Option<&Attempt<'a>> {
         let found = self.attempts.binary_search_by(|a| (a.task, a.number).cmp(&(task, number)));
@@ -180,37 +211,24 @@
                 self.losses.push(Loss { worker, epoch, at, offset });
             }
             (Register::Job(_), Change::Submit { job, .. }) => {
-                let i = self.jobs.partition_point(|j| j.job.id < job.id);
-                self.jobs.insert(i, Submitted { job, row });
-            }
-            (Register::Task(task), change) => self.accept_task(task, change, row),
-            (Register::Key(request), Change::Claim { .. }) => {
-                let i = self.keys.partition_point(|k| k.request < request);
-                self.keys.insert(i, Claimed { request, row, answer: None });
+                self.jobs.push(Submitted { job, row });
             }
-            (Register::Key(request), Change::Answer(answer)) => {
-                if let Ok(i) = self.keys.binary_search_by(|k| k.request.cmp(request)) {
-                    self.keys[i].answer = Some((answer, row));
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn accept_task(&mut self, task: &'a task::Id, change: &'a Change, row: &'a Row) {
-        match change {
-            Change::Attempt { attempt, worker, epoch, needs, fence } => {
+            (Register::Task(task), Change::Attempt { attempt, worker, epoch, needs, fence }) => {
                 let (number, epoch, needs, fence) = (*attempt, *epoch, *needs, *fence);
-                let i = self.attempts.partition_point(|a| (a.task, a.number) < (task, number));
                 let over = None;
-                let made = Attempt { task, number, worker, epoch, needs, fence, row, over };
-                self.attempts.insert(i, made);
+                self.attempts.push(Attempt {
+                    task,
+                    number,
+                    worker,
+                    epoch,
+                    needs,
+                    fence,
+                    row,
+                    over,
+                });
             }
-            Change::Over { attempt, .. } | Change::Release { attempt, .. } => {
-                let key = (task, *attempt);
-                if let Ok(i) = self.attempts.binary_search_by(|a| (a.task, a.number).cmp(&key)) {
-                    self.attempts[i].over = Some(row);
-                }
+            (Register::Key(request), Change::Claim { .. }) => {
+                self.keys.push(Claimed { request, row, answer: None });
             }
             _ => {}
         }
--- a/crates/core/src/audit/runs.rs
+++ b/crates/core/src/audit/runs.rs
@@ -21,7 +21,11 @@
     told: &'a Event,
 }
 
-impl Run<'_> {
+impl<'a> Run<'a> {
+    const fn key(&self) -> (&'a task::Id, task::Attempt, &'a Name) {
+        (self.task, self.attempt, self.worker)
+    }
+
     /// Returns whether the run still went on when another one started. Clocks of two processes
     /// count as equal when they differ by at most `skew`.
     pub(super) fn goes_on_at(&self, other: &Run<'_>, skew: Millis) -> bool {
@@ -34,25 +38,10 @@
 /// Collects runs out of the merged time line, sorted by task, attempt and worker. Several reports
 /// of one run, by several controllers, count once.
 pub(super) fn collect<'a>(lines: &[Line<'a>]) -> Vec<Run<'a>> {
-    let mut runs: Vec<Run<'a>> = Vec::new();
-    for line in lines {
-        if let What::AttemptStarted { task, attempt, worker, needs } = &line.event.what {
-            let key = (task, *attempt, worker);
-            if let Err(i) = position(&runs, key) {
-                let run = Run {
-                    task,
-                    attempt: *attempt,
-                    worker,
-                    needs: *needs,
-                    start: line.event.at,
-                    started: line.event,
-                    end: None,
-                    told: line.event,
-                };
-                runs.insert(i, run);
-            }
-        }
-    }
+    let mut runs: Vec<Run<'a>> = lines.iter().filter_map(started).collect();
+    // A stable sort keeps the first report of a run first.
+    runs.sort_by(|a, b| a.key().cmp(&b.key()));
+    runs.dedup_by(|later, first| later.key() == first.key());
     for line in lines {
         if let What::AttemptEnded { task, attempt, worker, ran_ms, .. } = &line.event.what
             && let Ok(i) = position(&runs, (task, *attempt, worker))
@@ -68,6 +57,22 @@
     runs
 }
 
+fn started<'a>(line: &Line<'a>) -> Option<Run<'a>> {
+    let What::AttemptStarted { task, attempt, worker, needs } = &line.event.what else {
+        return None;
+    };
+    Some(Run {
+        task,
+        attempt: *attempt,
+        worker,
+        needs: *needs,
+        start: line.event.at,
+        started: line.event,
+        end: None,
+        told: line.event,
+    })
+}
+
 fn position(runs: &[Run<'_>], key: (&task::Id, task::Attempt, &Name)) -> Result<usize, usize> {
-    runs.binary_search_by(|run| (run.task, run.attempt, run.worker).cmp(&key))
+    runs.binary_search_by(|run| run.key().cmp(&key))
 }
--- a/src/commands/reader.rs
+++ b/src/commands/reader.rs
@@ -4,7 +4,6 @@
 use pimentovalve_core::audit::Row;
 use pimentovalve_core::finding::List;
 use pimentovalve_core::timeline::Event;
-use serde::Deserialize;
 
 /// What was read.
 #[derive(Debug, Default)]
@@ -17,14 +16,6 @@
     pub findings: List,
 }
 
-/// What a line may be.
-#[derive(Debug, Deserialize)]
-#[serde(untagged)]
-enum Entry {
-    Event(Box<Event>),
-    Row(Box<Row>),
-}
-
 /// Reads files of events and records. Lines that can't be read become findings.
 ///
 /// # Errors
@@ -45,13 +36,13 @@
 
 fn lines(file: &str, text: &str, read: &mut Read) {
     for (i, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
-        match serde_json::from_str(line) {
-            Ok(Entry::Event(event)) => read.events.push(*event),
-            Ok(Entry::Row(row)) => read.rows.push(*row),
-            Err(_) => {
-                let message = "is neither an event of the time line nor a record of the ledger";
-                read.findings.note(format!("{file}, line {}", i + 1), message);
-            }
+        if let Ok(event) = serde_json::from_str(line) {
+            read.events.push(event);
+        } else if let Ok(row) = serde_json::from_str(line) {
+            read.rows.push(row);
+        } else {
+            let message = "is neither an event of the time line nor a record of the ledger";
+            read.findings.note(format!("{file}, line {}", i + 1), message);
         }
     }
 }
