Keep the audit's documentation free of private links

Cause: cargo doc with warnings denied failed on a link to a private item. Change: the link is gone. Conclusion: the crate's documentation builds.

--- a/crates/core/src/audit.rs
+++ b/crates/core/src/audit.rs
@@ -1,7 +1,7 @@
 //! The audit: states of each promise whether it was kept, from the ledger and the time line.
 //!
 //! The ledger is replayed by the same rule as in the daemons; the time line adds what happened
-//! outside of it. Each promise is one [`Check`]. What can't be shown either way is unprovable, and
+//! outside of it. Each promise is one check. What can't be shown either way is unprovable, and
 //! never counts as kept: records or events are missing, or clocks differ by less than their bound.
 
 mod capacity;
