Guarantee each team its part of a class across stewards

Cause: in a flood the classes kept their shares but the teams did not. Change: the share of a class is split among its active teams by weight, weighed over gossiped totals. A team within its part goes first and may always place; beyond it a team leaves free what teams within their parts used lately. Tasks of teams beyond their parts are preempted, whatever their class. Refusals come back at different times.

--- a/crates/bench/src/contender.rs
+++ b/crates/bench/src/contender.rs
@@ -54,6 +54,9 @@
     /// Lets the parts tell each other what they know; called every second.
     fn gossip(&mut self, _now: Millis) {}
 
+    /// Returns the number of tasks that wait.
+    fn waiting(&self) -> u64;
+
     /// Decides what is to be done now.
     fn decide(&mut self, now: Millis) -> Vec<Decision>;
 }
--- a/crates/bench/src/contender/baseline.rs
+++ b/crates/bench/src/contender/baseline.rs
@@ -154,6 +154,10 @@
         }
     }
 
+    fn waiting(&self) -> u64 {
+        self.queue.iter().map(|unit| unit.tasks.len() as u64).sum()
+    }
+
     fn decide(&mut self, _now: Millis) -> Vec<Decision> {
         let mut decisions = Vec::new();
         while let Some(placed) = self.place_first() {
--- a/crates/bench/src/contender/stewards.rs
+++ b/crates/bench/src/contender/stewards.rs
@@ -4,6 +4,7 @@
 use crate::load::{Spec, name};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::admission::Refusal;
+use pimentovalve_core::contract::class::Class;
 use pimentovalve_core::contract::configuration::Configuration;
 use pimentovalve_core::contract::scheduler::{Decision, Scheduler};
 use pimentovalve_core::contract::task;
@@ -117,6 +118,11 @@
         }
     }
 
+    fn waiting(&self) -> u64 {
+        let waiting = |s: &Scheduler| Class::ALL.iter().map(|&c| s.waiting(c)).sum::<u64>();
+        self.schedulers.iter().map(waiting).sum()
+    }
+
     fn decide(&mut self, now: Millis) -> Vec<Decision> {
         let count = self.schedulers.len();
         self.first = (self.first + 1) % count;
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -123,7 +123,9 @@
     by_id: Vec<usize>,
     next_spec: usize,
     tasks: Vec<Vec<Task>>,
+    /// Whether the job was cancelled or refused.
     cancelled: Vec<bool>,
+    refused: Vec<bool>,
     machines: Vec<Machine>,
     attempts: Vec<Attempt>,
     events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
@@ -152,6 +154,7 @@
             tally: Tally::new(total, window, fleet.len()),
             tasks: vec![Vec::new(); specs.len()],
             cancelled: vec![false; specs.len()],
+            refused: vec![false; specs.len()],
             specs,
             by_id,
             next_spec: 0,
@@ -169,6 +172,11 @@
         world
     }
 
+    /// Counts the waits of these teams' urgent work by themselves.
+    pub fn watch_teams(&mut self, teams: Vec<Name>) {
+        self.tally.watched = teams;
+    }
+
     /// Lets a fault happen to the workers for which `of` is true.
     pub fn fault(&mut self, at: Millis, fault: Fault, of: impl Fn(&Worker) -> bool) {
         for i in 0..self.machines.len() {
@@ -209,7 +217,7 @@
             }
         }
         self.now = until;
-        self.close();
+        self.close(contender);
     }
 
     fn push(&mut self, at: Millis, event: Event) {
@@ -235,7 +243,7 @@
         match contender.submit(spec, self.now) {
             Ok(()) => self.tally.accepted(spec),
             Err(refusal) => {
-                self.cancelled[i] = true;
+                (self.cancelled[i], self.refused[i]) = (true, true);
                 self.tally.refused(spec, matches!(refusal, Refusal::Impossible(_)));
             }
         }
@@ -404,6 +412,9 @@
         if task.attempt.is_some() || task.done || self.cancelled[i] {
             self.tally.double_runs += 1;
         }
+        if self.refused[i] {
+            self.tally.refused_but_ran += 1;
+        }
         if !task.started {
             self.tally.started(spec, starts);
         }
@@ -491,7 +502,7 @@
     }
 
     /// Counts what still runs or waits at the end.
-    fn close(&mut self) {
+    fn close(&mut self, contender: &dyn Contender) {
         for i in 0..self.machines.len() {
             self.deliver(i);
         }
@@ -504,6 +515,10 @@
                 self.tally.unstarted(&self.specs[i], self.now);
             }
         }
+        let open = |t: &&Task| !t.done && t.attempt.is_none();
+        let live = self.tasks.iter().zip(&self.cancelled).filter(|(_, cancelled)| !**cancelled);
+        let waiting = live.flat_map(|(tasks, _)| tasks.iter().filter(open)).count() as u64;
+        self.tally.missing = waiting.wrapping_sub(contender.waiting()).cast_signed();
     }
 
     /// Counts what a worker delivered since its use last changed.
--- a/crates/bench/src/world/tally.rs
+++ b/crates/bench/src/world/tally.rs
@@ -51,6 +51,13 @@
     /// Real size of running work, at most what its worker has, times milliseconds within the
     /// window, by resource.
     pub delivered_ms: [f64; 3],
+    /// Waits of urgent work of the watched teams, counted like the others.
+    pub steady_waits: Histogram<u64>,
+    /// Tasks of refused jobs that ran all the same.
+    pub refused_but_ran: u64,
+    /// Accepted tasks, less those that are done, run, or wait at the contender.
+    pub(super) missing: i64,
+    pub(super) watched: Vec<Name>,
     total: Capacity,
     window: (Millis, Millis),
     uses: Vec<Use>,
@@ -74,6 +81,10 @@
             double_runs: 0,
             wasted: vec![0; workers],
             delivered_ms: [0.0; 3],
+            steady_waits: histogram(),
+            refused_but_ran: 0,
+            missing: 0,
+            watched: Vec::new(),
             total,
             window,
             uses: Vec::new(),
@@ -94,7 +105,11 @@
 
     pub(super) fn started(&mut self, spec: &Spec, at: Millis) {
         if self.window.0 <= spec.at && spec.at < self.window.1 {
-            self.waits[spec.class().index()].saturating_record(at.since(spec.at).get());
+            let wait = at.since(spec.at).get();
+            self.waits[spec.class().index()].saturating_record(wait);
+            if spec.class() == Class::Urgent && self.watched.contains(&spec.job.team) {
+                self.steady_waits.saturating_record(wait);
+            }
         }
     }
 
@@ -157,8 +172,13 @@
         self.waits[class.index()].value_at_quantile(quantile) as f64
     }
 
+    /// Returns the number of accepted tasks that are neither done nor running nor waiting.
+    pub const fn lost(&self) -> u64 {
+        self.missing.unsigned_abs()
+    }
+
     /// Returns the number of broken promises.
     pub const fn violations(&self) -> u64 {
-        self.over_capacity + self.double_runs
+        self.over_capacity + self.double_runs + self.refused_but_ran + self.lost()
     }
 }
--- a/crates/core/src/contract/admission.rs
+++ b/crates/core/src/contract/admission.rs
@@ -41,6 +41,22 @@
     },
 }
 
+impl Refusal {
+    /// Returns the refusal with up to a quarter more time to come back, drawn from `seed` and the
+    /// time of the refusal.
+    #[must_use]
+    pub fn jittered(self, seed: u64, now: Millis) -> Self {
+        match self {
+            Self::Later { reason, retry_after } => {
+                let most = retry_after.get() / 4 + 1;
+                let drawn = seed.wrapping_add(now.get()).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+                Self::Later { reason, retry_after: retry_after + Millis(drawn % most) }
+            }
+            other @ Self::Impossible(_) => other,
+        }
+    }
+}
+
 /// What waits in a team's flow of one class, and how fast it is served.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backlog {
--- a/crates/core/src/contract/admission/tests.rs
+++ b/crates/core/src/contract/admission/tests.rs
@@ -30,3 +30,18 @@
     let full = Backlog { tasks: MAX_WAITING, ..backlog(0) };
     expect_that!(full.verdict(Class::Deferrable), err(anything()));
 }
+
+#[gtest]
+fn refused_callers_come_back_at_different_times() {
+    let retry = |seed| {
+        let refusal = backlog(10_700_000).verdict(Class::Urgent).unwrap_err();
+        match refusal.jittered(seed, Millis(5)) {
+            Refusal::Later { retry_after, .. } => retry_after,
+            other => panic!("{other:?}"),
+        }
+    };
+    expect_that!(retry(1), not(eq(retry(2))));
+    for seed in 0..100 {
+        expect_that!(retry(seed), all![ge(Millis(10_000)), le(Millis(12_500))]);
+    }
+}
--- a/crates/core/src/contract/queue.rs
+++ b/crates/core/src/contract/queue.rs
@@ -84,10 +84,12 @@
     }
 
     /// Returns the flow that is to be served next in a class: not empty, not blocked in this
-    /// pass, with the least tag.
-    pub fn next(&self, class: Class) -> Option<&Flow> {
+    /// pass, of a team for which `first` is true if there is one, with the least tag.
+    pub fn next(&self, class: Class, first: impl Fn(u16) -> bool) -> Option<&Flow> {
         let flows = self.lanes[class.index()].flows.iter();
-        flows.filter(|f| !f.units.is_empty() && f.blocked != self.pass).min_by_key(|f| f.tag)
+        flows
+            .filter(|f| !f.units.is_empty() && f.blocked != self.pass)
+            .min_by_key(|f| (!first(f.team), f.tag))
     }
 
     /// Leaves a flow out for the rest of this pass.
--- a/crates/core/src/contract/queue/tests.rs
+++ b/crates/core/src/contract/queue/tests.rs
@@ -10,7 +10,7 @@
     let mut served = [0; 2];
     for _ in 0..count {
         queue.begin();
-        let team = queue.next(Class::Normal).unwrap().team;
+        let team = queue.next(Class::Normal, |_| false).unwrap().team;
         queue.remove(Class::Normal, team, 0);
         queue.charge(Class::Normal, team, 300, weights[usize::from(team)]);
         served[usize::from(team)] += 1;
@@ -62,7 +62,8 @@
     queue.push(Class::Urgent, 4, unit(1), false);
     queue.push(Class::Urgent, 4, unit(2), false);
     queue.push(Class::Urgent, 4, unit(3), true);
-    let jobs: Vec<_> = queue.next(Class::Urgent).unwrap().units().iter().map(|u| u.job).collect();
+    let jobs: Vec<_> =
+        queue.next(Class::Urgent, |_| false).unwrap().units().iter().map(|u| u.job).collect();
     expect_that!(jobs, elements_are![eq(&3), eq(&1), eq(&2)]);
 }
 
@@ -70,13 +71,22 @@
 fn a_blocked_flow_is_left_out_for_one_pass() {
     let mut queue = busy(2);
     queue.begin();
-    let first = queue.next(Class::Normal).unwrap().team;
+    let first = queue.next(Class::Normal, |_| false).unwrap().team;
     queue.block(Class::Normal, first);
-    expect_that!(queue.next(Class::Normal).unwrap().team, not(eq(first)));
+    expect_that!(queue.next(Class::Normal, |_| false).unwrap().team, not(eq(first)));
     queue.block(Class::Normal, 1 - first);
-    expect_that!(queue.next(Class::Normal).is_none(), eq(true));
+    expect_that!(queue.next(Class::Normal, |_| false).is_none(), eq(true));
     queue.begin();
-    expect_that!(queue.next(Class::Normal).unwrap().team, eq(first));
+    expect_that!(queue.next(Class::Normal, |_| false).unwrap().team, eq(first));
+}
+
+#[gtest]
+fn a_preferred_team_goes_first_whatever_its_tag() {
+    let mut queue = busy(2);
+    queue.charge(Class::Normal, 1, 1000, 1);
+    queue.begin();
+    expect_that!(queue.next(Class::Normal, |_| false).unwrap().team, eq(0));
+    expect_that!(queue.next(Class::Normal, |team| team == 1).unwrap().team, eq(1));
 }
 
 #[gtest]
@@ -86,14 +96,14 @@
     queue.settle(Class::Normal, 0, 1000, 100, 1);
     queue.charge(Class::Normal, 1, 200, 1);
     queue.begin();
-    expect_that!(queue.next(Class::Normal).unwrap().team, eq(0));
+    expect_that!(queue.next(Class::Normal, |_| false).unwrap().team, eq(0));
 }
 
 #[gtest]
 fn dropped_units_are_gone() {
     let mut queue = busy(3);
     queue.retain(|u| u.job == 1);
-    expect_that!(queue.next(Class::Normal).unwrap().units().len(), eq(1));
+    expect_that!(queue.next(Class::Normal, |_| false).unwrap().units().len(), eq(1));
     queue.retain(|_| false);
     expect_that!(queue.is_empty(Class::Normal), eq(true));
 }
--- a/crates/core/src/contract/scheduler.rs
+++ b/crates/core/src/contract/scheduler.rs
@@ -24,7 +24,7 @@
 use crate::contract::kind::Kind;
 use crate::contract::measure::Counters;
 use crate::contract::queue::{ALL_TASKS, Queue, Unit};
-use crate::contract::share::{Fleet, Totals, Usage};
+use crate::contract::share::{Account, Fleet, Totals, Usage};
 use crate::contract::table::{self, Claim, Entry, Number, Place as TaskPlace, Table};
 use crate::contract::{policy, task};
 use crate::machine::capacity::Capacity;
@@ -64,22 +64,13 @@
     },
 }
 
-/// A team with what it uses and waits for.
+/// A team with what it uses.
 #[derive(Clone, Debug)]
 struct Team {
     name: Name,
     weight: u32,
     quota: Capacity,
     used: Capacity,
-    /// Waiting tasks, by class.
-    waiting: [Waiting; Class::ALL.len()],
-}
-
-/// What a team waits for in one class.
-#[derive(Clone, Copy, Debug, Default)]
-struct Waiting {
-    tasks: u32,
-    work: u64,
 }
 
 /// Queues the work of a steward's teams and decides its placement.
@@ -165,6 +156,7 @@
             let number = self.team_or_insert(&team.name);
             let known = &mut self.teams[usize::from(number)];
             (known.weight, known.quota) = (team.weight, team.quota);
+            self.usage.weigh(number, team.weight);
         }
     }
 
@@ -203,7 +195,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why not: all findings when it could never run, else a time to come back.
+    /// Returns why not: all findings when it could never run, else a time to come back, which
+    /// differs from job to job, so that refused callers don't all come back at once.
     pub fn admit(
         &self,
         job: &Job,
@@ -213,8 +206,11 @@
         admission::check(job, configuration, &self.view)?;
         let kind = configuration.kind(job.kind.as_str());
         let class = job.class.or(kind.map(|k| k.class)).unwrap_or_default();
-        let known = self.team(&job.team).map(|team| self.backlog(team, class, job, now));
-        known.unwrap_or(Backlog { idle: true, ..Backlog::default() }).verdict(class)
+        let known = self.team(&job.team).map(|team| self.backlog(team, class, job));
+        let backlog = known.unwrap_or(Backlog { idle: true, ..Backlog::default() });
+        backlog
+            .verdict(class)
+            .map_err(|refusal| refusal.jittered(table::hash(job.id.as_str()), now))
     }
 
     /// Queues tasks of an accepted job. `since` is when they began to wait: tasks that waited
@@ -235,16 +231,13 @@
                 units.push(Unit { job: number, index, since });
             }
         }
-        let count = units.len() as u64;
+        let count = u32::try_from(units.len()).unwrap_or(u32::MAX);
         if entry.policy.is_together() && count > 0 {
             units.truncate(1);
             units[0].index = ALL_TASKS;
         }
         entry.units += u32::try_from(units.len()).unwrap_or(u32::MAX);
-        let waiting = &mut self.teams[usize::from(team)].waiting[class.index()];
-        waiting.tasks += u32::try_from(count).unwrap_or(u32::MAX);
-        waiting.work = waiting.work.saturating_add(work.saturating_mul(count));
-        self.usage.wait(class, &needs.times(count));
+        self.usage.wait(class, team, &needs, work, count);
         let first = self.queue.unit(class, team, 0);
         let front = first.is_some_and(|first| since < first.since);
         for unit in units {
@@ -258,7 +251,7 @@
         let Some(number) = self.table.number(job) else { return };
         self.drop_reservations(|r| r.job == number);
         let Some(entry) = self.table.get_mut(number) else { return };
-        let count = u64::from(std::mem::take(&mut entry.waiting));
+        let count = std::mem::take(&mut entry.waiting);
         for place in &mut entry.tasks {
             if matches!(place, TaskPlace::Waiting(_)) {
                 *place = TaskPlace::Idle;
@@ -266,7 +259,7 @@
         }
         self.stale += entry.units as usize;
         let (class, team, needs, work) = (entry.class, entry.team, entry.needs, entry.work);
-        self.unwait(class, team, &needs, work, count);
+        self.usage.unwait(class, team, &needs, work, count);
         self.remove_if_over(number);
         self.compact();
     }
@@ -396,12 +389,13 @@
 
     /// Returns the number of waiting tasks in a class.
     pub fn waiting(&self, class: Class) -> u64 {
-        self.teams.iter().map(|t| u64::from(t.waiting[class.index()].tasks)).sum()
+        let teams = self.teams_by_name.iter();
+        teams.map(|&team| u64::from(self.usage.account(class, team).tasks)).sum()
     }
 
     /// Returns what a team's tasks use.
     pub fn used(&self, team: &Name) -> Capacity {
-        self.team(team).map_or(Capacity::ZERO, |t| t.used)
+        self.team(team).map_or(Capacity::ZERO, |number| self.teams[usize::from(number)].used)
     }
 
     fn fleet(&self) -> Fleet {
@@ -413,10 +407,10 @@
         }
     }
 
-    fn team(&self, name: &Name) -> Option<&Team> {
+    fn team(&self, name: &Name) -> Option<u16> {
         let position = |&n: &u16| self.teams[usize::from(n)].name.cmp(name);
         let found = self.teams_by_name.binary_search_by(position);
-        found.ok().map(|i| &self.teams[usize::from(self.teams_by_name[i])])
+        found.ok().map(|i| self.teams_by_name[i])
     }
 
     fn team_or_insert(&mut self, name: &Name) -> u16 {
@@ -430,31 +424,23 @@
                     weight: 1,
                     quota: Capacity::ZERO,
                     used: Capacity::ZERO,
-                    waiting: [Waiting::default(); Class::ALL.len()],
                 });
+                self.usage.weigh(number, 1);
                 self.teams_by_name.insert(i, number);
                 number
             }
         }
     }
 
-    /// Returns what waits before further work of a team, and how fast it is served.
-    fn backlog(&self, team: &Team, class: Class, job: &Job, _now: Millis) -> Backlog {
+    /// Returns what waits before a job of a team, and how fast it is served.
+    fn backlog(&self, team: u16, class: Class, job: &Job) -> Backlog {
         let fleet = self.fleet();
-        let waiting = team.waiting[class.index()];
-        let share = u64::from(self.shares.of(class)) * 10_000;
-        let used = self.usage.used(class).dominant(&fleet.total);
-        let weights: u64 = self
-            .teams
-            .iter()
-            .filter(|t| t.waiting[class.index()].tasks > 0 || t.name == team.name)
-            .map(|t| u64::from(t.weight))
-            .sum();
-        let rate = share.max(used).max(1) * u64::from(team.weight) / weights.max(1);
-        let queued = self.usage.totals().waiting[class.index()];
+        let Account { tasks, work, .. } = *self.usage.account(class, team);
+        let rate = self.usage.rate(class, team, &fleet);
+        let queued = self.usage.totals().needy[class.index()];
         let ahead = queued.plus(&job.needs.times(u64::from(job.tasks)));
-        let idle = self.usage.allows(class, &ahead, true, &fleet) && fleet.free.holds(&ahead);
-        Backlog { tasks: waiting.tasks, work: waiting.work, rate, idle }
+        let idle = tasks == 0 && self.usage.allows(class, team, &ahead, true, &fleet);
+        Backlog { tasks, work, rate, idle }
     }
 
     fn insert(&mut self, job: &Job, kind: &Kind) -> Number {
--- a/crates/core/src/contract/scheduler/account.rs
+++ b/crates/core/src/contract/scheduler/account.rs
@@ -2,12 +2,10 @@
 
 use super::Scheduler;
 use crate::clock::Millis;
-use crate::contract::class::Class;
 use crate::contract::gang::backoff;
 use crate::contract::queue::{ALL_TASKS, Unit};
 use crate::contract::table::{Claim, Number, Place as TaskPlace};
 use crate::contract::task;
-use crate::machine::capacity::Capacity;
 
 impl Scheduler {
     pub(super) fn claim(&self, task: &task::Id) -> Option<(Number, Claim)> {
@@ -24,7 +22,7 @@
         entry.tasks[index as usize] = TaskPlace::Placed(claim);
         entry.placed += 1;
         let (class, team, preemptible) = (entry.class, entry.team, entry.policy.is_preemptible());
-        self.usage.take(class, &claim.needs, preemptible);
+        self.usage.take(class, team, &claim.needs, preemptible);
         let used = &mut self.teams[usize::from(team)].used;
         *used = used.plus(&claim.needs);
         self.running[claim.worker as usize].push((number, index));
@@ -38,7 +36,7 @@
         entry.tasks[index as usize] = TaskPlace::Idle;
         entry.placed -= 1;
         let (class, team, preemptible) = (entry.class, entry.team, entry.policy.is_preemptible());
-        self.usage.give(class, &claim.needs, preemptible);
+        self.usage.give(class, team, &claim.needs, preemptible);
         let team_entry = &mut self.teams[usize::from(team)];
         team_entry.used = team_entry.used.saturating_sub(&claim.needs);
         self.queue.settle(class, team, claim.charged, cost, team_entry.weight);
@@ -66,28 +64,11 @@
             entry.tasks[*index as usize] = TaskPlace::Waiting(claim.since);
             entry.waiting += 1;
         }
-        let count = claims.len() as u64;
-        let waiting = &mut self.teams[usize::from(team)].waiting[class.index()];
-        waiting.tasks += u32::try_from(count).unwrap_or(u32::MAX);
-        waiting.work = waiting.work.saturating_add(work.saturating_mul(count));
-        self.usage.wait(class, &needs.times(count));
+        let count = u32::try_from(claims.len()).unwrap_or(u32::MAX);
+        self.usage.wait(class, team, &needs, work, count);
         for (index, claim) in units {
             let index = if together { ALL_TASKS } else { *index };
             self.queue.push(class, team, Unit { job: number, index, since: claim.since }, true);
         }
     }
-
-    pub(super) fn unwait(
-        &mut self,
-        class: Class,
-        team: u16,
-        needs: &Capacity,
-        work: u64,
-        count: u64,
-    ) {
-        let waiting = &mut self.teams[usize::from(team)].waiting[class.index()];
-        waiting.tasks -= u32::try_from(count).unwrap_or(u32::MAX).min(waiting.tasks);
-        waiting.work = waiting.work.saturating_sub(work.saturating_mul(count));
-        self.usage.unwait(class, &needs.times(count));
-    }
 }
--- a/crates/core/src/contract/scheduler/decide.rs
+++ b/crates/core/src/contract/scheduler/decide.rs
@@ -40,6 +40,7 @@
         }
         self.changed = false;
         self.queue.begin();
+        self.usage.refresh(&self.fleet());
         let mut flows = LEAST_FLOWS.max(limit * FLOWS_PER_DECISION);
         while decisions.len() < limit && flows > 0 {
             let Some(class) = self.next_class() else { break };
@@ -81,19 +82,21 @@
         self.drop_reservations(|r| r.expires <= now);
     }
 
-    /// Returns the class to serve next: below its share first, then by urgency.
+    /// Returns the class to serve next: by urgency, those first in which a team within its part
+    /// waits.
     fn next_class(&self) -> Option<Class> {
-        let fleet = self.fleet();
-        let ready = |class: &Class| self.queue.next(*class).is_some();
-        let below = |class: &Class| self.usage.is_below(*class, &fleet);
-        let first = Class::ALL.into_iter().find(|class| ready(class) && below(class));
+        let ready = |class: &Class| self.queue.next(*class, |_| true).is_some();
+        let needy = |class: &Class| self.usage.is_needy(*class);
+        let first = Class::ALL.into_iter().find(|class| needy(class) && ready(class));
         first.or_else(|| Class::ALL.into_iter().find(ready))
     }
 
-    /// Looks at the flow whose turn it is in a class: places one of its first units, or blocks
-    /// the flow for this pass.
+    /// Looks at the flow whose turn it is in a class, that of a team within its part first:
+    /// places one of its first units, or blocks the flow for this pass.
     fn serve(&mut self, class: Class, now: Millis, decisions: &mut Vec<Decision>) {
-        let Some(team) = self.queue.next(class).map(|f| f.team) else { return };
+        let fleet = self.fleet();
+        let within = |team| self.usage.is_within(class, team, &Capacity::ZERO, &fleet);
+        let Some(team) = self.queue.next(class, within).map(|f| f.team) else { return };
         let mut position = 0;
         while position < DEPTH {
             let Some(unit) = self.queue.unit(class, team, position) else { break };
@@ -147,7 +150,8 @@
         let count = if together { entry.waiting } else { 1 };
         let needs = self.needs(entry);
         let all = needs.times(u64::from(count));
-        let team = &self.teams[usize::from(entry.team)];
+        let number = entry.team;
+        let team = &self.teams[usize::from(number)];
         if !team.quota.holds(&team.used.plus(&all)) {
             return Outcome::Blocked;
         }
@@ -155,7 +159,7 @@
         let ends = now + self.run(entry);
         let usable = |r: &Reservation| r.job == unit.job || (preemptible && ends <= r.starts);
         fleet.free = fleet.free.plus(&self.held(usable));
-        let allowed = self.usage.allows(class, &all, preemptible, &fleet);
+        let allowed = self.usage.allows(class, number, &all, preemptible, &fleet);
         if !allowed && !preemptible {
             return Outcome::Blocked;
         }
@@ -311,8 +315,9 @@
             group,
             preempted: false,
         };
-        self.unwait(class, team, &declared, work, 1);
+        self.usage.unwait(class, team, &declared, work, 1);
         self.place(number, index, claim);
+        self.usage.refresh(&self.fleet());
         let weight = self.teams[usize::from(team)].weight;
         self.queue.charge(class, team, charged, weight);
         let proven = self.health.started(handle, now);
--- a/crates/core/src/contract/scheduler/preempt.rs
+++ b/crates/core/src/contract/scheduler/preempt.rs
@@ -1,4 +1,4 @@
-//! Preemption by checkpoint: room for a class below its share, from classes beyond theirs.
+//! Preemption by checkpoint: room for teams within their parts, from teams beyond theirs.
 
 use super::{Decision, Scheduler};
 use crate::clock::Millis;
@@ -33,8 +33,8 @@
 }
 
 impl Scheduler {
-    /// Orders checkpoints of tasks that are in the way of a blocked job whose class is below its
-    /// share. The least urgent class gives first, and of it the tasks with most left to run.
+    /// Orders checkpoints of tasks that are in the way of a blocked job whose team is within its
+    /// part. The least urgent class gives first, and of it the tasks with most left to run.
     pub(super) fn make_room(
         &mut self,
         job: Number,
@@ -43,23 +43,23 @@
         decisions: &mut Vec<Decision>,
     ) {
         let Some(entry) = self.table.get(job) else { return };
-        let (class, fleet) = (entry.class, self.fleet());
+        let (class, team, fleet) = (entry.class, entry.team, self.fleet());
         let paused = entry.preempted_at > Millis::ZERO && now.since(entry.preempted_at) < PAUSE;
-        if paused || !self.usage.is_below(class, &fleet) {
+        if paused || !self.usage.is_within(class, team, needs, &fleet) {
             return;
         }
         let reserved = self.reservations.iter().find(|r| r.job == job);
         let parts: Vec<(Handle, Capacity)> = match reserved {
             Some(r) => r.parts.iter().map(|p| (p.worker, p.needs)).collect(),
             None if entry.policy.is_together() => return,
-            None => self.cheapest(class, needs, &fleet).map(|h| (h, *needs)).into_iter().collect(),
+            None => self.cheapest(needs, &fleet).map(|h| (h, *needs)).into_iter().collect(),
         };
         if parts.is_empty() {
             return;
         }
         for (handle, needs) in parts {
             let room = self.view.available_with(handle, &needs);
-            let victims = self.victims(handle, class, &needs, room, &fleet).unwrap_or_default();
+            let victims = self.victims(handle, &needs, room, &fleet).unwrap_or_default();
             for victim in victims {
                 self.preempt(&victim, decisions);
             }
@@ -69,16 +69,16 @@
         }
     }
 
-    /// Orders checkpoints for peers whose class is below its share and finds no room: only the
-    /// steward that placed a task preempts it.
+    /// Orders checkpoints for peers whose teams are within their parts and find no room: only
+    /// the steward that placed a task preempts it.
     pub(super) fn relieve_peers(&mut self, now: Millis, decisions: &mut Vec<Decision>) {
         if now.since(self.relieved_at) < PEER_PAUSE {
             return;
         }
         let fleet = self.fleet();
         for class in Class::ALL {
-            let wanted = self.usage.waiting_at_peers(class).saturating_sub(&fleet.free);
-            if wanted == Capacity::ZERO || !self.usage.is_below(class, &fleet) {
+            let wanted = self.usage.needy_at_peers(class).saturating_sub(&fleet.free);
+            if wanted == Capacity::ZERO {
                 continue;
             }
             self.relieved_at = now;
@@ -88,8 +88,8 @@
                     break;
                 }
                 let one = Capacity::new(1, 1, 0);
-                let Some(handle) = self.cheapest(class, &one, &fleet) else { break };
-                let Some(victim) = self.candidates(handle, class, &fleet).first().copied() else {
+                let Some(handle) = self.cheapest(&one, &fleet) else { break };
+                let Some(victim) = self.candidates(handle, &fleet).first().copied() else {
                     break;
                 };
                 made = made.plus(&victim.needs);
@@ -99,7 +99,7 @@
     }
 
     /// Returns the worker, among a bounded number, where the fewest tasks must be preempted.
-    fn cheapest(&mut self, class: Class, needs: &Capacity, fleet: &Fleet) -> Option<Handle> {
+    fn cheapest(&mut self, needs: &Capacity, fleet: &Fleet) -> Option<Handle> {
         let mut best: Option<(usize, Handle)> = None;
         let count = self.running.len();
         for _ in 0..WORKERS.min(count) {
@@ -109,7 +109,7 @@
                 continue;
             }
             let room = self.view.available(handle);
-            if let Some(victims) = self.victims(handle, class, needs, room, fleet)
+            if let Some(victims) = self.victims(handle, needs, room, fleet)
                 && !victims.is_empty()
                 && best.is_none_or(|(fewest, _)| victims.len() < fewest)
             {
@@ -124,13 +124,12 @@
     fn victims(
         &self,
         handle: Handle,
-        class: Class,
         needs: &Capacity,
         mut room: Capacity,
         fleet: &Fleet,
     ) -> Option<Vec<Victim>> {
         let mut victims = Vec::new();
-        for victim in self.candidates(handle, class, fleet) {
+        for victim in self.candidates(handle, fleet) {
             if room.holds(needs) || victims.len() == VICTIMS {
                 break;
             }
@@ -140,18 +139,19 @@
         room.holds(needs).then_some(victims)
     }
 
-    /// Returns the tasks on a worker that may be preempted for a class, the first to go first.
-    fn candidates(&self, handle: Handle, class: Class, fleet: &Fleet) -> Vec<Victim> {
-        let gives = |other: Class| other != class && !self.usage.is_below(other, fleet);
-        let giving = Class::ALL.map(gives);
+    /// Returns the tasks on a worker that may be preempted, the first to go first: those of
+    /// teams beyond their part of the class.
+    fn candidates(&self, handle: Handle, fleet: &Fleet) -> Vec<Victim> {
         let running = self.running.get(handle as usize).into_iter().flatten();
         let mut victims: Vec<Victim> = running
             .filter_map(|&(job, index)| {
                 let entry = self.table.get(job)?;
-                let gives = entry.policy.is_preemptible() && giving[entry.class.index()];
+                let (class, team) = (entry.class, entry.team);
+                let gives = entry.policy.is_preemptible()
+                    && !self.usage.is_within(class, team, &Capacity::ZERO, fleet);
                 match entry.tasks.get(index as usize)? {
                     TaskPlace::Placed(claim) if gives && !claim.preempted => {
-                        let (class, together) = (entry.class, entry.policy.is_together());
+                        let together = entry.policy.is_together();
                         let (ends, needs) = (claim.ends, claim.needs);
                         Some(Victim { job, index, class, together, ends, needs })
                     }
--- a/crates/core/src/contract/scheduler/tests.rs
+++ b/crates/core/src/contract/scheduler/tests.rs
@@ -203,7 +203,7 @@
     expect_that!(bench.scheduler.table.len(), lt(2 * STALE_UNITS));
     expect_that!(bench.decide(), is_empty());
     expect_that!(bench.scheduler.table.len(), eq(0));
-    expect_that!(bench.scheduler.totals().waiting[1], eq(Capacity::ZERO));
+    expect_that!(bench.scheduler.waiting(Class::Normal), eq(0));
 }
 
 #[gtest]
--- a/crates/core/src/machine/capacity.rs
+++ b/crates/core/src/machine/capacity.rs
@@ -85,12 +85,21 @@
         }
     }
 
-    /// Returns `percent` hundredths of the amount, saturating, accelerators rounded down.
+    /// Returns `percent` hundredths of the amount, saturating, rounded down.
     pub const fn percent(&self, percent: u64) -> Self {
+        self.fraction(percent, 100)
+    }
+
+    /// Returns the amount times `part`, divided by `whole`, saturating, rounded down; the amount
+    /// itself for a `whole` of zero.
+    pub const fn fraction(&self, part: u64, whole: u64) -> Self {
+        if whole == 0 {
+            return *self;
+        }
         Self {
-            cpu_milli: self.cpu_milli.saturating_mul(percent) / 100,
-            memory_mib: self.memory_mib.saturating_mul(percent) / 100,
-            accelerators: self.accelerators.saturating_mul(percent) / 100,
+            cpu_milli: self.cpu_milli.saturating_mul(part) / whole,
+            memory_mib: self.memory_mib.saturating_mul(part) / whole,
+            accelerators: self.accelerators.saturating_mul(part) / whole,
         }
     }
 
