--- a/crates/core/src/link/slot.rs
+++ b/crates/core/src/link/slot.rs
@@ -29,6 +29,11 @@
         Self { limits, spent: Vec::new() }
     }
 
+    /// Takes in changed limits. Requests that are under way keep their slots.
+    pub const fn limit(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Returns how many slots are free.
     pub fn free(&self) -> usize {
         (self.limits.slots as usize).saturating_sub(self.spent.len())
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,542 @@
+//! One daemon: its duties, wired by rings.
+
+use crate::duty::control::Control;
+use crate::duty::dispatch::Dispatch;
+use crate::duty::gossip::Gossip;
+use crate::duty::ledger::Ledger;
+use crate::duty::steward::Stewardship;
+use crate::duty::watch::Watch;
+use crate::duty::{self, Duty, Tokens};
+use crate::front::Front;
+use crate::front::caller::Caller;
+use crate::front::monitor::Monitor;
+use crate::front::operator::Operator;
+use crate::front::peer::Peer;
+use crate::journal::Sink;
+use crate::metrics::{self, Metrics};
+use crate::platform::http::{Machine, Service};
+use crate::platform::observed::Observed;
+use crate::ring::{self, Latest, Publisher, Receiver, Sender};
+use crate::route::Route;
+use crate::settings::Settings;
+use crate::telemetry::Telemetry;
+use crate::view::{self, Facts, Figures, Held, Members};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::planner::Planner;
+use pimentovalve_core::contract::planner::weighted::Weighted;
+use pimentovalve_core::contract::steward::{self, Steward};
+use pimentovalve_core::finding::List;
+use pimentovalve_core::link::dispatcher::{self, Dispatcher};
+use pimentovalve_core::machine::controller::{self, Controller};
+use pimentovalve_core::name::Name;
+use pimentovalve_core::timeline::What;
+use pimentovalve_core::zone::membership::{Instance, Membership, Role, State};
+use pimentovalve_wire::http::Handler;
+use pimentovalve_wire::http::client::Client;
+use pimentovalve_wire::http::keys::Keys;
+use pimentovalve_wire::http::traffic::Traffic;
+use snafu::{ResultExt, Snafu};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Longest time for which a planned stop waits until its workers are handed over.
+const HAND_OVER: Duration = Duration::from_secs(5);
+/// Time between two looks at what is still to be handed over.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(20);
+
+/// Reads of a stream within the currency that renewals rest on.
+const READS_PER_CURRENCY: u64 = 4;
+
+/// Why a daemon can't start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[snafu(display("{front}: {address} can't be listened on: {source}"))]
+    Listen {
+        /// The front.
+        front: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A duty can't be started.
+    #[snafu(context(false), display("{source}"))]
+    Duty {
+        /// Why.
+        source: duty::Error,
+    },
+    /// Metrics can't be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: metrics::Error,
+    },
+    /// A file that the settings name can't be used.
+    #[snafu(display("{findings}"))]
+    Keys {
+        /// What is wrong.
+        findings: List,
+    },
+}
+
+/// The addresses on which a daemon listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For metrics and health checks.
+    pub metrics: SocketAddr,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    name: Name,
+    addresses: Addresses,
+    /// Ends the fronts for callers and operators before everything else.
+    front: Tokens,
+    back: Tokens,
+    drain: CancellationToken,
+    fronts: Vec<JoinHandle<()>>,
+    backs: Vec<JoinHandle<()>>,
+    held: Latest<Held>,
+    members: Latest<Arc<Members>>,
+    telemetry: Telemetry,
+    drain_time: Duration,
+}
+
+/// What duties publish, and the rings between them.
+struct Wiring {
+    facts: (Publisher<Facts>, Latest<Facts>),
+    members: (Publisher<Arc<Members>>, Latest<Arc<Members>>),
+    held: (Publisher<Held>, Latest<Held>),
+    figures: (Publisher<Figures>, Latest<Figures>),
+    ledger: (Sender<duty::ledger::Command>, Receiver<duty::ledger::Command>),
+    steward: (Sender<duty::steward::Event>, Receiver<duty::steward::Event>),
+    control: (Sender<duty::control::Event>, Receiver<duty::control::Event>),
+    dispatch: (Sender<duty::dispatch::Event>, Receiver<duty::dispatch::Event>),
+    /// Bytes with the platform, workers and runners, peers, callers, operators and monitors.
+    traffic: [(&'static str, Arc<Traffic>); 6],
+}
+
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Daemon {
+    /// Starts a daemon under a name that was not used before; events of its time line go to
+    /// `sink`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start_with`].
+    pub fn start(settings: &Settings, sink: Arc<dyn Sink>) -> Result<Self, Error> {
+        let planner = Weighted::new(settings.place.clone());
+        Self::start_with(settings, Box::new(planner), sink)
+    }
+
+    /// As [`Self::start`], with another policy.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address, a thread or a key file can't be had.
+    pub fn start_with(
+        settings: &Settings,
+        planner: Box<dyn Planner>,
+        sink: Arc<dyn Sink>,
+    ) -> Result<Self, Error> {
+        let listeners = Listeners::bind(settings)?;
+        let addresses = listeners
+            .addresses()
+            .context(ListenSnafu { front: "callers", address: settings.listen.callers })?;
+        let name = settings.name.clone();
+        let duty = plain_name("daemon");
+        let process = process_name(&name);
+        let (telemetry, writer) = Telemetry::new(process, duty, settings.ring, sink);
+        let own = own_instance(settings, addresses.peers);
+        let wiring = Wiring::new(settings.ring, &own);
+        let (front, back) = (Tokens::default(), Tokens::default());
+        let drain = CancellationToken::new();
+        let duties = back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
+        let (held, members) = (wiring.held.1.clone(), wiring.members.1.clone());
+        let fronts = fronts(settings, listeners, &wiring, &telemetry)?;
+        let mut daemon = Self {
+            name,
+            addresses,
+            front,
+            back,
+            drain,
+            fronts: Vec::new(),
+            backs: Vec::new(),
+            held,
+            members,
+            telemetry,
+            drain_time: Duration::from(settings.timing.drain_ms),
+        };
+        daemon.telemetry.note(What::ProcessStarted);
+        daemon.backs.push(duty::start(Box::new(writer), &daemon.back)?);
+        for duty in duties {
+            daemon.backs.push(duty::start(duty, &daemon.back)?);
+        }
+        let [callers, operators, peers, monitors] = fronts;
+        daemon.backs.push(duty::start(peers, &daemon.back)?);
+        daemon.backs.push(duty::start(monitors, &daemon.back)?);
+        daemon.fronts.push(duty::start(callers, &daemon.front)?);
+        daemon.fronts.push(duty::start(operators, &daemon.front)?);
+        Ok(daemon)
+    }
+
+    /// Returns the name of the instance.
+    pub const fn name(&self) -> &Name {
+        &self.name
+    }
+
+    /// Returns the addresses on which the daemon listens.
+    pub const fn addresses(&self) -> &Addresses {
+        &self.addresses
+    }
+
+    /// Returns whether a duty has ended by itself, so that the daemon must be replaced.
+    pub fn has_failed(&self) -> bool {
+        self.back.kill.is_cancelled() || self.front.kill.is_cancelled()
+    }
+
+    /// Stops as planned: hands over what it owns, answers every request in flight, then ends.
+    pub fn stop(mut self) {
+        self.telemetry.note(What::DrainStarted);
+        self.drain.cancel();
+        std::thread::sleep(self.drain_time);
+        let started = Instant::now();
+        while self.hands_over() && started.elapsed() < HAND_OVER {
+            std::thread::sleep(HAND_OVER_PAUSE);
+        }
+        self.front.stop.cancel();
+        join(&mut self.fronts);
+        self.telemetry.note(What::Drained);
+        self.back.stop.cancel();
+        join(&mut self.backs);
+    }
+
+    /// Returns whether this instance still owns workers that another one could take.
+    fn hands_over(&self) -> bool {
+        !self.held.borrow().workers.is_empty() && !self.members.borrow().candidates.is_empty()
+    }
+
+    /// Ends at once, as if the process had died.
+    pub fn kill(mut self) {
+        self.front.kill.cancel();
+        self.back.kill.cancel();
+        join(&mut self.fronts);
+        join(&mut self.backs);
+    }
+}
+
+fn join(threads: &mut Vec<JoinHandle<()>>) {
+    for thread in threads.drain(..) {
+        if thread.join().is_err() {
+            tracing::error!("the thread of a duty panicked");
+        }
+    }
+}
+
+fn plain_name(name: &str) -> Name {
+    Name::try_from(name).unwrap_or_else(|_| unreachable!("{name} is a name"))
+}
+
+fn own_instance(settings: &Settings, peers: SocketAddr) -> Instance {
+    Instance {
+        name: settings.name.clone(),
+        role: Role::Entry,
+        place: settings.place.clone(),
+        address: peers.to_string(),
+        state: State::Live,
+        worker: None,
+        service: None,
+    }
+}
+
+impl Wiring {
+    fn new(places: usize, own: &Instance) -> Self {
+        Self {
+            facts: ring::latest(Facts::default()),
+            members: ring::latest(Arc::new(Members::alone(own.clone()))),
+            held: ring::latest(Held::default()),
+            figures: ring::latest(Figures::default()),
+            ledger: ring::ring(places),
+            steward: ring::ring(places),
+            control: ring::ring(places),
+            dispatch: ring::ring(places),
+            traffic: ["platform", "machines", "peers", "callers", "operators", "monitors"]
+                .map(|with| (with, Arc::default())),
+        }
+    }
+
+    /// Returns the counters of the bytes with one kind of other end.
+    fn traffic(&self, with: &str) -> Arc<Traffic> {
+        let found = self.traffic.iter().find(|(name, _)| *name == with);
+        found.map_or_else(Arc::default, |(_, traffic)| Arc::clone(traffic))
+    }
+
+    fn sources(&self) -> metrics::Sources {
+        metrics::Sources {
+            facts: self.facts.1.clone(),
+            members: self.members.1.clone(),
+            held: self.held.1.clone(),
+            figures: self.figures.1.clone(),
+            rings: vec![
+                ("ledger", Box::new(self.ledger.0.clone())),
+                ("steward", Box::new(self.steward.0.clone())),
+                ("control", Box::new(self.control.0.clone())),
+                ("dispatch", Box::new(self.dispatch.0.clone())),
+            ],
+            traffic: self.traffic.to_vec(),
+        }
+    }
+
+    fn route(&self, settings: &Settings, key: Option<String>) -> Route {
+        Route {
+            steward: self.steward.0.clone(),
+            members: self.members.1.clone(),
+            partitions: settings.partitions,
+            key,
+            client: Arc::new(Client::counted(self.traffic("peers"))),
+        }
+    }
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Self, Error> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind("callers", listen.callers)?,
+            operators: bind("operators", listen.operators)?,
+            peers: bind("peers", listen.peers)?,
+            metrics: bind("metrics", listen.metrics)?,
+        })
+    }
+
+    fn addresses(&self) -> std::io::Result<Addresses> {
+        Ok(Addresses {
+            callers: self.callers.local_addr()?,
+            operators: self.operators.local_addr()?,
+            peers: self.peers.local_addr()?,
+            metrics: self.metrics.local_addr()?,
+        })
+    }
+}
+
+fn bind(front: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).context(ListenSnafu { front, address })
+}
+
+fn peer_keys(settings: &Settings) -> Result<(Option<Keys>, Option<String>), Error> {
+    let keys = settings.peer_key.as_deref().map(Keys::read).transpose();
+    let keys = keys.map_err(|findings| Error::Keys { findings })?;
+    let bearer = keys.as_ref().and_then(|k| k.only()).map(|k| k.bearer());
+    Ok((keys, bearer))
+}
+
+fn back_duties(
+    settings: &Settings,
+    planner: Box<dyn Planner>,
+    wiring: &Wiring,
+    own: Instance,
+    telemetry: &Telemetry,
+    drain: &CancellationToken,
+) -> Result<Vec<Box<dyn Duty>>, Error> {
+    let (_, key) = peer_keys(settings)?;
+    let timing = &settings.timing;
+    let platform = &settings.platform;
+    let service = || {
+        let traffic = wiring.traffic("platform");
+        Arc::new(Service::new(&platform.log, &platform.list, timing.log_ms, traffic))
+    };
+    let gossip = Gossip {
+        traffic: wiring.traffic("peers"),
+        membership: Membership::new(own, platform.list_lag_ms, timing.suspicion_ms),
+        list: service(),
+        list_every: timing.list_ms,
+        list_lag: platform.list_lag_ms,
+        ping_every: timing.ping_ms,
+        skew: settings.bounds.skew_ms,
+        key: key.clone(),
+        facts: wiring.facts.1.clone(),
+        ledger: wiring.ledger.0.clone(),
+        members: wiring.members.0.clone(),
+        drain: drain.clone(),
+    };
+    let ledger = Ledger {
+        writer: writer_name(&settings.name, "ledger"),
+        log: service(),
+        partitions: settings.partitions,
+        read_wait: Millis(settings.bounds.currency_ms.get() / READS_PER_CURRENCY),
+        commands: wiring.ledger.1.clone(),
+        steward: wiring.steward.0.clone(),
+        members: wiring.members.1.clone(),
+        facts: wiring.facts.0.clone(),
+    };
+    let steward = steward_duty(settings, planner, wiring, telemetry, key.clone());
+    let control = control_duty(settings, wiring, telemetry, key.clone());
+    let dispatch = Dispatch {
+        traffic: wiring.traffic("peers"),
+        dispatcher: Dispatcher::new(settings.place.clone(), dispatcher::Config::default()),
+        runner: Arc::new(Observed::new(
+            Arc::new(Machine::new(timing.log_ms, wiring.traffic("machines"))),
+            telemetry.of(&plain_name("dispatch")),
+        )),
+        route: wiring.route(settings, key),
+        events: wiring.dispatch.1.clone(),
+        members: wiring.members.1.clone(),
+        facts: wiring.facts.1.clone(),
+        held: wiring.held.1.clone(),
+        telemetry: telemetry.of(&plain_name("dispatch")),
+    };
+    let watch = Watch {
+        term: timing.term_ms,
+        members: wiring.members.1.clone(),
+        facts: wiring.facts.1.clone(),
+        telemetry: telemetry.of(&plain_name("watch")),
+    };
+    Ok(vec![
+        Box::new(watch),
+        Box::new(gossip),
+        Box::new(ledger),
+        Box::new(steward),
+        Box::new(control),
+        Box::new(dispatch),
+    ])
+}
+
+fn steward_duty(
+    settings: &Settings,
+    planner: Box<dyn Planner>,
+    wiring: &Wiring,
+    telemetry: &Telemetry,
+    key: Option<String>,
+) -> Stewardship {
+    let config = steward::Config {
+        partitions: settings.partitions,
+        bounds: settings.bounds,
+        window: settings.platform.retention_ms,
+        ..steward::Config::default()
+    };
+    Stewardship {
+        traffic: wiring.traffic("peers"),
+        steward: Steward::new(writer_name(&settings.name, "steward"), config, planner),
+        term: settings.timing.term_ms,
+        key,
+        events: wiring.steward.1.clone(),
+        control: wiring.control.0.clone(),
+        ledger: wiring.ledger.0.clone(),
+        members: wiring.members.1.clone(),
+        facts: wiring.facts.1.clone(),
+        telemetry: telemetry.of(&plain_name("steward")),
+        figures: wiring.figures.0.clone(),
+    }
+}
+
+fn control_duty(
+    settings: &Settings,
+    wiring: &Wiring,
+    telemetry: &Telemetry,
+    key: Option<String>,
+) -> Control {
+    let timing = &settings.timing;
+    let config = controller::Config {
+        bounds: settings.bounds,
+        suspicion: timing.heartbeat_ms + timing.suspicion_ms,
+        loss: timing.loss_ms,
+        pause: Millis(500),
+    };
+    Control {
+        traffic: wiring.traffic("peers"),
+        controller: Controller::new(settings.name.clone(), config),
+        worker: Arc::new(Observed::new(
+            Arc::new(Machine::new(timing.log_ms, wiring.traffic("machines"))),
+            telemetry.of(&plain_name("control")),
+        )),
+        heartbeat: timing.heartbeat_ms,
+        partitions: settings.partitions,
+        key,
+        events: wiring.control.1.clone(),
+        steward: wiring.steward.0.clone(),
+        ledger: wiring.ledger.0.clone(),
+        members: wiring.members.1.clone(),
+        facts: wiring.facts.1.clone(),
+        held: wiring.held.0.clone(),
+    }
+}
+
+/// Returns the name of this start of the instance in the time line.
+fn process_name(name: &Name) -> Name {
+    Name::try_from(format!("{name}.{:x}", view::now().get())).unwrap_or_else(|_| name.clone())
+}
+
+/// Returns the name under which a duty writes records. It must not be used by another start of
+/// the instance, so it carries the time of the start.
+fn writer_name(name: &Name, duty: &str) -> Name {
+    let full = format!("{name}.{duty}.{:x}", view::now().get());
+    Name::try_from(full).unwrap_or_else(|_| name.clone())
+}
+
+fn fronts(
+    settings: &Settings,
+    listeners: Listeners,
+    wiring: &Wiring,
+    telemetry: &Telemetry,
+) -> Result<[Box<dyn Duty>; 4], Error> {
+    let (keys, key) = peer_keys(settings)?;
+    let operators = match &settings.operator_keys {
+        Some(path) => Keys::read(path).map_err(|findings| Error::Keys { findings })?,
+        None => Keys::default(),
+    };
+    let caller = Caller {
+        route: wiring.route(settings, key.clone()),
+        dispatch: wiring.dispatch.0.clone(),
+        telemetry: telemetry.of(&plain_name("callers")),
+    };
+    let operator = Operator {
+        keys: operators,
+        route: wiring.route(settings, key.clone()),
+        ledger: wiring.ledger.0.clone(),
+        facts: wiring.facts.1.clone(),
+        partitions: settings.partitions,
+    };
+    let peer = Peer {
+        keys,
+        route: wiring.route(settings, key),
+        control: wiring.control.0.clone(),
+        dispatch: wiring.dispatch.0.clone(),
+        members: wiring.members.1.clone(),
+        facts: wiring.facts.1.clone(),
+    };
+    let monitor = Monitor {
+        term: settings.timing.term_ms,
+        members: wiring.members.1.clone(),
+        facts: wiring.facts.1.clone(),
+        metrics: Metrics::new(wiring.sources()).context(MetricsSnafu)?,
+    };
+    let front = |name, listener: TcpListener, handler: Arc<dyn Handler>| {
+        let address = listener.local_addr().unwrap_or(settings.listen.callers);
+        let traffic = wiring.traffic(name);
+        let front = Front::new(name, listener, settings.limits, traffic, handler)
+            .context(ListenSnafu { front: name, address })?;
+        Ok::<Box<dyn Duty>, Error>(Box::new(front))
+    };
+    Ok([
+        front("callers", listeners.callers, Arc::new(caller))?,
+        front("operators", listeners.operators, Arc::new(operator))?,
+        front("peers", listeners.peers, Arc::new(peer))?,
+        front("monitors", listeners.metrics, Arc::new(monitor))?,
+    ])
+}
