Release what a forgotten job held, and end probes that run long

Cause: a job that another steward takes over left its claims in the view, and a worker whose probe was a service stayed paused for ever. A unit of a dropped task outlived the compaction of the queue. Change: Scheduler::forget releases its claims; a probe that runs for 60 s has succeeded; compaction looks at each unit's own task. Conclusion: found by reading; each case has a test.

--- a/crates/core/src/contract/scheduler.rs
+++ b/crates/core/src/contract/scheduler.rs
@@ -29,7 +29,7 @@
 use crate::contract::{policy, task};
 use crate::machine::capacity::Capacity;
 use crate::machine::estimate::{Estimates, Sample};
-use crate::machine::health::Health;
+use crate::machine::health::{Health, State};
 use crate::machine::placement::Handle;
 use crate::machine::view::{Report, View};
 use crate::machine::worker::Ending;
@@ -276,7 +276,7 @@
         entry.waiting -= 1;
         self.stale += 1;
         let (class, team, needs, work) = (entry.class, entry.team, entry.needs, entry.work);
-        self.unwait(class, team, &needs, work, 1);
+        self.usage.unwait(class, team, &needs, work, 1);
         self.remove_if_over(number);
         self.compact();
     }
@@ -299,6 +299,7 @@
         });
         for (index, claim) in placed {
             self.unplace(number, index, &claim, Millis::ZERO);
+            self.view.release(claim.worker, &claim.needs);
         }
         self.remove_if_over(number);
     }
@@ -529,40 +530,11 @@
     /// Brings the view of a worker in line with its health.
     fn refresh(&mut self, handle: Handle, now: Millis) {
         self.view.quarantine(handle, self.health.is_paused(handle, now));
-        if let crate::machine::health::State::Quarantined(until) = self.health.state(handle) {
+        if let State::Quarantined(until) | State::Probed(until) = self.health.state(handle) {
             self.quarantines.retain(|&(_, h)| h != handle);
             self.quarantines.push((until, handle));
         }
     }
-
-    fn remove_if_over(&mut self, number: Number) {
-        let over = |e: &Entry| e.units == 0 && e.waiting == 0 && e.placed == 0;
-        if self.table.get(number).is_some_and(over) {
-            self.table.remove(number);
-        }
-    }
-
-    /// Drops the queue units of cancelled tasks once there are more of them than of others.
-    fn compact(&mut self) {
-        let waiting: u64 = Class::ALL.iter().map(|&class| self.waiting(class)).sum();
-        if self.stale <= STALE_UNITS || (self.stale as u64) < waiting {
-            return;
-        }
-        let (table, mut over) = (&mut self.table, Vec::new());
-        self.queue.retain(|unit| {
-            let Some(entry) = table.get_mut(unit.job) else { return false };
-            let keep = entry.waiting > 0;
-            if !keep {
-                entry.units = entry.units.saturating_sub(1);
-                over.push(unit.job);
-            }
-            keep
-        });
-        self.stale = 0;
-        for number in over {
-            self.remove_if_over(number);
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/core/src/contract/scheduler/account.rs
+++ b/crates/core/src/contract/scheduler/account.rs
@@ -1,10 +1,11 @@
 //! Accounts of what waits and what is placed: by task, team, class and worker.
 
-use super::Scheduler;
+use super::{STALE_UNITS, Scheduler};
 use crate::clock::Millis;
+use crate::contract::class::Class;
 use crate::contract::gang::backoff;
 use crate::contract::queue::{ALL_TASKS, Unit};
-use crate::contract::table::{Claim, Number, Place as TaskPlace};
+use crate::contract::table::{Claim, Entry, Number, Place as TaskPlace};
 use crate::contract::task;
 
 impl Scheduler {
@@ -71,4 +72,33 @@
             self.queue.push(class, team, Unit { job: number, index, since: claim.since }, true);
         }
     }
+
+    pub(super) fn remove_if_over(&mut self, number: Number) {
+        let over = |e: &Entry| e.units == 0 && e.waiting == 0 && e.placed == 0;
+        if self.table.get(number).is_some_and(over) {
+            self.table.remove(number);
+        }
+    }
+
+    /// Drops the queue units of cancelled tasks once there are more of them than of others.
+    pub(super) fn compact(&mut self) {
+        let waiting: u64 = Class::ALL.iter().map(|&class| self.waiting(class)).sum();
+        if self.stale <= STALE_UNITS || (self.stale as u64) < waiting {
+            return;
+        }
+        let (table, mut over) = (&mut self.table, Vec::new());
+        self.queue.retain(|unit| {
+            let Some(entry) = table.get_mut(unit.job) else { return false };
+            let keep = entry.is_waiting(unit.index);
+            if !keep {
+                entry.units = entry.units.saturating_sub(1);
+                over.push(unit.job);
+            }
+            keep
+        });
+        self.stale = 0;
+        for number in over {
+            self.remove_if_over(number);
+        }
+    }
 }
--- a/crates/core/src/contract/scheduler/decide.rs
+++ b/crates/core/src/contract/scheduler/decide.rs
@@ -115,10 +115,7 @@
     }
 
     fn is_waiting(&self, unit: &Unit) -> bool {
-        self.table.get(unit.job).is_some_and(|entry| match unit.index {
-            ALL_TASKS => entry.waiting > 0,
-            index => matches!(entry.tasks[index as usize], TaskPlace::Waiting(_)),
-        })
+        self.table.get(unit.job).is_some_and(|entry| entry.is_waiting(unit.index))
     }
 
     /// Takes a unit out of the queue.
--- a/crates/core/src/contract/scheduler/tests.rs
+++ b/crates/core/src/contract/scheduler/tests.rs
@@ -260,3 +260,20 @@
     let unavailable = matches_pattern!(Refusal::Later { reason: eq(&Reason::Unavailable), .. });
     expect_that!(admit(&bench, &gang), err(unavailable));
 }
+
+#[gtest]
+fn a_dropped_task_and_a_forgotten_job_leave_nothing_behind() {
+    let mut bench = Bench::new(1, 2);
+    bench.submit(&bench.job("j", "batch", 4, CORE));
+    bench.decide();
+    let dropped = task::Id { job: name("j"), index: 3 };
+    bench.scheduler.drop_task(&dropped);
+    expect_that!(bench.scheduler.waiting(Class::Normal), eq(1));
+    expect_that!(bench.scheduler.is_placed(&bench.running[0].0), eq(true));
+    bench.scheduler.forget("j");
+    expect_that!(bench.scheduler.is_placed(&bench.running[0].0), eq(false));
+    expect_that!(bench.scheduler.used(&name("a")), eq(Capacity::ZERO));
+    expect_that!(*bench.scheduler.view().free(), eq(CORE.times(2)));
+    expect_that!(bench.decide(), is_empty());
+    expect_that!(bench.scheduler.table.len(), eq(0));
+}
--- a/crates/core/src/contract/table.rs
+++ b/crates/core/src/contract/table.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::contract::class::Class;
 use crate::contract::policy::Policy;
+use crate::contract::queue::ALL_TASKS;
 use crate::machine::capacity::Capacity;
 use crate::machine::placement::Handle;
 use crate::name::Name;
@@ -88,6 +89,16 @@
     pub preempted_at: Millis,
 }
 
+impl Entry {
+    /// Returns whether the task with the index waits; any task, for [`ALL_TASKS`].
+    pub fn is_waiting(&self, index: u32) -> bool {
+        match index {
+            ALL_TASKS => self.waiting > 0,
+            index => matches!(self.tasks.get(index as usize), Some(Place::Waiting(_))),
+        }
+    }
+}
+
 /// Jobs by number and by id.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
--- a/crates/core/src/machine/health.rs
+++ b/crates/core/src/machine/health.rs
@@ -19,6 +19,8 @@
 const LONGEST_PAUSE: Millis = Millis::from_secs(600);
 /// Time for which a due probe waits for work that suits it, before any work is taken.
 pub const PROBE_GRACE: Millis = Millis::from_secs(30);
+/// A probe that ran this long without failing has succeeded.
+const PROBE_PROOF: Millis = Millis::from_secs(60);
 /// Jobs with failures that are remembered.
 const JOBS: usize = 1024;
 
@@ -30,8 +32,8 @@
     Sound,
     /// Gets nothing until the instant, then one probe.
     Quarantined(Millis),
-    /// Its probe is running.
-    Probed,
+    /// Its probe is running; a probe that still runs at the instant has succeeded.
+    Probed(Millis),
 }
 
 /// What is known of one worker.
@@ -84,7 +86,7 @@
                 unproven < STRIKES.saturating_sub(self.count(record)).max(1)
             }
             State::Quarantined(until) => now >= until,
-            State::Probed => false,
+            State::Probed(until) => now >= until,
         })
     }
 
@@ -102,8 +104,13 @@
         let record = self.record_mut(handle);
         record.unproven.retain(|&at| at > now);
         record.unproven.push(now + PROOF);
-        if matches!(record.state, State::Quarantined(_)) {
-            record.state = State::Probed;
+        match record.state {
+            State::Quarantined(_) => record.state = State::Probed(now + PROBE_PROOF),
+            State::Probed(until) if now >= until => {
+                record.state = State::Sound;
+                record.strikes.clear();
+            }
+            _ => {}
         }
         now + PROOF
     }
@@ -112,7 +119,7 @@
     pub fn withdrawn(&mut self, handle: Handle, now: Millis) {
         let record = self.record_mut(handle);
         record.unproven.pop();
-        if record.state == State::Probed {
+        if matches!(record.state, State::Probed(_)) {
             record.state = State::Quarantined(now);
         }
     }
@@ -138,7 +145,7 @@
             record.strikes.remove(0);
         }
         record.strikes.push(job);
-        let probed = record.state == State::Probed;
+        let probed = matches!(record.state, State::Probed(_));
         if probed || self.count(&self.records[handle as usize]) >= STRIKES {
             let record = self.record_mut(handle);
             let pause = record.pause.times(2).max(FIRST_PAUSE).min(LONGEST_PAUSE);
--- a/crates/core/src/machine/health/tests.rs
+++ b/crates/core/src/machine/health/tests.rs
@@ -113,3 +113,17 @@
     }
     expect_that!(health.jobs.len(), eq(JOBS));
 }
+
+#[gtest]
+fn a_probe_that_runs_long_has_succeeded() {
+    let mut health = Health::default();
+    for job in 0..4 {
+        fail(&mut health, 0, job);
+    }
+    let later = NOW + FIRST_PAUSE;
+    health.started(0, later);
+    expect_that!(health.admits(0, later + PROBE_PROOF - Millis(1)), eq(false));
+    expect_that!(health.admits(0, later + PROBE_PROOF), eq(true));
+    health.started(0, later + PROBE_PROOF);
+    expect_that!(health.state(0), eq(State::Sound));
+}
