Share what stewards see of failing workers, and measure faults

Cause: with one steward a worker that fails everything wasted 12 starts: tasks that had started before the fault completed and cleared its failures, and the end of any task let a further unproven start in. With seven stewards each had to learn by itself (16 starts, 25 with probes). Stewards with alike views chose the same worker and refused each other (9,841 claims in 7 minutes). Change: a success counts only if its task started after the last failure; stewards split the starts in flight, tell each other failures and wait for what is in flight after one; each steward prefers other workers of about equal cost. Only the worker's controller sees all its starts; the next step is to count them there.

--- a/crates/bench/src/contender/stewards.rs
+++ b/crates/bench/src/contender/stewards.rs
@@ -10,9 +10,11 @@
 use pimentovalve_core::contract::task;
 use pimentovalve_core::ledger::Stream;
 use pimentovalve_core::machine::capacity::Capacity;
+use pimentovalve_core::machine::health::Failure;
 use pimentovalve_core::machine::view::Report;
 use pimentovalve_core::machine::worker::{Ending, Worker};
 use pimentovalve_core::name::Name;
+use pimentovalve_core::zone::stewardship;
 
 /// Decisions that each steward makes at once.
 const DECISIONS: usize = 64;
@@ -26,13 +28,20 @@
     learn: bool,
     /// Which scheduler decides first; the order must not favour one.
     first: usize,
+    /// Failures on their way from each steward to the others.
+    news: Vec<(usize, Vec<Failure>)>,
 }
 
 impl Stewards {
     /// Returns `count` stewards. Without `learn` they place by declared size.
     pub fn new(count: usize, configuration: &Configuration, learn: bool) -> Self {
-        let schedulers = vec![Scheduler::new(None, configuration); count];
-        Self { schedulers, configuration: configuration.clone(), learn, first: 0 }
+        let mut schedulers = vec![Scheduler::new(None, configuration); count];
+        if count > 1 {
+            for (i, scheduler) in (1..).zip(&mut schedulers) {
+                scheduler.salt(stewardship::hash(&[&format!("steward-{i}")]));
+            }
+        }
+        Self { schedulers, configuration: configuration.clone(), learn, first: 0, news: Vec::new() }
     }
 
     /// Returns the schedulers.
@@ -125,6 +134,16 @@
 
     fn decide(&mut self, now: Millis) -> Vec<Decision> {
         let count = self.schedulers.len();
+        // What was seen up to the last call has reached the others by now.
+        for (from, failures) in std::mem::take(&mut self.news) {
+            let others = self.schedulers.iter_mut().enumerate().filter(|(i, _)| *i != from);
+            for (_, scheduler) in others {
+                failures.iter().for_each(|failure| scheduler.peer_failed(failure, now));
+            }
+        }
+        for (i, scheduler) in self.schedulers.iter_mut().enumerate() {
+            self.news.push((i, scheduler.take_news()));
+        }
         self.first = (self.first + 1) % count;
         let order = (0..count).map(|i| (self.first + i) % count);
         order.flat_map(|i| self.schedulers[i].decide(now, DECISIONS)).collect()
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -1,5 +1,6 @@
 //! The experiments, one module each.
 
+pub mod faults;
 pub mod flood;
 pub mod packing;
 pub mod placement;
@@ -7,7 +8,7 @@
 use crate::report::Report;
 
 /// Names of the experiments.
-pub const NAMES: [&str; 3] = ["placement", "packing", "flood"];
+pub const NAMES: [&str; 4] = ["placement", "packing", "flood", "faults"];
 
 /// Returns the experiment with the given name: a function from the seed to the report.
 pub fn find(name: &str) -> Option<fn(u64) -> Report> {
@@ -15,6 +16,7 @@
         "placement" => Some(placement::run),
         "packing" => Some(packing::run),
         "flood" => Some(flood::run),
+        "faults" => Some(faults::run),
         _ => None,
     }
 }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -85,6 +85,7 @@
     /// When `used` last changed.
     used_since: Millis,
     bad: bool,
+    healed: bool,
     present: bool,
     /// Attempts that run here.
     running: Vec<usize>,
@@ -146,6 +147,7 @@
             used: Capacity::ZERO,
             used_since: Millis::ZERO,
             bad: false,
+            healed: false,
             present: true,
             running: Vec::new(),
         };
@@ -311,7 +313,7 @@
         let machine = &mut self.machines[i];
         match fault {
             Fault::Bad => machine.bad = true,
-            Fault::Healed => machine.bad = false,
+            Fault::Healed => (machine.bad, machine.healed) = (false, true),
             Fault::Lost => {
                 machine.present = false;
                 for a in machine.running.clone() {
@@ -434,7 +436,10 @@
         if !machine.worker.capacity.holds(&machine.reserved) {
             self.tally.over_capacity += 1;
         }
-        self.tally.wasted[m] += u64::from(machine.bad);
+        if machine.bad {
+            self.tally.wasted_start(m, starts);
+        }
+        self.tally.healed_starts[m] += u64::from(machine.healed);
         let fails = machine.bad || spec.fails;
         let attempt = Attempt {
             spec: i,
--- a/crates/bench/src/world/tally.rs
+++ b/crates/bench/src/world/tally.rs
@@ -8,6 +8,8 @@
 use pimentovalve_core::name::Name;
 
 const CLASSES: usize = Class::ALL.len();
+/// Pause after which a further start on a bad worker is a probe.
+const WASTE_PAUSE: Millis = Millis::from_secs(10);
 /// Longest wait that is told apart, in milliseconds.
 const LONGEST_MS: u64 = 100 * 3600 * 1000;
 
@@ -48,6 +50,12 @@
     pub double_runs: u64,
     /// Starts on each worker while it failed everything.
     pub wasted: Vec<u64>,
+    /// Of these, the ones until no start came for ten seconds.
+    pub wasted_in_row: Vec<u64>,
+    /// When the last of these was made.
+    wasted_at: Vec<Millis>,
+    /// Starts on each worker after it was healed.
+    pub healed_starts: Vec<u64>,
     /// Real size of running work, at most what its worker has, times milliseconds within the
     /// window, by resource.
     pub delivered_ms: [f64; 3],
@@ -80,6 +88,9 @@
             overused_in_window: 0,
             double_runs: 0,
             wasted: vec![0; workers],
+            wasted_in_row: vec![0; workers],
+            wasted_at: vec![Millis::MAX; workers],
+            healed_starts: vec![0; workers],
             delivered_ms: [0.0; 3],
             steady_waits: histogram(),
             refused_but_ran: 0,
@@ -113,6 +124,15 @@
         }
     }
 
+    pub(super) fn wasted_start(&mut self, worker: usize, at: Millis) {
+        self.wasted[worker] += 1;
+        let last = self.wasted_at[worker];
+        if last == Millis::MAX || at.since(last) < WASTE_PAUSE {
+            self.wasted_in_row[worker] += 1;
+            self.wasted_at[worker] = at;
+        }
+    }
+
     pub(super) fn overuse(&mut self, at: Millis) {
         self.overused += 1;
         self.overused_in_window += u64::from(self.window.0 <= at && at < self.window.1);
--- a/crates/core/src/contract/scheduler.rs
+++ b/crates/core/src/contract/scheduler.rs
@@ -29,7 +29,7 @@
 use crate::contract::{policy, task};
 use crate::machine::capacity::Capacity;
 use crate::machine::estimate::{Estimates, Sample};
-use crate::machine::health::{Health, State};
+use crate::machine::health::{Failure, Health, PROOF, State};
 use crate::machine::placement::Handle;
 use crate::machine::view::{Report, View};
 use crate::machine::worker::Ending;
@@ -40,6 +40,9 @@
 /// Cancelled units that are left in the queue before it is compacted.
 const STALE_UNITS: usize = 1024;
 
+/// Failures that are kept for the peers at most.
+const NEWS: usize = 256;
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -104,6 +107,8 @@
     /// Units in the queue whose task waits no more.
     stale: usize,
     group: u64,
+    /// Failures that the peers were not told yet.
+    news: Vec<Failure>,
     counters: Counters,
     /// Whether something happened since the last pass that decided nothing.
     changed: bool,
@@ -137,6 +142,7 @@
             relieved_at: Millis::ZERO,
             stale: 0,
             group: 0,
+            news: Vec::new(),
             counters: Counters::default(),
             changed: true,
             settled_at: Millis::ZERO,
@@ -160,6 +166,13 @@
         }
     }
 
+    /// Sets a number that differs between stewards, such as the hash of the instance's name. Of
+    /// workers that suit about equally well, stewards with different numbers prefer different
+    /// ones, and so refuse each other less often.
+    pub const fn salt(&mut self, salt: u64) {
+        self.view.salt(salt);
+    }
+
     /// Takes in a controller's report of a worker.
     pub fn worker(&mut self, report: &Report<'_>) {
         let known = self.view.handle(report.worker.name.as_str()).is_some();
@@ -186,6 +199,19 @@
         self.usage.gossip(peer, totals, now);
     }
 
+    /// Returns the failures since the last call, to be sent to the peers soon.
+    pub fn take_news(&mut self) -> Vec<Failure> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Takes in a failure that a peer saw.
+    pub fn peer_failed(&mut self, failure: &Failure, now: Millis) {
+        if let Some(handle) = self.view.handle(failure.worker.as_str()) {
+            self.health.strike(handle, failure.job, now);
+            self.refresh(handle, now);
+        }
+    }
+
     /// Returns what this steward's teams use and wait for, to be sent to the peers.
     pub const fn totals(&self) -> &Totals {
         self.usage.totals()
@@ -333,7 +359,7 @@
             } else {
                 self.view.release(claim.worker, &claim.needs);
             }
-            self.health.withdrawn(claim.worker, now);
+            self.health.withdrawn(claim.worker, now, now);
             self.refresh(claim.worker, now);
         }
         self.withdraw(number, &group, now);
@@ -357,14 +383,18 @@
         match ending {
             Ending::Completed(_) => {
                 self.estimates.completed(&kind, &sample);
-                self.health.succeeded(handle, hash);
+                self.health.succeeded(handle, hash, now - ran, now);
             }
             Ending::Failed(_) => {
-                self.health.failed(handle, hash, now);
+                self.health.failed(handle, hash, now - ran, now);
+                if self.news.len() < NEWS {
+                    let worker = self.view.worker(handle).name.clone();
+                    self.news.push(Failure { worker, job: hash });
+                }
             }
             Ending::Stopped | Ending::Checkpointed | Ending::Lapsed => {
                 self.estimates.seen(&kind, &sample.declared, peak);
-                self.health.withdrawn(handle, now);
+                self.health.withdrawn(handle, now - ran, now);
             }
         }
         self.unplace(number, task.index, &claim, ran);
@@ -422,6 +452,11 @@
         &self.counters
     }
 
+    /// Returns the number of workers that are quarantined or probed.
+    pub fn quarantined(&self) -> usize {
+        self.health.quarantined()
+    }
+
     /// Returns the view of the fleet's free capacity.
     pub const fn view(&self) -> &View {
         &self.view
@@ -529,7 +564,11 @@
 
     /// Brings the view of a worker in line with its health.
     fn refresh(&mut self, handle: Handle, now: Millis) {
-        self.view.quarantine(handle, self.health.is_paused(handle, now));
+        let paused = self.health.is_paused(handle, now);
+        self.view.quarantine(handle, paused);
+        if paused {
+            self.checks.push_back((now + PROOF, handle));
+        }
         if let State::Quarantined(until) | State::Probed(until) = self.health.state(handle) {
             self.quarantines.retain(|&(_, h)| h != handle);
             self.quarantines.push((until, handle));
--- a/crates/core/src/contract/scheduler/decide.rs
+++ b/crates/core/src/contract/scheduler/decide.rs
@@ -66,6 +66,7 @@
     /// Lets time pass: starts are proven, quarantines and reservations end.
     fn tick(&mut self, now: Millis) {
         self.usage.tick(now);
+        self.health.share(self.usage.peers() + 1);
         while let Some(&(at, handle)) = self.checks.front()
             && at <= now
         {
--- a/crates/core/src/contract/scheduler/tests.rs
+++ b/crates/core/src/contract/scheduler/tests.rs
@@ -3,7 +3,6 @@
 use crate::contract::kind::{Separation, Shape};
 use crate::contract::request::Reason;
 use crate::contract::team;
-use crate::machine::health;
 use crate::machine::worker::Worker;
 use googletest::prelude::*;
 
@@ -94,7 +93,7 @@
         let mut placed = Vec::new();
         for _ in 0..rounds {
             placed.extend(self.decide());
-            self.now = self.now + health::PROOF;
+            self.now = self.now + PROOF;
         }
         placed
     }
--- a/crates/core/src/contract/scheduler/tests/faults.rs
+++ b/crates/core/src/contract/scheduler/tests/faults.rs
@@ -54,6 +54,9 @@
         bench.now = bench.now + Millis(100);
         bench.end("bad/0", &FAILED);
     }
+    expect_that!(bench.scheduler.quarantined(), eq(0));
+    bench.now = bench.now + PROOF;
+    bench.decide();
     let view = bench.scheduler.view();
     expect_that!(view.workers().all(|(handle, _)| view.is_usable(handle)), eq(true));
 }
--- a/crates/core/src/contract/share.rs
+++ b/crates/core/src/contract/share.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Returns the number of peers that were heard lately.
+    pub const fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Sets the weight of a team.
     pub fn weigh(&mut self, team: u16, weight: u32) {
         let team = usize::from(team);
--- a/crates/core/src/machine/health.rs
+++ b/crates/core/src/machine/health.rs
@@ -8,6 +8,8 @@
 
 use crate::clock::Millis;
 use crate::machine::placement::Handle;
+use crate::name::Name;
+use serde::{Deserialize, Serialize};
 
 /// Failures in a row that quarantine a worker; also its starts in flight that are not proven.
 pub const STRIKES: usize = 4;
@@ -44,6 +46,8 @@
     strikes: Vec<u64>,
     /// When each start that is not proven yet will be.
     unproven: Vec<Millis>,
+    /// When the last failure was.
+    struck_at: Millis,
     /// Length of the last quarantine.
     pause: Millis,
 }
@@ -65,6 +69,26 @@
     records: Vec<Record>,
     /// Sorted by hash.
     jobs: Vec<Job>,
+    /// Stewards that share the starts in flight on each worker; zero counts as one.
+    stewards: usize,
+}
+
+/// A failure of a task, which a steward tells the others: each sees only its own teams' tasks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// The worker on which the task failed.
+    pub worker: Name,
+    /// Hash of the job's id.
+    pub job: u64,
+}
+
+impl Record {
+    /// Takes a start that was made at `started` out of those that are not proven.
+    fn proven(&mut self, started: Millis, now: Millis) {
+        if started + PROOF > now {
+            self.unproven.pop();
+        }
+    }
 }
 
 impl Health {
@@ -83,7 +107,11 @@
         self.record(handle).is_none_or(|record| match record.state {
             State::Sound => {
                 let unproven = record.unproven.iter().filter(|&&at| at > now).count();
-                unproven < STRIKES.saturating_sub(self.count(record)).max(1)
+                let strikes = self.count(record);
+                let allowed = STRIKES / self.stewards.max(1);
+                // With several stewards, what is in flight elsewhere must be heard of first.
+                let unheard = self.stewards > 1 && strikes > 0 && now < record.struck_at + PROOF;
+                !unheard && unproven < allowed.saturating_sub(strikes).max(1)
             }
             State::Quarantined(until) => now >= until,
             State::Probed(until) => now >= until,
@@ -115,38 +143,51 @@
         now + PROOF
     }
 
-    /// Notes that a start ended or was taken back without telling anything of the worker.
-    pub fn withdrawn(&mut self, handle: Handle, now: Millis) {
+    /// Notes that a start made at `started` ended, or was taken back, without telling anything of
+    /// the worker.
+    pub fn withdrawn(&mut self, handle: Handle, started: Millis, now: Millis) {
         let record = self.record_mut(handle);
-        record.unproven.pop();
+        record.proven(started, now);
         if matches!(record.state, State::Probed(_)) {
             record.state = State::Quarantined(now);
         }
     }
 
-    /// Notes that a task of a job completed on a worker.
-    pub fn succeeded(&mut self, handle: Handle, job: u64) {
+    /// Notes that a task of a job completed on a worker, on which it was started at `started`. A
+    /// task that was started before the last failure tells nothing of the worker's present state.
+    pub fn succeeded(&mut self, handle: Handle, job: u64, started: Millis, now: Millis) {
         let record = self.record_mut(handle);
-        record.strikes.clear();
-        record.unproven.pop();
-        record.pause = Millis::ZERO;
-        record.state = State::Sound;
+        record.proven(started, now);
+        if record.strikes.is_empty() || started >= record.struck_at {
+            record.strikes.clear();
+            record.pause = Millis::ZERO;
+            record.state = State::Sound;
+        }
         if let Ok(i) = self.jobs.binary_search_by_key(&job, |j| j.hash) {
             self.jobs[i].succeeded = true;
         }
     }
 
-    /// Notes that a task of a job failed on a worker. Returns whether it is quarantined now.
-    pub fn failed(&mut self, handle: Handle, job: u64, now: Millis) -> bool {
+    /// Notes that a task of a job, which was started at `started`, failed on a worker. Returns
+    /// whether the worker is quarantined now.
+    pub fn failed(&mut self, handle: Handle, job: u64, started: Millis, now: Millis) -> bool {
+        self.record_mut(handle).proven(started, now);
+        self.strike(handle, job, now)
+    }
+
+    /// Counts a failure that this steward or another one saw. Returns whether the worker is
+    /// quarantined now.
+    pub fn strike(&mut self, handle: Handle, job: u64, now: Millis) -> bool {
         self.note_job(job, handle);
         let record = self.record_mut(handle);
-        record.unproven.pop();
         if record.strikes.len() == STRIKES {
             record.strikes.remove(0);
         }
         record.strikes.push(job);
+        record.struck_at = now;
+        let waits = matches!(record.state, State::Quarantined(until) if now < until);
         let probed = matches!(record.state, State::Probed(_));
-        if probed || self.count(&self.records[handle as usize]) >= STRIKES {
+        if !waits && (probed || self.count(&self.records[handle as usize]) >= STRIKES) {
             let record = self.record_mut(handle);
             let pause = record.pause.times(2).max(FIRST_PAUSE).min(LONGEST_PAUSE);
             record.pause = pause;
@@ -155,6 +196,11 @@
         matches!(self.state(handle), State::Quarantined(_))
     }
 
+    /// Sets the number of stewards that share the starts in flight on each worker.
+    pub fn share(&mut self, stewards: usize) {
+        self.stewards = stewards;
+    }
+
     /// Returns the worker on which a job failed last, which its next attempt should avoid.
     pub fn avoid(&self, job: u64) -> Option<Handle> {
         let found = self.jobs.binary_search_by_key(&job, |j| j.hash);
@@ -167,6 +213,11 @@
         found.is_ok_and(|i| !self.jobs[i].succeeded && self.jobs[i].failed_on.len() > 1)
     }
 
+    /// Returns the number of workers that are quarantined or probed.
+    pub fn quarantined(&self) -> usize {
+        self.records.iter().filter(|record| record.state != State::Sound).count()
+    }
+
     fn record(&self, handle: Handle) -> Option<&Record> {
         self.records.get(handle as usize)
     }
--- a/crates/core/src/machine/health/tests.rs
+++ b/crates/core/src/machine/health/tests.rs
@@ -5,7 +5,7 @@
 
 fn fail(health: &mut Health, handle: Handle, job: u64) -> bool {
     health.started(handle, NOW);
-    health.failed(handle, job, NOW)
+    health.failed(handle, job, NOW, NOW)
 }
 
 #[gtest]
@@ -46,7 +46,7 @@
 fn a_job_that_succeeded_elsewhere_counts_against_the_worker() {
     let mut health = Health::default();
     fail(&mut health, 1, 7);
-    health.succeeded(2, 7);
+    health.succeeded(2, 7, NOW, NOW);
     let starts = (0..100).take_while(|_| !fail(&mut health, 0, 7)).count() + 1;
     expect_that!(starts, le(5));
 }
@@ -57,7 +57,7 @@
     for round in 0..20 {
         expect_that!(fail(&mut health, 0, 2 * round), eq(false));
         expect_that!(fail(&mut health, 0, 2 * round + 1), eq(false));
-        health.succeeded(0, 99);
+        health.succeeded(0, 99, NOW, NOW);
     }
 }
 
@@ -72,7 +72,7 @@
     expect_that!(health.admits(0, until), eq(true));
     health.started(0, until);
     expect_that!(health.admits(0, until), eq(false));
-    health.succeeded(0, 50);
+    health.succeeded(0, 50, until, until);
     expect_that!(health.state(0), eq(State::Sound));
     expect_that!(health.admits(0, until), eq(true));
 }
@@ -86,7 +86,7 @@
     let mut now = NOW + FIRST_PAUSE;
     for pause in [60, 120, 240, 480, 600, 600] {
         health.started(0, now);
-        expect_that!(health.failed(0, now.get(), now), eq(true));
+        expect_that!(health.failed(0, now.get(), now, now), eq(true));
         let until = now + Millis::from_secs(pause);
         expect_that!(health.state(0), eq(State::Quarantined(until)));
         now = until;
@@ -101,7 +101,7 @@
     }
     let later = NOW + FIRST_PAUSE;
     health.started(0, later);
-    health.withdrawn(0, later);
+    health.withdrawn(0, later, later);
     expect_that!(health.admits(0, later), eq(true));
 }
 
@@ -127,3 +127,54 @@
     health.started(0, later + PROBE_PROOF);
     expect_that!(health.state(0), eq(State::Sound));
 }
+
+#[gtest]
+fn a_success_of_a_task_that_was_started_before_the_failures_clears_nothing() {
+    let mut health = Health::default();
+    for job in 0..3 {
+        fail(&mut health, 0, job);
+    }
+    health.succeeded(0, 50, NOW - Millis(1), NOW);
+    expect_that!(fail(&mut health, 0, 3), eq(true));
+    health.succeeded(0, 51, NOW - Millis(1), NOW);
+    expect_that!(health.quarantined(), eq(1));
+}
+
+#[gtest]
+fn the_end_of_a_proven_start_lets_no_further_start_in() {
+    let mut health = Health::default();
+    for _ in 0..STRIKES {
+        health.started(0, NOW);
+    }
+    health.succeeded(0, 7, NOW - PROOF, NOW);
+    expect_that!(health.admits(0, NOW), eq(false));
+    health.succeeded(0, 7, NOW, NOW);
+    expect_that!(health.admits(0, NOW), eq(true));
+}
+
+#[gtest]
+fn several_stewards_share_the_starts_in_flight() {
+    let mut health = Health::default();
+    health.share(7);
+    health.started(0, NOW);
+    expect_that!(health.admits(0, NOW), eq(false));
+    expect_that!(health.admits(1, NOW), eq(true));
+}
+
+#[gtest]
+fn failures_that_others_saw_count() {
+    let mut health = Health::default();
+    for job in 0..3 {
+        expect_that!(health.strike(0, job, NOW), eq(false));
+    }
+    expect_that!(fail(&mut health, 0, 3), eq(true));
+}
+
+#[gtest]
+fn after_a_failure_what_is_in_flight_at_other_stewards_is_awaited() {
+    let mut health = Health::default();
+    health.share(7);
+    health.strike(0, 1, NOW);
+    expect_that!(health.admits(0, NOW), eq(false));
+    expect_that!(health.admits(0, NOW + PROOF), eq(true));
+}
--- a/crates/core/src/machine/view.rs
+++ b/crates/core/src/machine/view.rs
@@ -18,6 +18,9 @@
 /// Cost of the worker on which the job failed last: above that of every other.
 const AVOIDED_COST: u64 = u64::MAX / 2;
 
+/// Greatest cost, in thousandths, by which the preferences of two stewards differ.
+const PREFERENCE_COST: u64 = 400;
+
 /// What a controller reports of one worker.
 #[derive(Clone, Copy, Debug)]
 pub struct Report<'a> {
@@ -88,9 +91,16 @@
     misses: Vec<Capacity>,
     /// Raised whenever a worker gains room.
     gains: u64,
+    /// Number of the steward, by which its preferences differ from those of others.
+    salt: u64,
 }
 
 impl View {
+    /// Sets the number by which the preferences of this view differ from those of others.
+    pub const fn salt(&mut self, salt: u64) {
+        self.salt = salt;
+    }
+
     /// Takes in a report. An older report than the last one is ignored.
     pub fn report(&mut self, report: &Report<'_>) -> Handle {
         let handle = self.handle_or_insert(report.worker);
@@ -280,7 +290,8 @@
                 let (in_domain, in_rack) = if ask.spread { crowd(d, slot.rack) } else { (0, 0) };
                 let site = Site { capacity: slot.worker.capacity, remote, in_domain, in_rack };
                 let avoided = u64::from(ask.avoid == Some(handle)) * AVOIDED_COST;
-                let cost = cost(ask, free, &site, weights) + avoided;
+                let preference = preference(self.salt, handle) * u64::from(weights.waiting);
+                let cost = cost(ask, free, &site, weights) + preference + avoided;
                 if best.is_none_or(|(least, _)| cost < least) {
                     best = Some((cost, handle));
                 }
@@ -396,6 +407,15 @@
     }
 }
 
+/// Returns the cost of a worker, below [`PREFERENCE_COST`], that differs between stewards.
+const fn preference(salt: u64, handle: Handle) -> u64 {
+    if salt == 0 {
+        return 0;
+    }
+    let mixed = (salt ^ handle as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed >> 32) % PREFERENCE_COST
+}
+
 impl Slot {
     const fn present(&self) -> bool {
         !self.leaving && !self.forgotten
