Measure what control costs and how configuration spreads

Change: experiments control (bytes of state, processor time, encoded messages, and their sum at the two-year size) and config (polling against notification with one puller per region, in virtual time).

--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -1,5 +1,7 @@
 //! The experiments, one module each.
 
+pub mod config;
+pub mod control;
 pub mod faults;
 pub mod flood;
 pub mod packing;
@@ -8,7 +10,7 @@
 use crate::report::Report;
 
 /// Names of the experiments.
-pub const NAMES: [&str; 4] = ["placement", "packing", "flood", "faults"];
+pub const NAMES: [&str; 6] = ["placement", "packing", "flood", "faults", "control", "config"];
 
 /// Returns the experiment with the given name: a function from the seed to the report.
 pub fn find(name: &str) -> Option<fn(u64) -> Report> {
@@ -17,6 +19,8 @@
         "packing" => Some(packing::run),
         "flood" => Some(flood::run),
         "faults" => Some(faults::run),
+        "control" => Some(control::run),
+        "config" => Some(config::run),
         _ => None,
     }
 }
--- /dev/null
+++ b/crates/bench/src/experiment/config.rs
@@ -0,0 +1,168 @@
+//! How a configuration reaches every daemon: plain polling against notification with one puller
+//! per region, on a model in virtual time with 30 ms one way between regions.
+//!
+//! The daemon that accepts a patch tells one daemon of each region, drawn by rendezvous hashing,
+//! its version. That one pulls the records that it lacks and tells the others of its region. A
+//! notification may be lost; a slow poll by each puller mends that.
+
+use crate::load;
+use crate::report::{Report, Series, Target};
+use hdrhistogram::Histogram;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::configuration::Patch;
+use pimentovalve_core::contract::team::Team;
+use pimentovalve_core::ledger::record::{Change, Id, Record, Register};
+use pimentovalve_core::machine::capacity::Capacity;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const DAEMONS: usize = 8;
+const REGIONS: usize = 3;
+/// One way between regions and within one, in milliseconds.
+const FAR_MS: u64 = 30;
+const NEAR_MS: u64 = 2;
+/// From a patch to its record in the log, in milliseconds at most.
+const APPEND_MS: u64 = 50;
+/// Changes in the measured day.
+const CHANGES: usize = 500;
+const DAY_MS: u64 = 24 * 3600 * 1000;
+/// Intervals of plain polling, and of the poll that mends a lost notification.
+const POLLS_MS: [u64; 3] = [500, 1000, 2000];
+const MEND_MS: u64 = 2000;
+/// Lost notifications, in percent.
+const LOST_PERCENT: u32 = 2;
+/// Bytes around each message: HTTP headers, as small as this project writes them.
+const HEADER_BYTES: u64 = 120;
+/// Bytes of a version or an offset in a message.
+const VERSION_BYTES: u64 = 9;
+const IN_FORCE_MS: f64 = 4000.0;
+
+/// What one way of propagation costs.
+struct Outcome {
+    /// From a patch to its being in force everywhere, in milliseconds.
+    everywhere: Histogram<u64>,
+    /// Bytes across regions in a day.
+    far_bytes: u64,
+}
+
+/// Runs the experiment.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("config", seed);
+    let patch = patch_bytes();
+    let notified = notification(seed, patch);
+    let polled = POLLS_MS.map(|interval| (interval, polling(seed, patch, interval)));
+    let (_, plain) = &polled[0];
+    let seconds = |o: &Outcome, q: f64| o.everywhere.value_at_quantile(q) as f64 / 1e3;
+    let most = Some(Target::AtMost(IN_FORCE_MS / 1e3));
+    report.row(
+        "in force everywhere, s, longest",
+        seconds(&notified, 1.0),
+        Some(seconds(plain, 1.0)),
+        most,
+    );
+    report.row(
+        "in force everywhere, s, p50",
+        seconds(&notified, 0.5),
+        Some(seconds(plain, 0.5)),
+        None,
+    );
+    let megabytes = |o: &Outcome| o.far_bytes as f64 / 1e6;
+    report.row("across regions, MB a day", megabytes(&notified), Some(megabytes(plain)), None);
+    for (interval, outcome) in &polled {
+        let label = format!("polling every {interval} ms");
+        report.row(format!("{label}: s, longest"), seconds(outcome, 1.0), None, None);
+        report.row(format!("{label}: MB a day"), megabytes(outcome), None, None);
+    }
+    report.row("bytes of a patch's record", patch as f64, None, None);
+    report.axes = ("percent of changes", "in force everywhere, s");
+    let points = |o: &Outcome| {
+        (0..=100).map(|i| (f64::from(i), seconds(o, f64::from(i) / 100.0))).collect::<Vec<_>>()
+    };
+    report.figure.push(Series { name: "notification".into(), points: points(&notified) });
+    for (interval, outcome) in &polled {
+        let name = format!("polling every {interval} ms");
+        report.figure.push(Series { name, points: points(outcome) });
+    }
+    report
+}
+
+/// Returns the size of a usual patch's record.
+fn patch_bytes() -> u64 {
+    let quota = Capacity::new(1_000_000, 4_000_000, 100);
+    let team = Team { name: load::team(1), weight: 3, quota };
+    let record = Record {
+        id: Id { writer: load::name("entry-1"), number: 70_000 },
+        at: Millis(1_800_000_000_000),
+        register: Register::Configuration,
+        expect: 400,
+        change: Change::Patch {
+            operator: load::name("operator-1"),
+            patch: Patch { teams: vec![team], ..Patch::default() },
+        },
+    };
+    rmp_serde::to_vec(&record).map_or(0, |bytes| bytes.len() as u64)
+}
+
+const fn region(daemon: usize) -> usize {
+    daemon % REGIONS
+}
+
+const fn one_way(from: usize, to: usize) -> u64 {
+    if from == to { NEAR_MS } else { FAR_MS }
+}
+
+fn outcome() -> Outcome {
+    let everywhere = Histogram::new_with_max(100_000, 3).expect("valid bounds");
+    Outcome { everywhere, far_bytes: 0 }
+}
+
+/// Every daemon polls the log, which stands in region 0.
+fn polling(seed: u64, patch: u64, interval: u64) -> Outcome {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut outcome = outcome();
+    let far = (0..DAEMONS).filter(|&d| region(d) != 0).count() as u64;
+    let exchange = 2 * HEADER_BYTES + 2 * VERSION_BYTES;
+    outcome.far_bytes = far * (DAY_MS / interval * exchange + CHANGES as u64 * patch);
+    for _ in 0..CHANGES {
+        let recorded = rng.random_range(1..=APPEND_MS);
+        let last = (0..DAEMONS).map(|daemon| {
+            let way = one_way(0, region(daemon));
+            // The poll that first reaches the log after the record, and its answer.
+            recorded + rng.random_range(0..interval) + way
+        });
+        outcome.everywhere.saturating_record(last.max().unwrap_or_default());
+    }
+    outcome
+}
+
+/// The accepting daemon notifies one puller per region, which pulls and notifies its region.
+fn notification(seed: u64, patch: u64) -> Outcome {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut outcome = outcome();
+    let far_regions = REGIONS as u64 - 1;
+    let exchange = 2 * HEADER_BYTES + 2 * VERSION_BYTES;
+    outcome.far_bytes = far_regions * DAY_MS / MEND_MS * exchange;
+    for _ in 0..CHANGES {
+        let from = rng.random_range(0..REGIONS);
+        let recorded = rng.random_range(1..=APPEND_MS) + one_way(0, from);
+        let mut last = recorded;
+        for to in 0..REGIONS {
+            let way = one_way(from, to);
+            if to != from {
+                outcome.far_bytes += HEADER_BYTES + VERSION_BYTES;
+            }
+            if to != 0 {
+                outcome.far_bytes += exchange + patch;
+            }
+            let lost = rng.random_ratio(LOST_PERCENT, 100);
+            let told = if lost { rng.random_range(0..MEND_MS) } else { way };
+            let pulled = recorded + told + 2 * one_way(0, to);
+            // A lost notification within the region is mended by the others' poll of the puller.
+            let inside = rng.random_ratio(LOST_PERCENT, 100);
+            let spread = if inside { rng.random_range(0..MEND_MS) } else { 0 } + NEAR_MS;
+            last = last.max(pulled + spread);
+        }
+        outcome.everywhere.saturating_record(last);
+    }
+    outcome
+}
--- /dev/null
+++ b/crates/bench/src/experiment/control.rs
@@ -0,0 +1,238 @@
+//! What control costs: slopes of the decision objects, and the sum at the two-year size.
+//!
+//! These are the pure parts: state, processor time and encoded messages of the core types. The
+//! runtime, HTTP framing and the standard library's buffers of a daemon are measured with real
+//! daemons, not here.
+
+use crate::load::{self, Customer, Spec, Stream};
+use crate::report::{Report, Series, Target};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::scheduler::{Decision, Scheduler};
+use pimentovalve_core::contract::task;
+use pimentovalve_core::ledger::record::{Change, Id, Record, Register};
+use pimentovalve_core::machine::capacity::Capacity;
+use pimentovalve_core::machine::view;
+use pimentovalve_core::machine::worker::{Ending, Holding, Inventory, Worker};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::time::Instant;
+
+/// The two-year size.
+const WORKERS: usize = 640;
+const ACCELERATORS: u64 = 1400;
+const TEAMS: usize = 55;
+const DOMAINS: usize = 7;
+const RUNNING: usize = 4600;
+const DAEMONS: usize = 7;
+/// Task starts a second at the peak, and reports of each worker a second.
+const STARTS: f64 = 63.0;
+const REPORTS: f64 = 1.0;
+/// Jobs that wait in one steward's queue at the peak.
+const QUEUED: usize = 10_000;
+/// Bounds of a daemon.
+const CORE_PERCENT: f64 = 3.7;
+const RESIDENT_MB: f64 = 64.0;
+const WIRE_KB: f64 = 6.0;
+
+/// Runs the experiment.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("control", seed);
+    let fleet = load::fleet(Customer::Andino, WORKERS, DOMAINS, ACCELERATORS);
+    let specs = jobs(seed, QUEUED + RUNNING);
+    let memory = state(&mut report, &fleet, &specs);
+    let time = time(&mut report, &fleet, &specs);
+    let wire = messages(&mut report, &fleet, &specs);
+    let most = |bound| Some(Target::AtMost(bound));
+    report.row("pure parts: percent of a core at the peak", time, None, most(CORE_PERCENT));
+    report.row("pure parts: state at the peak, MB", memory, None, most(RESIDENT_MB));
+    report.row("encoded messages of a daemon at the peak, KB/s", wire, None, most(WIRE_KB));
+    report.axes = ("1 processor time, 2 memory, 3 wire", "percent of the bound");
+    let parts = [time / CORE_PERCENT, memory / RESIDENT_MB, wire / WIRE_KB];
+    let points = (1..).zip(parts).map(|(i, part)| (f64::from(i), 100.0 * part)).collect();
+    report.figure.push(Series { name: "two-year size".into(), points });
+    report
+}
+
+/// Returns the memory that the process has in use, in bytes, as the system tells it.
+fn resident() -> f64 {
+    const PAGE: f64 = 4096.0;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|p| p.parse::<f64>().ok());
+    pages.unwrap_or(f64::NAN) * PAGE
+}
+
+fn scheduler(fleet: &[Worker]) -> Scheduler {
+    let mut scheduler = Scheduler::new(None, &load::configuration(Customer::Andino, TEAMS));
+    for worker in fleet {
+        report_worker(&mut scheduler, worker, &worker.capacity, Millis(1));
+    }
+    scheduler
+}
+
+fn report_worker(scheduler: &mut Scheduler, worker: &Worker, free: &Capacity, at: Millis) {
+    scheduler.worker(&view::Report { worker, free, leaving: false, at });
+}
+
+/// Measures bytes of state by growth of many copies; returns megabytes at the peak.
+fn state(report: &mut Report, fleet: &[Worker], specs: &[Spec]) -> f64 {
+    const COPIES: usize = 8;
+    let before = resident();
+    let mut copies: Vec<Scheduler> = (0..COPIES).map(|_| scheduler(&[])).collect();
+    let empty = resident();
+    for copy in &mut copies {
+        for worker in fleet {
+            report_worker(copy, worker, &worker.capacity, Millis(1));
+        }
+    }
+    let with_workers = resident();
+    for copy in &mut copies {
+        for spec in specs {
+            copy.enqueue(&spec.job, &spec.kind, &[0], Millis(1));
+        }
+    }
+    let with_jobs = resident();
+    let each = |from: f64, to: f64, count: usize| (to - from) / (COPIES * count) as f64;
+    report.row("bytes of an empty scheduler", each(before, empty, 1), None, None);
+    report.row("bytes of state per worker", each(empty, with_workers, fleet.len()), None, None);
+    report.row("bytes of state per job", each(with_workers, with_jobs, specs.len()), None, None);
+    each(before, with_jobs, 1) / 1e6
+}
+
+/// Measures processor time per event; returns the percentage of a core at the peak.
+fn time(report: &mut Report, fleet: &[Worker], specs: &[Spec]) -> f64 {
+    let mut scheduler = scheduler(fleet);
+    let micros = |start: Instant, count: usize| start.elapsed().as_secs_f64() * 1e6 / count as f64;
+    let start = Instant::now();
+    for spec in specs {
+        scheduler.enqueue(&spec.job, &spec.kind, &[0], Millis(1));
+    }
+    let enqueue = micros(start, specs.len());
+    let mut now = Millis(1000);
+    let mut running: Vec<(task::Id, usize)> = Vec::new();
+    let (mut decided, mut deciding) = (0, 0.0);
+    while running.len() < RUNNING && now < Millis::from_secs(1000) {
+        now = now + Millis(1000);
+        let start = Instant::now();
+        let decisions = scheduler.decide(now, 64);
+        deciding += start.elapsed().as_secs_f64() * 1e6;
+        for decision in decisions {
+            if let Decision::Place { task, worker, .. } = decision {
+                let w = fleet.binary_search_by(|w| w.name.cmp(&worker)).unwrap_or_default();
+                running.push((task, w));
+                decided += 1;
+            }
+        }
+    }
+    let decide = deciding / f64::from(decided.max(1));
+    let start = Instant::now();
+    const ROUNDS: usize = 20;
+    for round in 0..ROUNDS {
+        let at = now + Millis(1 + round as u64);
+        for worker in fleet {
+            let free = Capacity::new(round as u64, 1, 0);
+            report_worker(&mut scheduler, worker, &free, at);
+        }
+    }
+    let reported = micros(start, ROUNDS * fleet.len());
+    let start = Instant::now();
+    let count = running.len();
+    for (task, _) in running {
+        let (ending, peak) = (Ending::Completed(String::new()), Capacity::new(100, 100, 0));
+        scheduler.ended(&task, &ending, &peak, Millis(60_000), now);
+    }
+    let ended = micros(start, count);
+    let start = Instant::now();
+    const IDLE: usize = 1000;
+    for _ in 0..IDLE {
+        scheduler.decide(now, 0);
+    }
+    let idle = micros(start, IDLE);
+    report.row("us per job queued", enqueue, None, None);
+    report.row("us per decision", decide, None, None);
+    report.row("us per report of a worker", reported, None, None);
+    report.row("us per end of a task", ended, None, None);
+    report.row("us per call that decides nothing", idle, None, None);
+    // One steward has a seventh of the tasks and hears of all workers; it is asked every 10 ms.
+    let tasks = STARTS / DAEMONS as f64 * (enqueue + decide + ended);
+    let reports = REPORTS * WORKERS as f64 * reported;
+    (tasks + reports + 100.0 * idle) / 1e6 * 100.0
+}
+
+fn encoded(value: &impl Serialize) -> f64 {
+    rmp_serde::to_vec(value).map_or(f64::NAN, |bytes| bytes.len() as f64)
+}
+
+/// Measures encoded messages; returns the kilobytes a second that one daemon sends at the peak.
+fn messages(report: &mut Report, fleet: &[Worker], specs: &[Spec]) -> f64 {
+    let (worker, spec) = (&fleet[0], &specs[0]);
+    let task = task::Id { job: spec.job.id.clone(), index: 0 };
+    let holding = Holding {
+        task: task.clone(),
+        attempt: 1,
+        epoch: 3,
+        team: spec.job.team.clone(),
+        kind: spec.job.kind.clone(),
+        needs: spec.job.needs,
+        until: Millis(1_800_000_000_000),
+        usage: spec.job.needs,
+    };
+    let inventory = Inventory {
+        worker: worker.clone(),
+        epoch: 3,
+        controller: Some(load::name("entry-1")),
+        leaving: false,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    let full = encoded(&(&worker.name, 3_u64, &worker.capacity, false, 1_800_000_000_000_u64));
+    let changed = encoded(&(512_u16, &worker.capacity));
+    let record = Record {
+        id: Id { writer: load::name("entry-1"), number: 70_000 },
+        at: Millis(1_800_000_000_000),
+        register: Register::Task(task),
+        expect: 1,
+        change: Change::Attempt {
+            attempt: 1,
+            worker: worker.name.clone(),
+            epoch: 3,
+            needs: spec.job.needs,
+            fence: None,
+        },
+    };
+    let totals = encoded(scheduler(fleet).totals());
+    report.row("bytes of an inventory without tasks", encoded(&inventory), None, None);
+    report.row("bytes per task in an inventory", encoded(&holding), None, None);
+    report.row("bytes of a worker's report to a peer", full, None, None);
+    report.row("bytes of a changed worker in a batch", changed, None, None);
+    report.row("bytes of an attempt's record", encoded(&record), None, None);
+    report.row("bytes of a steward's totals", totals, None, None);
+    let peers = (DAEMONS - 1) as f64;
+    let own = 1.0 / DAEMONS as f64;
+    // Each start and each end changes one worker, of which each daemon controls a seventh.
+    let batches = 2.0 * STARTS * own * peers * changed;
+    let plain = REPORTS * WORKERS as f64 * own * peers * full;
+    let records = 2.0 * STARTS * own * encoded(&record);
+    let gossip = peers * totals;
+    report.row("KB/s if each worker is reported each second", plain / 1e3, None, None);
+    (batches + records + gossip) / 1e3
+}
+
+fn jobs(seed: u64, count: usize) -> Vec<Spec> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let stream = Stream {
+        kind: "sealing",
+        prefix: "s",
+        teams: (0, TEAMS),
+        rate: count as f64,
+        span: (Millis(0), Millis(1000)),
+        tasks: (1, 1),
+        cpu_milli: (500, 8000),
+        memory_per_core: (1000, 4000),
+        accelerators: 0,
+        run: Millis::from_secs(60),
+        error: (1.0, 1.0),
+        noise: 1.0,
+    };
+    stream.draw(&mut rng)
+}
