--- a/crates/core/src/machine/controller.rs
+++ b/crates/core/src/machine/controller.rs
@@ -5,8 +5,11 @@
 //! refuses a former controller ([`crate::machine::arbiter`]).
 
 mod hold;
+mod tenure;
 mod wish;
 
+pub use tenure::Tenure;
+
 use crate::clock::Millis;
 use crate::contract::configuration::Configuration;
 use crate::contract::kind::Separation;
@@ -244,6 +247,10 @@
     heard: Millis,
     /// Whether an adoption or a sign of life is under way.
     calling: bool,
+    /// When the last adoption or sign of life was sent.
+    sent: Millis,
+    /// When the last one was sent that showed this instance to be the controller.
+    proven: Millis,
     /// No adoption or sign of life before this instant.
     not_before: Millis,
     /// Present while this instance controls it.
@@ -375,9 +382,12 @@
         }
     }
 
-    /// Returns the workers that this instance controls, with their epochs.
-    pub fn held(&self) -> impl Iterator<Item = (&Name, Epoch)> {
-        self.entries.iter().filter_map(|e| Some((&e.instance.name, e.hold.as_ref()?.epoch)))
+    /// Returns the workers that this instance controls, sorted by name.
+    pub fn held(&self) -> impl Iterator<Item = Tenure> {
+        self.entries.iter().filter_map(|e| {
+            let epoch = e.hold.as_ref()?.epoch;
+            Some(Tenure { worker: e.instance.name.clone(), epoch, proven: e.proven })
+        })
     }
 
     /// Takes in the answer to an adoption: the inventory, or the epoch that is present instead.
@@ -394,6 +404,7 @@
         match outcome {
             Outcome::Answered(Ok(inventory)) => {
                 entry.heard = now;
+                entry.proven = entry.sent;
                 entry.epoch = inventory.epoch;
                 entry.hold = Some(hold::Hold::new(inventory));
             }
@@ -419,6 +430,7 @@
                 entry.epoch = entry.epoch.max(heard.epoch);
                 match &mut entry.hold {
                     Some(hold) if hold.epoch == heard.epoch => {
+                        entry.proven = entry.sent;
                         hold.hear(heard);
                         // A worker answers at once while it has ended attempts to report.
                         let paced = hold.unrecorded().next().is_some();
@@ -468,6 +480,8 @@
                     epoch: 0,
                     heard: now,
                     calling: false,
+                    sent: now,
+                    proven: Millis::ZERO,
                     not_before: now,
                     hold: None,
                     standing: None,
@@ -495,6 +509,7 @@
         } else if entry.preferred.is_some() {
             let expected = entry.epoch;
             self.entries[i].calling = true;
+            self.entries[i].sent = now;
             self.effects.push(Effect::Adopt { worker, address, expected });
         }
     }
@@ -508,6 +523,7 @@
         let renewal = hold.renew(loss, proof, held_kinds, now + config.bounds.lease_ms);
         let pulse = hold.pulse(renewal);
         entries[i].calling = true;
+        entries[i].sent = now;
         self.effects.push(Effect::Beat { worker, address, pulse });
         self.send_orders(i, now);
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -92,18 +92,24 @@
 pub struct Daemon {
     name: Name,
     addresses: Addresses,
-    /// Ends the fronts for callers and operators before everything else.
-    front: Tokens,
-    back: Tokens,
     drain: CancellationToken,
-    fronts: Vec<JoinHandle<()>>,
-    backs: Vec<JoinHandle<()>>,
+    /// In the order in which they end in a planned stop.
+    stages: [Stage; 4],
     held: Latest<Held>,
     members: Latest<Arc<Members>>,
     telemetry: Telemetry,
     drain_time: Duration,
 }
 
+/// Duties that end together in a planned stop.
+///
+/// What a duty needs to finish its requests ends in a later stage: the fronts for callers and
+/// operators, then the one for peers, then the dispatch duty, then everything else.
+struct Stage {
+    tokens: Tokens,
+    threads: Vec<JoinHandle<()>>,
+}
+
 /// What duties publish, and the rings between them.
 struct Wiring {
     facts: (Publisher<Facts>, Latest<Facts>),
@@ -154,34 +160,32 @@
         let (telemetry, writer) = Telemetry::new(process, duty, settings.ring, sink);
         let own = own_instance(settings, addresses.peers);
         let wiring = Wiring::new(settings.ring, &own);
-        let (front, back) = (Tokens::default(), Tokens::default());
         let drain = CancellationToken::new();
-        let duties = back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
+        let (duties, dispatch) = back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
         let (held, members) = (wiring.held.1.clone(), wiring.members.1.clone());
         let fronts = fronts(settings, listeners, &wiring, &telemetry)?;
         let mut daemon = Self {
             name,
             addresses,
-            front,
-            back,
             drain,
-            fronts: Vec::new(),
-            backs: Vec::new(),
+            stages: Stage::all(),
             held,
             members,
             telemetry,
             drain_time: Duration::from(settings.timing.drain_ms),
         };
         daemon.telemetry.note(What::ProcessStarted);
-        daemon.backs.push(duty::start(Box::new(writer), &daemon.back)?);
+        let [front, peer, requests, back] = &mut daemon.stages;
+        back.start(Box::new(writer))?;
         for duty in duties {
-            daemon.backs.push(duty::start(duty, &daemon.back)?);
+            back.start(duty)?;
         }
+        requests.start(dispatch)?;
         let [callers, operators, peers, monitors] = fronts;
-        daemon.backs.push(duty::start(peers, &daemon.back)?);
-        daemon.backs.push(duty::start(monitors, &daemon.back)?);
-        daemon.fronts.push(duty::start(callers, &daemon.front)?);
-        daemon.fronts.push(duty::start(operators, &daemon.front)?);
+        back.start(monitors)?;
+        peer.start(peers)?;
+        front.start(callers)?;
+        front.start(operators)?;
         Ok(daemon)
     }
 
@@ -197,7 +201,7 @@
 
     /// Returns whether a duty has ended by itself, so that the daemon must be replaced.
     pub fn has_failed(&self) -> bool {
-        self.back.kill.is_cancelled() || self.front.kill.is_cancelled()
+        self.stages.iter().any(|stage| stage.tokens.kill.is_cancelled())
     }
 
     /// Stops as planned: hands over what it owns, answers every request in flight, then ends.
@@ -209,11 +213,12 @@
         while self.hands_over() && started.elapsed() < HAND_OVER {
             std::thread::sleep(HAND_OVER_PAUSE);
         }
-        self.front.stop.cancel();
-        join(&mut self.fronts);
+        let [front, peer, requests, back] = &mut self.stages;
+        for stage in [front, peer, requests] {
+            stage.stop();
+        }
         self.telemetry.note(What::Drained);
-        self.back.stop.cancel();
-        join(&mut self.backs);
+        back.stop();
     }
 
     /// Returns whether this instance still owns workers that another one could take.
@@ -223,10 +228,32 @@
 
     /// Ends at once, as if the process had died.
     pub fn kill(mut self) {
-        self.front.kill.cancel();
-        self.back.kill.cancel();
-        join(&mut self.fronts);
-        join(&mut self.backs);
+        for stage in &mut self.stages {
+            stage.tokens.kill.cancel();
+            join(&mut stage.threads);
+        }
+    }
+}
+
+impl Stage {
+    /// Returns stages that are killed together.
+    fn all() -> [Self; 4] {
+        let kill = CancellationToken::new();
+        [(); 4].map(|()| {
+            let tokens = Tokens { stop: CancellationToken::new(), kill: kill.clone() };
+            Self { tokens, threads: Vec::new() }
+        })
+    }
+
+    fn start(&mut self, duty: Box<dyn Duty>) -> Result<(), duty::Error> {
+        self.threads.push(duty::start(duty, &self.tokens)?);
+        Ok(())
+    }
+
+    /// Lets the duties finish what is in flight, and waits for it.
+    fn stop(&mut self) {
+        self.tokens.stop.cancel();
+        join(&mut self.threads);
     }
 }
 
@@ -310,6 +337,7 @@
     Ok((keys, bearer))
 }
 
+/// Returns the duties behind the fronts, and the dispatch duty.
 fn back_duties(
     settings: &Settings,
     planner: Box<dyn Planner>,
@@ -317,7 +345,7 @@
     own: Instance,
     telemetry: &Telemetry,
     drain: &CancellationToken,
-) -> Result<Vec<Box<dyn Duty>>, Error> {
+) -> Result<(Vec<Box<dyn Duty>>, Box<dyn Duty>), Error> {
     let (_, key) = peer_keys(settings)?;
     let timing = &settings.timing;
     let platform = &settings.platform;
@@ -348,7 +376,7 @@
     let steward = steward_duty(settings, planner, wiring, telemetry, key.clone());
     let control = control_duty(settings, wiring, telemetry, key.clone());
     let dispatch = Dispatch {
-        dispatcher: Dispatcher::new(settings.place.clone(), dispatcher::Config::default()),
+        dispatcher: Dispatcher::new(settings.place.clone(), dispatcher_config(settings)),
         runner: Arc::new(Observed::new(
             Arc::new(Machine::new(timing.log_ms)),
             telemetry.of(&plain_name("dispatch")),
@@ -366,14 +394,21 @@
         facts: wiring.facts.1.clone(),
         telemetry: telemetry.of(&plain_name("watch")),
     };
-    Ok(vec![
+    let others: Vec<Box<dyn Duty>> = vec![
         Box::new(watch),
         Box::new(gossip),
         Box::new(ledger),
         Box::new(steward),
         Box::new(control),
-        Box::new(dispatch),
-    ])
+    ];
+    Ok((others, Box::new(dispatch)))
+}
+
+/// A controller spends slots until its worker counts as silent.
+fn dispatcher_config(settings: &Settings) -> dispatcher::Config {
+    let term = settings.timing.heartbeat_ms + settings.timing.suspicion_ms;
+    let settle = term + settings.bounds.skew_ms;
+    dispatcher::Config { term, settle, ..dispatcher::Config::default() }
 }
 
 fn steward_duty(
--- a/crates/daemon/src/duty/control.rs
+++ b/crates/daemon/src/duty/control.rs
@@ -10,7 +10,7 @@
 use pimentovalve_core::ledger::Stream;
 use pimentovalve_core::ledger::record::{Change, Register};
 use pimentovalve_core::machine::controller::{
-    Controller, Effect, Ending, Grant, Heard, Outcome, Pulse, Standing, Wish,
+    Controller, Effect, Ending, Grant, Heard, Outcome, Pulse, Standing, Tenure, Wish,
 };
 use pimentovalve_core::machine::worker::{Epoch, Inventory, Order, Reply as Answer};
 use pimentovalve_core::name::Name;
@@ -176,8 +176,7 @@
 
     fn tick(&mut self) {
         self.duty.controller.tick(view::now());
-        let held: Vec<(Name, Epoch)> =
-            self.duty.controller.held().map(|(name, epoch)| (name.clone(), epoch)).collect();
+        let held: Vec<Tenure> = self.duty.controller.held().collect();
         self.duty.held.send_if_modified(|old| {
             let changed = **old != held;
             if changed {
--- a/crates/daemon/src/duty/dispatch.rs
+++ b/crates/daemon/src/duty/dispatch.rs
@@ -1,42 +1,43 @@
 //! The dispatch duty: has requests served by runners.
 //!
-//! A request ends in exactly one of three answers. It is "not run" only when every try of it is
-//! known not to have run; a single try of unknown outcome makes it "unknown".
+//! What to do is decided by [`pimentovalve_core::link`]; this duty carries it out. Each request
+//! has a task of its own, and each of its tries another one, which outlives the request: a try
+//! that was sent keeps its slot until the runner answers or must have given it up.
+
+mod attempt;
+mod request;
 
 use crate::duty::Duty;
-use crate::platform::{Failure, Runner};
+use crate::platform::Runner;
 use crate::ring::{Latest, Receiver, Reply};
-use crate::route::{self, Route};
+use crate::route::Route;
 use crate::telemetry::Telemetry;
 use crate::view::{self, Facts, Held, Members};
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::class::Class;
 use pimentovalve_core::contract::request::{Answer, Reason, Request};
-use pimentovalve_core::link::dispatcher::{Choice, Dispatcher};
+use pimentovalve_core::link::budget::{self, Budget};
+use pimentovalve_core::link::dispatcher::{Choice, Dispatcher, Grant, Question};
+use pimentovalve_core::link::permit::Permits;
 use pimentovalve_core::machine::runner::Limits;
 use pimentovalve_core::name::Name;
-use pimentovalve_core::timeline::What;
 use pimentovalve_core::zone::membership::{Instance, Role};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
-use pimentovalve_wire::peer::{Ask, Forward, Forwarded, Told};
-use pimentovalve_wire::runner::Call;
+use pimentovalve_wire::peer::{Forward, Forwarded};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, oneshot};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Most requests under way at once; more are refused.
 const MAX_REQUESTS: usize = 2048;
-/// Most tries of one request.
-const MAX_TRIES: usize = 6;
-/// Pause before another try when no runner has a free slot.
-const PAUSE: Duration = Duration::from_millis(20);
-/// When to come back after a refusal.
+/// Time between two looks at what is due, while something waits.
+const TICK: Duration = Duration::from_millis(20);
+/// When to come back after a refusal that the policy didn't time.
 const RETRY_AFTER: Millis = Millis::from_secs(1);
-/// Time that an answer needs from here to the caller at most.
-const RETURN_TIME: Millis = Millis(20);
 
 /// An event for the dispatch duty.
 #[derive(Debug)]
@@ -57,6 +58,30 @@
     },
 }
 
+impl Event {
+    const fn class(&self) -> Class {
+        match self {
+            Self::Request { request, .. } => request.class,
+            Self::Forward { forward, .. } => forward.request.class,
+        }
+    }
+
+    /// Refuses the event, because too many requests are under way.
+    fn refuse(self) {
+        let gone = match self {
+            Self::Request { request, reply } => {
+                reply.send(not_run(&request, Reason::Overload)).is_err()
+            }
+            Self::Forward { reply, .. } => {
+                reply.send(Forwarded::Busy { retry_after_ms: RETRY_AFTER }).is_err()
+            }
+        };
+        if gone {
+            tracing::debug!("nobody waits for a refusal any more");
+        }
+    }
+}
+
 /// The dispatch duty.
 pub struct Dispatch {
     /// The dispatcher.
@@ -77,9 +102,25 @@
     pub telemetry: Telemetry,
 }
 
-/// What the tries of requests share; used on the duty's thread only.
+/// A try that waits for a runner.
+struct Waiting {
+    ticket: u64,
+    attempt: Name,
+    grant: oneshot::Sender<Grant>,
+}
+
+/// What decides, used on the duty's thread only and never across a wait.
+struct State {
+    dispatcher: Dispatcher,
+    budget: Budget,
+    permits: Permits,
+    /// Sorted by ticket.
+    waiting: Vec<Waiting>,
+}
+
+/// What the tasks of requests share.
 struct Shared {
-    dispatcher: Mutex<Dispatcher>,
+    state: Mutex<State>,
     runner: Arc<dyn Runner>,
     route: Route,
     client: Client,
@@ -87,6 +128,9 @@
     facts: Latest<Facts>,
     telemetry: Telemetry,
     tries: AtomicU64,
+    tracker: TaskTracker,
+    /// Wakes the duty's loop when something has begun to wait.
+    wake: Notify,
 }
 
 impl Duty for Dispatch {
@@ -97,291 +141,174 @@
     fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
         Box::pin(async move {
             let (mut members, mut held) = (self.members.clone(), self.held.clone());
-            let events = self.events;
-            let shared = Arc::new(Shared {
-                dispatcher: Mutex::new(self.dispatcher),
-                runner: self.runner,
-                route: self.route,
-                client: Client::new(),
-                members: self.members,
-                facts: self.facts,
-                telemetry: self.telemetry,
-                tries: AtomicU64::new(0),
-            });
-            let permits = Arc::new(Semaphore::new(MAX_REQUESTS));
-            let tracker = TaskTracker::new();
+            let (shared, events) = self.split();
+            let mut tick = tokio::time::interval(TICK);
+            tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
             loop {
+                let idle = shared.state().dispatcher.is_idle();
                 tokio::select! {
                     () = stop.cancelled() => break,
-                    Some(event) = events.next() => {
-                        match Arc::clone(&permits).try_acquire_owned() {
-                            Ok(permit) => {
-                                let shared = Arc::clone(&shared);
-                                tracker.spawn(async move {
-                                    shared.event(event).await;
-                                    drop(permit);
-                                });
-                            }
-                            Err(_) => refuse(event),
-                        }
+                    Some(event) = events.next() => shared.admit(event),
+                    Ok(()) = members.changed() => {
+                        let seen = Arc::clone(&members.borrow_and_update());
+                        shared.members(&seen);
                     }
-                    Ok(()) = members.changed() => shared.members(&members.borrow_and_update()),
                     Ok(()) = held.changed() => {
-                        shared.dispatcher().held(&held.borrow_and_update(), view::now());
+                        let seen = Arc::clone(&held.borrow_and_update());
+                        shared.held(&seen);
                     }
+                    () = shared.wake.notified() => {}
+                    _ = tick.tick(), if !idle => shared.due(),
                 }
             }
-            tracker.close();
-            tracker.wait().await;
+            shared.finish(&events, &mut held).await;
         })
     }
 }
 
-/// What the tries of one request came to.
-struct Tries {
-    body: Option<String>,
-    unknown: bool,
+impl Dispatch {
+    fn split(self) -> (Arc<Shared>, Receiver<Event>) {
+        let state = State {
+            dispatcher: self.dispatcher,
+            budget: Budget::new(budget::Config::default()),
+            permits: Permits::new(MAX_REQUESTS),
+            waiting: Vec::new(),
+        };
+        let shared = Shared {
+            state: Mutex::new(state),
+            runner: self.runner,
+            route: self.route,
+            client: Client::new(),
+            members: self.members,
+            facts: self.facts,
+            telemetry: self.telemetry,
+            tries: AtomicU64::new(0),
+            tracker: TaskTracker::new(),
+            wake: Notify::new(),
+        };
+        (Arc::new(shared), self.events)
+    }
 }
 
 impl Shared {
-    fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
-        self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn members(&self, members: &Members) {
-        let runners: Vec<Instance> = members.of_role(Role::Runner).cloned().collect();
-        let history = Arc::clone(&self.facts.borrow().history);
-        let limits = |service: &Name| {
-            let known = history.configuration().service(service.as_str());
-            known.map_or_else(Limits::default, |s| s.runner)
-        };
-        self.dispatcher().members(&runners, limits);
+    /// Returns a number that no other try or ticket has.
+    fn number(&self) -> u64 {
+        self.tries.fetch_add(1, Ordering::Relaxed)
     }
 
-    async fn event(&self, event: Event) {
-        let gone = match event {
-            Event::Request { request, reply } => {
-                let answer = self.request(request).await;
-                reply.send(answer).is_err()
-            }
-            Event::Forward { forward, reply } => {
-                let outcome = self.forwarded(forward).await;
-                reply.send(outcome).is_err()
-            }
-        };
-        if gone {
-            tracing::debug!("nobody waits for an answer any more");
-        }
-    }
-
-    async fn request(&self, request: Request) -> Answer {
-        let deadline = view::now() + request.wait_ms;
-        if self.facts.borrow().history.configuration().version == 0 {
-            return not_run(&request, Reason::Configuration);
-        }
-        if request.idempotent {
-            let tries = self.tries(&request, deadline).await;
-            return conclude(&request, tries);
-        }
-        match self.route.ask(&Ask::Claim { request: request.clone() }).await {
-            Ok(Told::Claimed) => self.claimed(request, deadline).await,
-            Ok(Told::Answer(answer)) => answer,
-            Ok(Told::Refused(refusal)) if refusal.not_run => {
-                not_run(&request, refusal.reason.unwrap_or(Reason::Unavailable))
-            }
-            Ok(Told::Refused(_)) | Err(route::Failure::Unknown) => {
-                Answer::Unknown { request: request.id }
-            }
-            Ok(_) | Err(route::Failure::Refused) => not_run(&request, Reason::Ledger),
+    /// Starts the task of a request, if its class has a permit left.
+    fn admit(self: &Arc<Self>, event: Event) {
+        let class = event.class();
+        if !self.state().permits.take(class) {
+            event.refuse();
+            return;
         }
+        let shared = Arc::clone(self);
+        self.tracker.spawn(async move {
+            shared.event(event).await;
+            shared.state().permits.give(class);
+        });
     }
 
-    /// Sends a request whose key this instance has claimed, once, and records the answer.
-    async fn claimed(&self, request: Request, deadline: Millis) -> Answer {
-        let tries = self.tries(&request, deadline).await;
-        let answer = conclude(&request, tries);
-        if matches!(answer, Answer::Unknown { .. }) {
-            return answer;
+    /// Finishes what is in flight, and what is still in the ring.
+    async fn finish(self: &Arc<Self>, events: &Receiver<Event>, held: &mut Latest<Held>) {
+        while let Some(event) = events.try_next() {
+            self.admit(event);
         }
-        let (team, id) = (request.team.clone(), request.id.clone());
-        let settle = Ask::Settle { team, request: id, answer: answer.clone() };
-        match self.route.ask(&settle).await {
-            Ok(Told::Settled) => answer,
-            // The answer is true all the same; only asking for it by id gives "unknown".
-            other => {
-                tracing::warn!(request = %request.id, ?other, "an answer could not be recorded");
-                answer
-            }
-        }
-    }
-
-    /// Tries a request at runners until one answers, the deadline is near, or, for a request that
-    /// is not idempotent, a try has an unknown outcome.
-    async fn tries(&self, request: &Request, deadline: Millis) -> Tries {
-        let mut tries = Tries { body: None, unknown: false };
-        let mut tried: Vec<Name> = Vec::new();
-        while view::now() + RETURN_TIME < deadline && tried.len() < MAX_TRIES {
-            let (service, now) = (request.service.as_str(), view::now());
-            let choice = self.dispatcher().choose(service, &request.id, &tried, deadline, now);
-            let Some(choice) = choice else {
-                tokio::time::sleep(PAUSE).await;
-                continue;
-            };
-            let (runner, outcome) = self.attempt(request, choice, deadline).await;
-            match outcome {
-                Forwarded::Done { body } => {
-                    tries.body = Some(body);
-                    break;
-                }
-                Forwarded::NotRun => self.dispatcher().shun(runner.as_str(), view::now()),
-                Forwarded::Unknown => {
-                    self.dispatcher().shun(runner.as_str(), view::now());
-                    tries.unknown = true;
-                    if !request.idempotent {
-                        break;
-                    }
+        self.tracker.close();
+        let mut tick = tokio::time::interval(TICK);
+        loop {
+            tokio::select! {
+                () = self.tracker.wait() => return,
+                Ok(()) = held.changed() => {
+                    let seen = Arc::clone(&held.borrow_and_update());
+                    self.held(&seen);
                 }
+                _ = tick.tick() => self.due(),
             }
-            tried.push(runner);
         }
-        tries
     }
 
-    async fn attempt(
-        &self,
-        request: &Request,
-        choice: Choice,
-        deadline: Millis,
-    ) -> (Name, Forwarded) {
-        let attempt = self.name_try();
-        match choice {
-            Choice::Own { runner, address } => {
-                let outcome = self.serve(request, &runner, &address, attempt, deadline).await;
-                (runner, outcome)
-            }
-            Choice::Remote { runner, worker } => {
-                let outcome = self.forward(request, &runner, &worker, attempt, deadline).await;
-                (runner, outcome)
-            }
-        }
+    fn members(self: &Arc<Self>, members: &Members) {
+        let runners: Vec<Instance> = members.of_role(Role::Runner).cloned().collect();
+        let history = Arc::clone(&self.facts.borrow().history);
+        let limits = |service: &Name| {
+            let known = history.configuration().service(service.as_str());
+            known.map_or_else(Limits::default, |s| s.runner)
+        };
+        let controller = |worker: &Name| {
+            let worker = members.of_role(Role::Worker).find(|w| w.name == *worker)?;
+            let controller = members.controller(worker)?;
+            (controller.name != members.own.name).then(|| controller.name.clone())
+        };
+        self.state().dispatcher.members(&runners, limits, controller, view::now());
+        self.settle();
     }
 
-    /// Names a try uniquely.
-    fn name_try(&self) -> Name {
-        let number = self.tries.fetch_add(1, Ordering::Relaxed);
-        let own = self.members.borrow().own.name.clone();
-        Name::try_from(format!("{own}.{number}")).unwrap_or(own)
+    fn held(self: &Arc<Self>, held: &Held) {
+        let lost = self.state().dispatcher.held(held, view::now());
+        for address in lost {
+            self.runner.forget(&address);
+        }
+        self.due();
     }
 
-    /// Hands a request to the controller of the runner's worker.
-    async fn forward(
-        &self,
-        request: &Request,
-        runner: &Name,
-        worker: &Name,
-        attempt: Name,
-        deadline: Millis,
-    ) -> Forwarded {
-        let controller = {
-            let members = self.members.borrow();
-            let found = members.of_role(Role::Worker).find(|w| w.name == *worker);
-            found.and_then(|w| members.controller(w)).cloned()
-        };
-        let Some(controller) = controller.filter(|c| c.name != self.members.borrow().own.name)
-        else {
-            return Forwarded::NotRun;
-        };
-        let left = deadline.since(view::now() + RETURN_TIME);
-        let request = Request { wait_ms: left, ..request.clone() };
-        let forward = Forward { request, runner: runner.clone(), attempt };
-        let (address, path) = (controller.address.as_str(), "/peer/forward");
-        let key = self.route.key.as_deref();
-        match self.client.exchange_with_key(address, path, &forward, left, key).await {
-            Ok(outcome) => outcome,
-            Err(error) => match Failure::from(error) {
-                Failure::Refused(_) => Forwarded::NotRun,
-                _ => Forwarded::Unknown,
-            },
+    /// Does what the passing of time has made due.
+    fn due(self: &Arc<Self>) {
+        let questions = self.state().dispatcher.questions(view::now());
+        for question in questions {
+            let shared = Arc::clone(self);
+            tokio::spawn(async move { shared.question(question).await });
         }
+        self.settle();
     }
 
-    /// Has a request served that another entry instance handed on.
-    async fn forwarded(&self, forward: Forward) -> Forwarded {
-        let Forward { request, runner, attempt } = forward;
-        let now = view::now();
-        let deadline = now + request.wait_ms;
-        let choice = self.dispatcher().take(runner.as_str(), &request.id, deadline, now);
-        match choice {
-            Some(Choice::Own { runner, address }) => {
-                self.serve(&request, &runner, &address, attempt, deadline).await
+    async fn question(&self, question: Question) {
+        match self.runner.slots(&question.address).await {
+            Ok(slots) => {
+                self.state().dispatcher.told(&question, slots.in_use);
+                self.settle();
+            }
+            Err(failure) => {
+                tracing::debug!(runner = %question.runner, ?failure, "a runner told no slots");
             }
-            _ => Forwarded::NotRun,
         }
     }
 
-    /// Sends a request to a runner of which a slot is spent.
-    async fn serve(
-        &self,
-        request: &Request,
-        runner: &Name,
-        address: &str,
-        attempt: Name,
-        deadline: Millis,
-    ) -> Forwarded {
-        let id = request.id.clone();
-        self.telemetry.note(What::RequestSent {
-            request: id.clone(),
-            attempt: attempt.clone(),
-            runner: runner.clone(),
-        });
-        let call = Call {
-            request: id.clone(),
-            attempt: attempt.clone(),
-            budget_ms: deadline.since(view::now()),
-            body: request.body.clone(),
-        };
-        match self.runner.serve(address, call, false).await {
-            Ok(done) if done.request == id && done.attempt == attempt => {
-                self.dispatcher().release(runner.as_str(), &id);
-                Forwarded::Done { body: done.body }
-            }
-            Ok(_) => {
-                self.telemetry.note(What::AnswerDropped { request: id, runner: runner.clone() });
-                Forwarded::Unknown
-            }
-            Err(Failure::Refused(_)) => {
-                self.dispatcher().release(runner.as_str(), &id);
-                Forwarded::NotRun
-            }
-            Err(_) => {
-                self.telemetry.note(What::SlotHeld { request: id, runner: runner.clone() });
-                Forwarded::Unknown
+    /// Lets those tries go that may, and refuses those that waited in vain.
+    fn settle(&self) {
+        let mut state = self.state();
+        let now = view::now();
+        for (ticket, grant) in state.dispatcher.grants(now) {
+            let Ok(i) = state.waiting.binary_search_by_key(&ticket, |w| w.ticket) else {
+                continue;
+            };
+            let Waiting { grant: sender, attempt, .. } = state.waiting.remove(i);
+            if let Err(Grant::Go(choice)) = sender.send(grant) {
+                state.give_back(&choice, &attempt);
             }
         }
+        drop(state);
+        self.wake.notify_one();
     }
 }
 
-/// Refuses an event when too many requests are under way.
-fn refuse(event: Event) {
-    let gone = match event {
-        Event::Request { request, reply } => {
-            reply.send(not_run(&request, Reason::Overload)).is_err()
+impl State {
+    /// Takes back what was spent for a try that was never sent.
+    fn give_back(&mut self, choice: &Choice, attempt: &Name) {
+        match choice {
+            Choice::Own { runner, .. } => self.dispatcher.release(runner.as_str(), attempt),
+            Choice::Remote { runner, .. } => {
+                self.dispatcher.returned(runner.as_str(), None, view::now());
+            }
         }
-        Event::Forward { reply, .. } => reply.send(Forwarded::NotRun).is_err(),
-    };
-    if gone {
-        tracing::debug!("nobody waits for a refusal any more");
     }
 }
 
 fn not_run(request: &Request, reason: Reason) -> Answer {
     Answer::NotRun { request: request.id.clone(), reason, retry_after_ms: RETRY_AFTER }
 }
-
-fn conclude(request: &Request, tries: Tries) -> Answer {
-    match tries {
-        Tries { body: Some(body), .. } => Answer::Whole { request: request.id.clone(), body },
-        Tries { unknown: true, .. } => Answer::Unknown { request: request.id.clone() },
-        Tries { .. } => not_run(request, Reason::Unavailable),
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/duty/dispatch/attempt.rs
@@ -0,0 +1,249 @@
+//! One try of a request: it waits for a runner, is sent, and ends.
+
+use super::{Shared, Waiting};
+use crate::platform::Failure;
+use crate::ring::{Full, Sender};
+use crate::view;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::request::{Reason, Request};
+use pimentovalve_core::link::dispatcher::{Choice, Grant};
+use pimentovalve_core::link::queue::Waiter;
+use pimentovalve_core::link::tries::Outcome;
+use pimentovalve_core::name::Name;
+use pimentovalve_core::timeline::What;
+use pimentovalve_wire::codec;
+use pimentovalve_wire::http::client;
+use pimentovalve_wire::peer::{Forward, Forwarded};
+use pimentovalve_wire::runner::{Call, Done};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+/// Nothing is sent when less time than this is left.
+const MIN_BUDGET: Millis = Millis(10);
+/// Time that an answer needs from one entry instance to another at most.
+const HOP_TIME: Millis = Millis(20);
+/// Time for which nothing is forwarded to an instance that can't be reached or doesn't control
+/// the worker.
+const PEER_PAUSE: Millis = Millis(200);
+
+/// What a try says of itself.
+pub(super) enum Progress {
+    /// It goes to this runner now.
+    Sent(Name),
+    /// It has ended.
+    Ended(Option<Name>, Outcome),
+}
+
+/// One try.
+pub(super) struct Try {
+    pub request: Arc<Request>,
+    /// Number of the try at this instance.
+    pub ticket: u64,
+    /// Unique name of the try.
+    pub attempt: Name,
+    /// Runners that are used only when there is no other.
+    pub tried: Vec<Name>,
+    /// Runner that another instance chose.
+    pub forwarded: Option<Name>,
+    /// Instant by which its answer must be here.
+    pub deadline: Millis,
+    /// Instant after which it no longer waits for a runner.
+    pub until: Millis,
+    /// Whether it goes out on a new connection.
+    pub fresh: bool,
+}
+
+/// Names a try uniquely.
+pub(super) fn name(own: &Name, number: u64) -> Name {
+    Name::try_from(format!("{own}.{number}")).unwrap_or_else(|_| own.clone())
+}
+
+impl Shared {
+    /// Makes a try. It goes on to its end even if nobody waits for it, once it is sent.
+    pub(super) async fn attempt(
+        &self,
+        sent: Try,
+        progress: Sender<Progress>,
+        cancel: CancellationToken,
+    ) {
+        let (runner, outcome) = match self.granted(&sent, &cancel).await {
+            None => return,
+            Some(Grant::Refused(reason, after)) => (None, Outcome::NotRun(reason, after)),
+            Some(Grant::Go(choice)) => {
+                let (Choice::Own { runner, .. } | Choice::Remote { runner, .. }) = &choice;
+                let runner = runner.clone();
+                tell(&progress, Progress::Sent(runner.clone()));
+                let started = view::now();
+                let outcome = match choice {
+                    Choice::Own { runner, address } => self.serve(&sent, &runner, &address).await,
+                    Choice::Remote { runner, controller } => {
+                        self.forward(&sent, &runner, &controller).await
+                    }
+                };
+                if matches!(outcome, Outcome::Whole(_)) {
+                    let latency = view::now().since(started);
+                    self.state().dispatcher.answered(&sent.request.service, latency);
+                }
+                (Some(runner), outcome)
+            }
+        };
+        self.settle();
+        tell(&progress, Progress::Ended(runner, outcome));
+    }
+
+    /// Waits until the try may go. `None` when it was cancelled.
+    async fn granted(&self, sent: &Try, cancel: &CancellationToken) -> Option<Grant> {
+        let now = view::now();
+        if sent.until <= now + MIN_BUDGET {
+            return Some(Grant::Refused(Reason::Deadline, Millis::ZERO));
+        }
+        let (sender, mut receiver) = oneshot::channel();
+        let waiter = Waiter {
+            ticket: sent.ticket,
+            class: sent.request.class,
+            attempt: sent.attempt.clone(),
+            tried: sent.tried.clone(),
+            forwarded: sent.forwarded.clone(),
+            deadline: sent.deadline,
+            until: sent.until,
+        };
+        {
+            let mut state = self.state();
+            if let Err((reason, after)) = state.dispatcher.wait(&sent.request.service, waiter, now)
+            {
+                return Some(Grant::Refused(reason, after));
+            }
+            let i = state.waiting.partition_point(|w| w.ticket < sent.ticket);
+            let attempt = sent.attempt.clone();
+            state.waiting.insert(i, Waiting { ticket: sent.ticket, attempt, grant: sender });
+        }
+        self.settle();
+        tokio::select! {
+            biased;
+            () = cancel.cancelled() => {
+                let mut state = self.state();
+                state.dispatcher.leave(sent.ticket);
+                state.waiting.retain(|w| w.ticket != sent.ticket);
+                if let Ok(Grant::Go(choice)) = receiver.try_recv() {
+                    state.give_back(&choice, &sent.attempt);
+                }
+                None
+            }
+            grant = &mut receiver => grant.ok(),
+        }
+    }
+
+    /// Hands a try to the controller of the runner's worker.
+    async fn forward(&self, sent: &Try, runner: &Name, controller: &Name) -> Outcome {
+        let address = {
+            let members = self.members.borrow();
+            let found = members.candidates.iter().find(|c| c.name == *controller);
+            found.map(|c| c.address.clone())
+        };
+        let left = sent.deadline.since(view::now());
+        let outcome = match address {
+            Some(address) if left > HOP_TIME + MIN_BUDGET => {
+                self.exchange(sent, runner, &address, left).await
+            }
+            _ => Forwarded::NotRun,
+        };
+        let (pause, outcome) = match outcome {
+            Forwarded::Done { body } => (None, Outcome::Whole(body)),
+            Forwarded::Busy { retry_after_ms } => {
+                (Some(retry_after_ms), Outcome::NotRun(Reason::Unavailable, retry_after_ms))
+            }
+            Forwarded::NotRun => {
+                (Some(PEER_PAUSE), Outcome::NotRun(Reason::Unavailable, PEER_PAUSE))
+            }
+            Forwarded::Unknown => (Some(PEER_PAUSE), Outcome::Unknown),
+        };
+        self.state().dispatcher.returned(runner.as_str(), pause, view::now());
+        outcome
+    }
+
+    async fn exchange(&self, sent: &Try, runner: &Name, address: &str, left: Millis) -> Forwarded {
+        let request = Request { wait_ms: left - HOP_TIME, ..(*sent.request).clone() };
+        let (runner, attempt) = (runner.clone(), sent.attempt.clone());
+        let Ok(body) = codec::pack(&Forward { request, runner, attempt }) else {
+            return Forwarded::NotRun;
+        };
+        let (key, fresh) = (self.route.key.as_deref(), sent.fresh);
+        let post = client::Call::post(address, "/peer/forward", &body, left);
+        match self.client.call(client::Call { key, fresh, ..post }).await {
+            Ok(reply) if reply.status == 200 => {
+                codec::unpack(&reply.body).unwrap_or(Forwarded::Unknown)
+            }
+            // It was refused at the door, or never reached the duty.
+            Ok(reply) if reply.status == 503 || reply.status == 401 => Forwarded::NotRun,
+            Err(client::Error::Unsent { .. }) => Forwarded::NotRun,
+            Ok(_) | Err(_) => Forwarded::Unknown,
+        }
+    }
+
+    /// Sends a try to a runner of which a slot is spent.
+    async fn serve(&self, sent: &Try, runner: &Name, address: &str) -> Outcome {
+        let (id, attempt) = (&sent.request.id, &sent.attempt);
+        let budget_ms = sent.deadline.since(view::now() + HOP_TIME);
+        if budget_ms < MIN_BUDGET {
+            self.state().dispatcher.release(runner.as_str(), attempt);
+            return Outcome::NotRun(Reason::Deadline, Millis::ZERO);
+        }
+        self.telemetry.note(What::RequestSent {
+            request: id.clone(),
+            attempt: attempt.clone(),
+            runner: runner.clone(),
+        });
+        let call = Call {
+            request: id.clone(),
+            attempt: attempt.clone(),
+            budget_ms,
+            body: sent.request.body.clone(),
+        };
+        match self.call(sent, address, call).await {
+            Ok(done) if done.request == *id && done.attempt == *attempt => {
+                self.state().dispatcher.release(runner.as_str(), attempt);
+                Outcome::Whole(done.body)
+            }
+            Ok(_) => {
+                let (request, runner) = (id.clone(), runner.clone());
+                self.state().dispatcher.silent(runner.as_str(), view::now());
+                self.telemetry.note(What::AnswerDropped { request, runner });
+                Outcome::Unknown
+            }
+            Err(Failure::Refused(_)) => {
+                let mut state = self.state();
+                state.dispatcher.release(runner.as_str(), attempt);
+                state.dispatcher.shun(runner.as_str(), view::now());
+                Outcome::NotRun(Reason::Unavailable, PEER_PAUSE)
+            }
+            Err(_) => {
+                let (request, runner) = (id.clone(), runner.clone());
+                self.state().dispatcher.silent(runner.as_str(), view::now());
+                self.telemetry.note(What::SlotHeld { request, runner });
+                Outcome::Unknown
+            }
+        }
+    }
+
+    /// Calls a runner. When the answer takes longer than most, the connection may have gone
+    /// silent, and so may the idle ones: they are not used again.
+    async fn call(&self, sent: &Try, address: &str, call: Call) -> Result<Done, Failure> {
+        let after = self.state().dispatcher.hedge_after(sent.request.service.as_str());
+        let served = self.runner.serve(address, call, sent.fresh);
+        tokio::pin!(served);
+        tokio::select! {
+            biased;
+            done = &mut served => return done,
+            () = tokio::time::sleep(after.into()) => self.runner.forget(address),
+        }
+        served.await
+    }
+}
+
+/// Tells the request what its try does, if it still waits.
+fn tell(progress: &Sender<Progress>, seen: Progress) {
+    if let Err(Full) = progress.offer(seen) {
+        tracing::debug!("a try ended after its request was answered");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/duty/dispatch/request.rs
@@ -0,0 +1,211 @@
+//! A request from its arrival to its one answer.
+
+use super::attempt::{self, Progress, Try};
+use super::{Event, Shared, not_run};
+use crate::ring::{self, Sender};
+use crate::route;
+use crate::view;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::request::{Answer, Reason, Request};
+use pimentovalve_core::link::tries::{MAX_TRIES, Next, Outcome, Tries};
+use pimentovalve_core::zone::stewardship;
+use pimentovalve_wire::peer::{Ask, Forward, Forwarded, Told};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Time that an answer needs from here to the caller at most.
+const RETURN_TIME: Millis = Millis(20);
+/// Longest time for which a whole answer waits until it is recorded; recording it goes on.
+const RECORD_TIME: Duration = Duration::from_secs(1);
+
+/// The tries of one request that are under way.
+struct Running {
+    tries: Tries,
+    request: Arc<Request>,
+    deadline: Millis,
+    progress: Sender<Progress>,
+    /// Takes tries that are not sent out of the queue.
+    cancel: CancellationToken,
+}
+
+impl Shared {
+    pub(super) async fn event(self: &Arc<Self>, event: Event) {
+        let gone = match event {
+            Event::Request { request, reply } => {
+                let answer = self.request(Arc::new(request)).await;
+                reply.send(answer).is_err()
+            }
+            Event::Forward { forward, reply } => reply.send(self.forwarded(forward).await).is_err(),
+        };
+        if gone {
+            tracing::debug!("nobody waits for an answer any more");
+        }
+    }
+
+    async fn request(self: &Arc<Self>, request: Arc<Request>) -> Answer {
+        let deadline = view::now() + request.wait_ms;
+        if self.facts.borrow().history.configuration().version == 0 {
+            return not_run(&request, Reason::Configuration);
+        }
+        if request.idempotent {
+            return self.try_all(request, deadline).await;
+        }
+        let ask = Ask::Claim { request: (*request).clone() };
+        let claim = tokio::time::timeout_at(instant(deadline - RETURN_TIME), self.route.ask(&ask));
+        match claim.await {
+            Ok(Ok(Told::Claimed)) => self.claimed(request, deadline).await,
+            Ok(Ok(Told::Answer(answer))) => answer,
+            Ok(Ok(Told::Refused(refusal))) if refusal.not_run => {
+                not_run(&request, refusal.reason.unwrap_or(Reason::Unavailable))
+            }
+            Ok(Ok(Told::Refused(_)) | Err(route::Failure::Unknown)) | Err(_) => {
+                Answer::Unknown { request: request.id.clone() }
+            }
+            Ok(Ok(_) | Err(route::Failure::Refused)) => not_run(&request, Reason::Ledger),
+        }
+    }
+
+    /// Sends a request whose key this instance has claimed, and records the answer.
+    async fn claimed(self: &Arc<Self>, request: Arc<Request>, deadline: Millis) -> Answer {
+        let answer = self.try_all(Arc::clone(&request), deadline).await;
+        if matches!(answer, Answer::Unknown { .. }) {
+            return answer;
+        }
+        let (team, id) = (request.team.clone(), request.id.clone());
+        let settle = Ask::Settle { team, request: id, answer: answer.clone() };
+        let shared = Arc::clone(self);
+        let recorded = self.tracker.spawn(async move {
+            match shared.route.ask(&settle).await {
+                Ok(Told::Settled) => {}
+                // The answer is true all the same; only asking for it by id gives "unknown".
+                other => {
+                    tracing::warn!(request = %request.id, ?other, "an answer is not recorded");
+                }
+            }
+        });
+        if tokio::time::timeout(RECORD_TIME, recorded).await.is_err() {
+            tracing::warn!("an answer goes out before it is recorded");
+        }
+        answer
+    }
+
+    /// Tries a request at runners until one answers, or nothing further may be tried.
+    async fn try_all(self: &Arc<Self>, request: Arc<Request>, deadline: Millis) -> Answer {
+        let (progress, received) = ring::ring(2 * MAX_TRIES);
+        let cancel = CancellationToken::new();
+        let _left = cancel.clone().drop_guard();
+        let tries = Tries::new(request.id.clone(), request.idempotent, deadline);
+        let mut running = Running { tries, request, deadline, progress, cancel };
+        self.state().budget.earn();
+        self.start(&mut running, false);
+        let end = instant(deadline - RETURN_TIME);
+        let mut hedge = None;
+        loop {
+            let due = hedge.unwrap_or(end);
+            let seen = tokio::select! {
+                biased;
+                Some(seen) = received.next() => seen,
+                () = tokio::time::sleep_until(end) => return running.tries.conclude(),
+                () = tokio::time::sleep_until(due) => {
+                    hedge = None;
+                    self.hedge(&mut running);
+                    continue;
+                }
+            };
+            match seen {
+                Progress::Sent(runner) => {
+                    running.tries.sent(&runner);
+                    let service = running.request.service.as_str();
+                    let after = self.state().dispatcher.hedge_after(service);
+                    hedge = Some(Instant::now() + Duration::from(after));
+                }
+                Progress::Ended(runner, outcome) => {
+                    if let (Some(runner), Outcome::NotRun(..)) = (&runner, &outcome) {
+                        running.tries.not_run_at(runner);
+                    }
+                    match self.end(&mut running.tries, outcome) {
+                        Next::Answer(answer) => return answer,
+                        Next::Wait => {}
+                        Next::Retry(pause) => {
+                            tokio::time::sleep(pause.into()).await;
+                            self.start(&mut running, true);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&self, tries: &mut Tries, outcome: Outcome) -> Next {
+        let number = self.number().to_le_bytes();
+        let random = stewardship::hash(&[&format!("{number:?}")]);
+        tries.end(outcome, view::now(), random, &mut self.state().budget)
+    }
+
+    /// Starts another try beside one that takes longer than most, if that does no harm.
+    fn hedge(self: &Arc<Self>, running: &mut Running) {
+        let may = running.tries.may_hedge(view::now(), &mut self.state().budget);
+        if may {
+            self.start(running, true);
+        }
+    }
+
+    fn start(self: &Arc<Self>, running: &mut Running, fresh: bool) {
+        running.tries.start();
+        let number = self.number();
+        let attempt = attempt::name(&self.members.borrow().own.name, number);
+        let sent = Try {
+            request: Arc::clone(&running.request),
+            ticket: number,
+            attempt,
+            tried: running.tries.tried().to_vec(),
+            forwarded: None,
+            deadline: running.deadline - RETURN_TIME,
+            until: running.deadline - RETURN_TIME.times(2),
+            // A request that must not be sent twice doesn't go out on a connection that may have
+            // gone silent.
+            fresh: fresh || !running.request.idempotent,
+        };
+        let (shared, progress) = (Arc::clone(self), running.progress.clone());
+        let cancel = running.cancel.clone();
+        self.tracker.spawn(async move { shared.attempt(sent, progress, cancel).await });
+    }
+
+    /// Has a request served that another entry instance handed on.
+    async fn forwarded(self: &Arc<Self>, forward: Forward) -> Forwarded {
+        let Forward { request, runner, attempt } = forward;
+        let now = view::now();
+        let sent = Try {
+            ticket: self.number(),
+            attempt,
+            tried: Vec::new(),
+            forwarded: Some(runner),
+            deadline: now + request.wait_ms,
+            // The other half is left for a try at another instance.
+            until: now + Millis(request.wait_ms.get() / 2),
+            fresh: !request.idempotent,
+            request: Arc::new(request),
+        };
+        let (progress, received) = ring::ring(2);
+        let (shared, cancel) = (Arc::clone(self), CancellationToken::new());
+        self.tracker.spawn(async move { shared.attempt(sent, progress, cancel).await });
+        loop {
+            match received.next().await {
+                Some(Progress::Sent(_)) => {}
+                Some(Progress::Ended(_, Outcome::Whole(body))) => return Forwarded::Done { body },
+                Some(Progress::Ended(_, Outcome::NotRun(Reason::Overload, retry_after_ms))) => {
+                    return Forwarded::Busy { retry_after_ms };
+                }
+                Some(Progress::Ended(_, Outcome::NotRun(..))) => return Forwarded::NotRun,
+                Some(Progress::Ended(_, Outcome::Unknown)) | None => return Forwarded::Unknown,
+            }
+        }
+    }
+}
+
+/// Returns the runtime's instant for an instant of the process's clock.
+fn instant(at: Millis) -> Instant {
+    Instant::now() + Duration::from(at.since(view::now()))
+}
--- a/crates/daemon/src/front/caller.rs
+++ b/crates/daemon/src/front/caller.rs
@@ -19,6 +19,11 @@
 /// When to come back after a refusal that isn't the policy's.
 const RETRY_AFTER: Millis = Millis::from_secs(2);
 
+/// What is said of a request that the ledger doesn't know.
+const UNCLAIMED: &str = "no request is recorded under this id: an idempotent one leaves no record \
+                         and is safe to send again; any other may be sent again under the same \
+                         id, which runs it at most once";
+
 /// Answers callers.
 pub struct Caller {
     /// The way to stewards.
@@ -87,7 +92,13 @@
     }
 
     async fn answered(&self, team: Name, request: request::Id) -> Response {
-        answer(self.route.ask(&Ask::Answered { team, request }).await, 200)
+        let ask = Ask::Answered { team, request: request.clone() };
+        match self.route.ask(&ask).await {
+            Ok(Told::Nothing) => Response::findings(404, &List::one("id", UNCLAIMED)),
+            Ok(Told::Answer(answer)) => encode(&answer),
+            // That the question could not be answered says nothing of the request.
+            _ => encode(&Answer::Unknown { request }),
+        }
     }
 
     async fn request(&self, body: &[u8]) -> Response {
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -8,7 +8,7 @@
 use pimentovalve_core::zone::membership::Instance;
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::log::Chunk;
-use pimentovalve_wire::runner::{Call, Done};
+use pimentovalve_wire::runner::{Call, Done, Slots};
 use pimentovalve_wire::worker::{Adopt, Adopted, Beat, Heartbeat, Orders, Replies};
 
 /// How a call of the platform failed.
@@ -77,7 +77,9 @@
 /// A runner.
 ///
 /// Assumed: it answers "busy" without running the request when it has no slot or is leaving, and
-/// it gives a request up when the request's budget has passed.
+/// it gives a request up when the request's budget has passed. It may be able to say how many of
+/// its slots are in use; one that can't is not used after its worker changed hands until the
+/// longest deadline has passed.
 pub trait Runner: Send + Sync {
     /// Has a request served.
     fn serve<'a>(
@@ -86,4 +88,12 @@
         call: Call,
         fresh: bool,
     ) -> Pending<'a, Result<Done, Failure>>;
+
+    /// Asks how many slots are in use, on a new connection.
+    fn slots<'a>(&'a self, _address: &'a str) -> Pending<'a, Result<Slots, Failure>> {
+        Box::pin(std::future::ready(Err(Failure::Refused("the runner can't tell".into()))))
+    }
+
+    /// Closes the idle connections to a runner, which may be silent, or is no longer used.
+    fn forget(&self, _address: &str) {}
 }
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -8,7 +8,7 @@
 use pimentovalve_wire::http::client::{self, Client, Error};
 use pimentovalve_wire::http::{Content, Pending};
 use pimentovalve_wire::log::{Append, Appended, Chunk, Gone, Read};
-use pimentovalve_wire::runner::{Call, Done};
+use pimentovalve_wire::runner::{Call, Done, Slots};
 use pimentovalve_wire::worker::{Adopt, Adopted, Beat, Heartbeat, Orders, Replies};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -16,6 +16,8 @@
 
 /// Status of a service that is out, and did nothing.
 const OUT: u16 = 503;
+/// Time beyond a request's budget within which the runner says that it gave the request up.
+const GIVE_UP_TIME: Millis = Millis(50);
 /// Status of an offset that is no longer kept.
 const GONE: u16 = 410;
 
@@ -163,12 +165,18 @@
     ) -> Pending<'a, Result<Done, Failure>> {
         Box::pin(async move {
             let body = codec::to_json(&call).map_err(|e| Failure::Refused(e.to_string()))?;
+            let timeout = call.budget_ms + GIVE_UP_TIME;
             let post = client::Call {
                 content: Content::Json,
                 fresh,
-                ..client::Call::post(address, "/serve", &body, call.budget_ms)
+                ..client::Call::post(address, "/serve", &body, timeout)
             };
-            let reply = self.client.call(post).await?;
+            let is_own = |reply: &client::Reply| {
+                let done = codec::from_json::<Done>(&reply.body);
+                let same = |d: Done| d.request == call.request && d.attempt == call.attempt;
+                reply.status != 200 || done.is_ok_and(same)
+            };
+            let reply = self.client.call_checked(post, is_own).await?;
             match reply.status {
                 200 => codec::from_json(&reply.body).map_err(|e| Failure::Unknown(e.to_string())),
                 OUT => Err(Failure::Refused("the runner is busy".into())),
@@ -176,4 +184,20 @@
             }
         })
     }
+
+    fn slots<'a>(&'a self, address: &'a str) -> Pending<'a, Result<Slots, Failure>> {
+        Box::pin(async move {
+            let get =
+                client::Call { fresh: true, ..client::Call::get(address, "/slots", self.timeout) };
+            let reply = self.client.call(get).await?;
+            match reply.status {
+                200 => codec::from_json(&reply.body).map_err(|e| Failure::Unknown(e.to_string())),
+                status => Err(Failure::Refused(format!("the runner answered {status}"))),
+            }
+        })
+    }
+
+    fn forget(&self, address: &str) {
+        self.client.forget(address);
+    }
 }
--- a/crates/daemon/src/platform/observed.rs
+++ b/crates/daemon/src/platform/observed.rs
@@ -13,7 +13,7 @@
 use pimentovalve_core::name::Name;
 use pimentovalve_core::timeline::What;
 use pimentovalve_wire::http::Pending;
-use pimentovalve_wire::runner::{Call, Done};
+use pimentovalve_wire::runner::{Call, Done, Slots};
 use pimentovalve_wire::worker::{Adopt, Adopted, Beat, Heartbeat, Orders, Replies};
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -241,4 +241,12 @@
             done
         })
     }
+
+    fn slots<'a>(&'a self, address: &'a str) -> Pending<'a, Result<Slots, Failure>> {
+        self.machine.slots(address)
+    }
+
+    fn forget(&self, address: &str) {
+        self.machine.forget(address);
+    }
 }
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -55,6 +55,10 @@
         for _ in 0..TRIES {
             match self.ask_once(stream, ask).await {
                 Ok(Told::Elsewhere) | Err(Failure::Refused) => {}
+                // An earlier try may have had its effect: "not run" can't be said any more.
+                Ok(Told::Refused(refusal)) if refusal.not_run && failure == Failure::Unknown => {
+                    return Err(failure);
+                }
                 Ok(told) => return Ok(told),
                 Err(Failure::Unknown) => failure = Failure::Unknown,
             }
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -5,8 +5,7 @@
 use pimentovalve_core::ledger::Stream;
 use pimentovalve_core::ledger::fleet::Fleet;
 use pimentovalve_core::ledger::history::History;
-use pimentovalve_core::machine::worker::Epoch;
-use pimentovalve_core::name::Name;
+use pimentovalve_core::machine::controller::Tenure;
 use pimentovalve_core::zone::membership::{Instance, Role, State};
 use pimentovalve_core::zone::stewardship;
 use pimentovalve_wire::peer::Ping;
@@ -111,7 +110,7 @@
 }
 
 /// The workers that the control duty controls.
-pub type Held = Arc<Vec<(Name, Epoch)>>;
+pub type Held = Arc<Vec<Tenure>>;
 
 /// Returns the present time of this process.
 pub fn now() -> Millis {
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -13,7 +13,7 @@
 use pimentovalve_core::machine::runner;
 use pimentovalve_wire::codec;
 use pimentovalve_wire::http::{Pending, Request, Response};
-use pimentovalve_wire::runner::{Busy, Call, Done};
+use pimentovalve_wire::runner::{Busy, Call, Done, Slots};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -197,7 +197,14 @@
         }
     }
 
+    /// Returns the call to be served, or the response to anything else.
     fn call(&self, request: Request<'_>) -> Result<Call, Response> {
+        if (request.method, request.path) == ("GET", "/slots") {
+            let free = self.slots.available_permits();
+            let in_use = (self.runner.limits.slots as usize).saturating_sub(free);
+            let in_use = u32::try_from(in_use).unwrap_or(u32::MAX);
+            return Err(Response::json(200, &Slots { in_use }));
+        }
         if (request.method, request.path) != ("POST", "/serve") {
             return Err(Response::findings(404, &List::one("path", "is not known")));
         }
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -22,7 +22,7 @@
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Idle connections that are kept for one address.
 const MAX_IDLE: usize = 8;
-/// An idle connection older than this is not used again.
+/// A connection that was idle for longer is not used again.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
 
 /// Why there is no response.
@@ -73,7 +73,8 @@
     pub key: Option<&'a str>,
     /// Longest time for the whole call.
     pub timeout: Millis,
-    /// Whether to open a new connection even if there is an idle one.
+    /// Whether to open a new connection even if there is an idle one. An idle one is closed for
+    /// it, so that there are never more connections than there were calls at once.
     pub fresh: bool,
 }
 
@@ -147,6 +148,20 @@
     ///
     /// [`Error::Unsent`] when the call certainly did not run, [`Error::Unknown`] when it may have.
     pub async fn call(&self, call: Call<'_>) -> Result<Reply, Error> {
+        self.call_checked(call, |_| true).await
+    }
+
+    /// As [`Self::call`]. The connection is used again only if `is_own` says that the response
+    /// belongs to this call: one that delivers the response to another call is closed.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`].
+    pub async fn call_checked(
+        &self,
+        call: Call<'_>,
+        is_own: impl Fn(&Reply) -> bool + Send + Sync,
+    ) -> Result<Reply, Error> {
         let deadline = tokio::time::Instant::now() + Duration::from(call.timeout);
         let connecting = tokio::time::timeout_at(deadline, self.connect(call)).await;
         let mut sender = match connecting {
@@ -155,17 +170,23 @@
         };
         match tokio::time::timeout_at(deadline, exchange(&mut sender, call)).await {
             Ok(Ok(reply)) => {
-                self.keep(call.address, sender);
+                if is_own(&reply) {
+                    self.keep(call.address, sender);
+                }
                 Ok(reply)
             }
             Ok(Err(Failure::Unsent)) if !call.fresh => {
                 let left = deadline.saturating_duration_since(tokio::time::Instant::now());
                 let again = Call { fresh: true, timeout: Millis::from(left), ..call };
-                Box::pin(self.call(again)).await
+                Box::pin(self.call_checked(again, is_own)).await
             }
             Ok(Err(Failure::Unsent)) => Err(unsent(call, "the connection closed before use")),
             Ok(Err(Failure::Unknown(message))) => Err(unknown(call, message)),
-            Err(_) => Err(unknown(call, "the answer took too long".into())),
+            Err(_) => {
+                // What lost track of this connection may have lost track of the others too.
+                self.forget(call.address);
+                Err(unknown(call, "the answer took too long".into()))
+            }
         }
     }
 
@@ -209,10 +230,17 @@
         codec::unpack(&reply.body).map_err(|e| unknown(call, e.to_string()))
     }
 
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: &str) {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Ok(i) = hosts.binary_search_by(|h| h.address.as_str().cmp(address)) {
+            hosts.remove(i);
+        }
+    }
+
     async fn connect(&self, call: Call<'_>) -> Result<SendRequest<Full<Bytes>>, Error> {
-        if !call.fresh
-            && let Some(sender) = self.idle(call.address)
-        {
+        let idle = self.idle(call.address);
+        if let Some(sender) = idle.filter(|_| !call.fresh) {
             return Ok(sender);
         }
         let stream =
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -115,6 +115,11 @@
     },
     /// The request did not run here, and may be tried elsewhere.
     NotRun,
+    /// As [`Self::NotRun`]: all runners here are in use.
+    Busy {
+        /// When there may be room.
+        retry_after_ms: Millis,
+    },
     /// The request may have run.
     Unknown,
 }
--- a/crates/wire/src/runner.rs
+++ b/crates/wire/src/runner.rs
@@ -3,6 +3,7 @@
 //! `POST /serve` with [`Call`] gives [`Done`]. Status 503 with [`Busy`] says that the runner has no
 //! free slot, or is leaving, and that the request did not run. Status 504 says that the
 //! runner gave the request up after its budget; a part of it may have run.
+//! `GET /slots` gives [`Slots`].
 
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::request;
@@ -39,3 +40,10 @@
     /// Why, for people.
     pub message: String,
 }
+
+/// How far a runner is used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slots {
+    /// Slots in use now, whoever spent them.
+    pub in_use: u32,
+}
