--- a/crates/core/src/link/dispatcher.rs
+++ b/crates/core/src/link/dispatcher.rs
@@ -279,7 +279,7 @@
         let local = waiter.forwarded.is_some();
         let candidates = self.entries.iter().enumerate().filter(|(_, e)| of_service(e));
         candidates
-            .filter(|(_, e)| e.has_room(&self.config, local, now))
+            .filter(|(_, e)| e.has_room(&self.config, waiter.class, local, now))
             .min_by_key(|(_, e)| {
                 let other = local && waiter.forwarded.as_ref() != Some(&e.instance.name);
                 let far = !e.instance.place.same_region(&self.place);
@@ -332,18 +332,18 @@
         }
     }
 
-    /// Notes that a forwarded try has ended. `pause` is given when its controller did not take it;
-    /// nothing is forwarded there for that long.
-    pub fn returned(&mut self, runner: &str, pause: Option<Millis>, now: Millis) {
+    /// Notes that a forwarded try has ended. When its controller did not take it, nothing of its
+    /// class or a less urgent one is forwarded there for the given pause.
+    pub fn returned(&mut self, runner: &str, pause: Option<(Class, Millis)>, now: Millis) {
         let Ok(i) = self.position(runner) else { return };
         self.entries[i].forwarded = self.entries[i].forwarded.saturating_sub(1);
-        let Some(pause) = pause else { return };
+        let Some((class, pause)) = pause else { return };
         let until = now + pause.min(self.config.penalty);
         let (service, controller) =
             (self.entries[i].service.clone(), self.entries[i].controller.clone());
         for entry in &mut self.entries {
             if entry.service == service && entry.controller == controller {
-                entry.closed = until;
+                entry.closed[class.index()..].fill(until);
             }
         }
     }
@@ -396,7 +396,7 @@
             return Millis::ZERO;
         };
         let of_service = self.entries.iter().filter(|e| e.service.as_str() == service);
-        let room = of_service.map(|e| e.capacity(&self.config, now)).sum::<usize>();
+        let room = of_service.map(|e| e.capacity(&self.config, class, now)).sum::<usize>();
         let ahead = u64::try_from(known.queue.ahead(class)).unwrap_or(u64::MAX);
         let mean = known.latencies.mean().unwrap_or(Millis::ZERO);
         let rounds = mean.times(ahead).get().checked_div(u64::try_from(room).unwrap_or(u64::MAX));
--- a/crates/core/src/link/dispatcher/entry.rs
+++ b/crates/core/src/link/dispatcher/entry.rs
@@ -2,6 +2,7 @@
 
 use super::Config;
 use crate::clock::Millis;
+use crate::contract::class::Class;
 use crate::link::slot::Pool;
 use crate::machine::worker::Epoch;
 use crate::name::Name;
@@ -30,8 +31,8 @@
     pub controller: Option<Name>,
     /// Tries that are forwarded there.
     pub forwarded: usize,
-    /// Nothing is forwarded before this instant.
-    pub closed: Millis,
+    /// No try of a class is forwarded before this instant, in the order of [`Class::ALL`].
+    pub closed: [Millis; Class::ALL.len()],
     /// Used only when there is no other before this instant.
     pub shunned: Millis,
     /// When it was last chosen; the least recently chosen is preferred.
@@ -50,7 +51,7 @@
             held: None,
             controller: None,
             forwarded: 0,
-            closed: Millis::ZERO,
+            closed: [Millis::ZERO; Class::ALL.len()],
             shunned: Millis::ZERO,
             chosen: 0,
             next_question: Millis::ZERO,
@@ -66,14 +67,14 @@
         })
     }
 
-    /// Returns whether a try may go to the runner now.
-    pub fn has_room(&self, config: &Config, local: bool, now: Millis) -> bool {
+    /// Returns whether a try may go to the runner now; a local one is not forwarded again.
+    pub fn has_room(&self, config: &Config, class: Class, local: bool, now: Millis) -> bool {
         let live = self.instance.state == State::Live;
         if self.held.is_some() {
             live && self.is_usable(config, now) && self.pool.free() > 0
         } else {
             let slots = self.pool.limits().slots as usize;
-            let open = self.controller.is_some() && self.closed <= now;
+            let open = self.controller.is_some() && self.closed[class.index()] <= now;
             live && !local && open && self.forwarded < slots
         }
     }
@@ -84,10 +85,10 @@
     }
 
     /// Returns how many tries this instance may have under way at the runner.
-    pub fn capacity(&self, config: &Config, now: Millis) -> usize {
+    pub fn capacity(&self, config: &Config, class: Class, now: Millis) -> usize {
         let usable = match self.held {
             Some(_) => self.is_usable(config, now),
-            None => self.controller.is_some() && self.closed <= now,
+            None => self.controller.is_some() && self.closed[class.index()] <= now,
         };
         let live = self.instance.state == State::Live;
         if usable && live { self.pool.limits().slots as usize } else { 0 }
--- a/crates/core/src/link/dispatcher/tests.rs
+++ b/crates/core/src/link/dispatcher/tests.rs
@@ -209,8 +209,11 @@
 fn a_busy_controller_is_left_alone_for_a_while() {
     let mut dispatcher = dispatcher();
     expect_that!(ask(&mut dispatcher, 0, 1), some(eq(&remote("a"))));
-    dispatcher.returned("a", Some(Millis(50)), Millis(2));
+    dispatcher.returned("a", Some((Class::Normal, Millis(50))), Millis(2));
     expect_that!(ask(&mut dispatcher, 1, 3), none());
+    // A more urgent one may still be taken there.
+    let urgent = ask_with(&mut dispatcher, waiter(2, Class::Urgent, 3), 3);
+    expect_that!(urgent, some(anything()));
     expect_that!(dispatcher.grants(Millis(52)), len(eq(1)));
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -161,7 +161,8 @@
         let own = own_instance(settings, addresses.peers);
         let wiring = Wiring::new(settings.ring, &own);
         let drain = CancellationToken::new();
-        let (duties, dispatch) = back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
+        let Backs { dispatch, others } =
+            back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
         let (held, members) = (wiring.held.1.clone(), wiring.members.1.clone());
         let fronts = fronts(settings, listeners, &wiring, &telemetry)?;
         let mut daemon = Self {
@@ -177,7 +178,7 @@
         daemon.telemetry.note(What::ProcessStarted);
         let [front, peer, requests, back] = &mut daemon.stages;
         back.start(Box::new(writer))?;
-        for duty in duties {
+        for duty in others {
             back.start(duty)?;
         }
         requests.start(dispatch)?;
@@ -337,7 +338,12 @@
     Ok((keys, bearer))
 }
 
-/// Returns the duties behind the fronts, and the dispatch duty.
+/// The duties behind the fronts.
+struct Backs {
+    dispatch: Box<dyn Duty>,
+    others: Vec<Box<dyn Duty>>,
+}
+
 fn back_duties(
     settings: &Settings,
     planner: Box<dyn Planner>,
@@ -345,7 +351,7 @@
     own: Instance,
     telemetry: &Telemetry,
     drain: &CancellationToken,
-) -> Result<(Vec<Box<dyn Duty>>, Box<dyn Duty>), Error> {
+) -> Result<Backs, Error> {
     let (_, key) = peer_keys(settings)?;
     let timing = &settings.timing;
     let platform = &settings.platform;
@@ -401,7 +407,7 @@
         Box::new(steward),
         Box::new(control),
     ];
-    Ok((others, Box::new(dispatch)))
+    Ok(Backs { dispatch: Box::new(dispatch), others })
 }
 
 /// A controller spends slots until its worker counts as silent.
--- a/crates/daemon/src/duty/dispatch/attempt.rs
+++ b/crates/daemon/src/duty/dispatch/attempt.rs
@@ -5,6 +5,7 @@
 use crate::ring::{Full, Sender};
 use crate::view;
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::class::Class;
 use pimentovalve_core::contract::request::{Reason, Request};
 use pimentovalve_core::link::dispatcher::{Choice, Grant};
 use pimentovalve_core::link::queue::Waiter;
@@ -27,10 +28,15 @@
 /// the worker.
 const PEER_PAUSE: Millis = Millis(200);
 
+/// Longest time for which nothing of a class is forwarded to an instance whose runners are busy.
+const BUSY_PAUSE: Millis = Millis(100);
+
 /// What a try says of itself.
 pub(super) enum Progress {
     /// It goes to this runner now.
     Sent(Name),
+    /// The runner's controller did not take it; it waits again.
+    Back(Name),
     /// It has ended.
     Ended(Option<Name>, Outcome),
 }
@@ -67,29 +73,41 @@
         progress: Sender<Progress>,
         cancel: CancellationToken,
     ) {
-        let (runner, outcome) = match self.granted(&sent, &cancel).await {
-            None => return,
-            Some(Grant::Refused(reason, after)) => (None, Outcome::NotRun(reason, after)),
-            Some(Grant::Go(choice)) => {
-                let (Choice::Own { runner, .. } | Choice::Remote { runner, .. }) = &choice;
-                let runner = runner.clone();
-                tell(&progress, Progress::Sent(runner.clone()));
-                let started = view::now();
-                let outcome = match choice {
-                    Choice::Own { runner, address } => self.serve(&sent, &runner, &address).await,
-                    Choice::Remote { runner, controller } => {
-                        self.forward(&sent, &runner, &controller).await
-                    }
-                };
-                if matches!(outcome, Outcome::Whole(_)) {
-                    let latency = view::now().since(started);
-                    self.state().dispatcher.answered(&sent.request.service, latency);
+        loop {
+            let choice = match self.granted(&sent, &cancel).await {
+                None => return,
+                Some(Grant::Go(choice)) => choice,
+                Some(Grant::Refused(reason, after)) => {
+                    tell(&progress, Progress::Ended(None, Outcome::NotRun(reason, after)));
+                    return;
                 }
-                (Some(runner), outcome)
-            }
+            };
+            let (Choice::Own { runner, .. } | Choice::Remote { runner, .. }) = &choice;
+            let runner = runner.clone();
+            tell(&progress, Progress::Sent(runner.clone()));
+            let outcome = self.go(&sent, choice).await;
+            self.settle();
+            let Some(outcome) = outcome else {
+                tell(&progress, Progress::Back(runner));
+                continue;
+            };
+            tell(&progress, Progress::Ended(Some(runner), outcome));
+            return;
+        }
+    }
+
+    /// Sends a try where it was granted. `None` when it must wait for another runner.
+    async fn go(&self, sent: &Try, choice: Choice) -> Option<Outcome> {
+        let started = view::now();
+        let outcome = match choice {
+            Choice::Own { runner, address } => Some(self.serve(sent, &runner, &address).await),
+            Choice::Remote { runner, controller } => self.forward(sent, &runner, &controller).await,
         };
-        self.settle();
-        tell(&progress, Progress::Ended(runner, outcome));
+        if matches!(outcome, Some(Outcome::Whole(_))) {
+            let latency = view::now().since(started);
+            self.state().dispatcher.answered(&sent.request.service, latency);
+        }
+        outcome
     }
 
     /// Waits until the try may go. `None` when it was cancelled.
@@ -134,8 +152,8 @@
         }
     }
 
-    /// Hands a try to the controller of the runner's worker.
-    async fn forward(&self, sent: &Try, runner: &Name, controller: &Name) -> Outcome {
+    /// Hands a try to the controller of the runner's worker. `None` when it was not taken there.
+    async fn forward(&self, sent: &Try, runner: &Name, controller: &Name) -> Option<Outcome> {
         let address = {
             let members = self.members.borrow();
             let found = members.candidates.iter().find(|c| c.name == *controller);
@@ -148,15 +166,14 @@
             }
             _ => Forwarded::NotRun,
         };
+        let class = sent.request.class;
         let (pause, outcome) = match outcome {
-            Forwarded::Done { body } => (None, Outcome::Whole(body)),
+            Forwarded::Done { body } => (None, Some(Outcome::Whole(body))),
             Forwarded::Busy { retry_after_ms } => {
-                (Some(retry_after_ms), Outcome::NotRun(Reason::Unavailable, retry_after_ms))
-            }
-            Forwarded::NotRun => {
-                (Some(PEER_PAUSE), Outcome::NotRun(Reason::Unavailable, PEER_PAUSE))
+                (Some((class, retry_after_ms.min(BUSY_PAUSE))), None)
             }
-            Forwarded::Unknown => (Some(PEER_PAUSE), Outcome::Unknown),
+            Forwarded::NotRun => (Some((Class::Urgent, PEER_PAUSE)), None),
+            Forwarded::Unknown => (Some((Class::Urgent, PEER_PAUSE)), Some(Outcome::Unknown)),
         };
         self.state().dispatcher.returned(runner.as_str(), pause, view::now());
         outcome
--- a/crates/daemon/src/duty/dispatch/request.rs
+++ b/crates/daemon/src/duty/dispatch/request.rs
@@ -17,6 +17,10 @@
 
 /// Time that an answer needs from here to the caller at most.
 const RETURN_TIME: Millis = Millis(20);
+/// Longest time for which a forwarded request waits for a slot.
+const FORWARD_WAIT: Millis = Millis(250);
+/// Notes of tries that a request has not seen yet, at most.
+const MAX_PROGRESS: usize = 8 * MAX_TRIES;
 /// Longest time for which a whole answer waits until it is recorded; recording it goes on.
 const RECORD_TIME: Duration = Duration::from_secs(1);
 
@@ -93,7 +97,7 @@
 
     /// Tries a request at runners until one answers, or nothing further may be tried.
     async fn try_all(self: &Arc<Self>, request: Arc<Request>, deadline: Millis) -> Answer {
-        let (progress, received) = ring::ring(2 * MAX_TRIES);
+        let (progress, received) = ring::ring(MAX_PROGRESS);
         let cancel = CancellationToken::new();
         let _left = cancel.clone().drop_guard();
         let tries = Tries::new(request.id.clone(), request.idempotent, deadline);
@@ -121,6 +125,10 @@
                     let after = self.state().dispatcher.hedge_after(service);
                     hedge = Some(Instant::now() + Duration::from(after));
                 }
+                Progress::Back(runner) => {
+                    running.tries.not_run_at(&runner);
+                    hedge = None;
+                }
                 Progress::Ended(runner, outcome) => {
                     if let (Some(runner), Outcome::NotRun(..)) = (&runner, &outcome) {
                         running.tries.not_run_at(runner);
@@ -183,8 +191,8 @@
             tried: Vec::new(),
             forwarded: Some(runner),
             deadline: now + request.wait_ms,
-            // The other half is left for a try at another instance.
-            until: now + Millis(request.wait_ms.get() / 2),
+            // Another instance may have room: it doesn't wait here for long.
+            until: now + Millis(request.wait_ms.get() / 2).min(FORWARD_WAIT),
             fresh: !request.idempotent,
             request: Arc::new(request),
         };
@@ -193,7 +201,7 @@
         self.tracker.spawn(async move { shared.attempt(sent, progress, cancel).await });
         loop {
             match received.next().await {
-                Some(Progress::Sent(_)) => {}
+                Some(Progress::Sent(_) | Progress::Back(_)) => {}
                 Some(Progress::Ended(_, Outcome::Whole(body))) => return Forwarded::Done { body },
                 Some(Progress::Ended(_, Outcome::NotRun(Reason::Overload, retry_after_ms))) => {
                     return Forwarded::Busy { retry_after_ms };
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -5,6 +5,8 @@
 
 #![allow(dead_code, reason = "each test uses a part")]
 
+pub mod flight;
+
 use pimentovalve::cell::{Cell, OPERATOR_KEY};
 use pimentovalve::core::clock::Millis;
 use pimentovalve::core::contract::request::Answer;
