--- a/crates/core/src/link/dispatcher.rs
+++ b/crates/core/src/link/dispatcher.rs
@@ -266,8 +266,7 @@
         for waiter in expired {
             let known = self.entries.iter().any(|e| e.service == service);
             let reason = if known { Reason::Overload } else { Reason::Unavailable };
-            let expected = self.expected_wait(service.as_str(), waiter.class, now);
-            let refused = Grant::Refused(reason, expected.max(MIN_RETRY_AFTER));
+            let refused = Grant::Refused(reason, self.retry_after(&service, waiter.class, now));
             grants.push((waiter.ticket, refused));
         }
     }
@@ -390,6 +389,11 @@
         self.services.iter().all(|s| s.queue.is_empty()) && self.entries.iter().all(quiet)
     }
 
+    /// Returns when there may be room for a refused request, from now.
+    pub fn retry_after(&self, service: &Name, class: Class, now: Millis) -> Millis {
+        self.expected_wait(service.as_str(), class, now).max(MIN_RETRY_AFTER)
+    }
+
     /// Returns how long a new try of a class would wait, as far as can be told.
     fn expected_wait(&self, service: &str, class: Class, now: Millis) -> Millis {
         let Some(known) = self.services.iter().find(|s| s.name.as_str() == service) else {
--- a/crates/daemon/src/duty/dispatch.rs
+++ b/crates/daemon/src/duty/dispatch.rs
@@ -19,11 +19,13 @@
 use pimentovalve_core::link::budget::{self, Budget};
 use pimentovalve_core::link::dispatcher::{Choice, Dispatcher, Grant, Question};
 use pimentovalve_core::link::permit::Permits;
+use pimentovalve_core::machine::controller::Tenure;
 use pimentovalve_core::machine::runner::Limits;
 use pimentovalve_core::name::Name;
 use pimentovalve_core::zone::membership::{Instance, Role};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
+use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::peer::{Forward, Forwarded};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -84,6 +86,8 @@
 
 /// The dispatch duty.
 pub struct Dispatch {
+    /// Counts the bytes of calls to peers.
+    pub traffic: Arc<Traffic>,
     /// The dispatcher.
     pub dispatcher: Dispatcher,
     /// Access to runners.
@@ -154,7 +158,7 @@
                         shared.members(&seen);
                     }
                     Ok(()) = held.changed() => {
-                        let seen = Arc::clone(&held.borrow_and_update());
+                        let seen = Arc::clone(&held.borrow_and_update().workers);
                         shared.held(&seen);
                     }
                     () = shared.wake.notified() => {}
@@ -178,7 +182,7 @@
             state: Mutex::new(state),
             runner: self.runner,
             route: self.route,
-            client: Client::new(),
+            client: Client::counted(self.traffic),
             members: self.members,
             facts: self.facts,
             telemetry: self.telemetry,
@@ -225,7 +229,7 @@
             tokio::select! {
                 () = self.tracker.wait() => return,
                 Ok(()) = held.changed() => {
-                    let seen = Arc::clone(&held.borrow_and_update());
+                    let seen = Arc::clone(&held.borrow_and_update().workers);
                     self.held(&seen);
                 }
                 _ = tick.tick() => self.due(),
@@ -249,7 +253,7 @@
         self.settle();
     }
 
-    fn held(self: &Arc<Self>, held: &Held) {
+    fn held(self: &Arc<Self>, held: &[Tenure]) {
         let lost = self.state().dispatcher.held(held, view::now());
         for address in lost {
             self.runner.forget(&address);
--- a/crates/daemon/src/duty/dispatch/attempt.rs
+++ b/crates/daemon/src/duty/dispatch/attempt.rs
@@ -114,7 +114,7 @@
     async fn granted(&self, sent: &Try, cancel: &CancellationToken) -> Option<Grant> {
         let now = view::now();
         if sent.until <= now + MIN_BUDGET {
-            return Some(Grant::Refused(Reason::Deadline, Millis::ZERO));
+            return Some(Grant::Refused(Reason::Deadline, self.retry_after(sent)));
         }
         let (sender, mut receiver) = oneshot::channel();
         let waiter = Waiter {
@@ -152,6 +152,11 @@
         }
     }
 
+    fn retry_after(&self, sent: &Try) -> Millis {
+        let Request { service, class, .. } = &*sent.request;
+        self.state().dispatcher.retry_after(service, *class, view::now())
+    }
+
     /// Hands a try to the controller of the runner's worker. `None` when it was not taken there.
     async fn forward(&self, sent: &Try, runner: &Name, controller: &Name) -> Option<Outcome> {
         let address = {
@@ -204,7 +209,7 @@
         let budget_ms = sent.deadline.since(view::now() + HOP_TIME);
         if budget_ms < MIN_BUDGET {
             self.state().dispatcher.release(runner.as_str(), attempt);
-            return Outcome::NotRun(Reason::Deadline, Millis::ZERO);
+            return Outcome::NotRun(Reason::Deadline, self.retry_after(sent));
         }
         self.telemetry.note(What::RequestSent {
             request: id.clone(),
