--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -218,6 +218,54 @@
     expect_that!(trial.wrongs(&landed), is_empty());
 }
 
+#[gtest]
+fn an_instance_that_dies_between_claim_and_send_leaves_nothing_to_run_twice() {
+    let mut trial = few_runners(3);
+    // The claims land after the instance that wrote them has died.
+    trial.cell.fleet.log.delay_landing(50, Millis(600));
+    let flights: Vec<Flight> =
+        (0..6).map(|i| trial.send(0, &raw(&format!("claimed-{i}"), false, 3000))).collect();
+    std::thread::sleep(Duration::from_millis(200));
+    trial.cell.kill(0);
+    trial.cell.fleet.log.delay_landing(0, Millis::ZERO);
+    let mut landed = land(flights);
+    let again: Vec<Raw> = landed.iter().map(|l| l.request.clone()).collect();
+    for (i, request) in again.iter().enumerate() {
+        let request = Raw { wait_ms: Millis(8000), ..request.clone() };
+        let flights = (1..3).map(|node| trial.send(node, &request)).collect();
+        landed.extend(land(flights));
+        let told = [trial.answered(1 + i % 2, &request.id), trial.answered(2 - i % 2, &request.id)];
+        expect_that!(told[0], some(anything()));
+        expect_that!(told[0], eq(&told[1]));
+    }
+    expect_that!(trial.wrongs(&landed), is_empty());
+}
+
+#[gtest]
+fn a_controller_that_is_cut_off_from_its_worker_stops_spending() {
+    let trial = few_runners(1);
+    // Requests one after the other are served in the region of their instance.
+    let near = &trial.cell.nodes[0].instance.place;
+    let runner = runners(&trial).map(Runner::runner).find(|r| r.place.same_region(near));
+    let runner = runner.expect("a runner in the region");
+    let worker = trial.cell.fleet.worker(runner.worker.as_str()).expect("its worker");
+    worker.link().cut();
+    let cut = pimentovalve::standin::clock::now();
+    let mut landed = Vec::new();
+    while pimentovalve::standin::clock::now().since(cut) < Millis(4500) {
+        let number = landed.len();
+        landed.push(trial.ask(0, &raw(&format!("cut-{number}"), true, 2000)));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let served = landed.iter().flat_map(|l| trial.cell.fleet.observer.executions(&l.request.id));
+    let served: Vec<_> = served.filter(|e| e.runner == runner.name).collect();
+    expect_that!(served, not(is_empty()));
+    // The term is 1.2 s; the rest is for a busy machine.
+    expect_that!(served.iter().filter(|e| e.start > cut + Millis(3000)).count(), eq(0));
+    expect_that!(landed.iter().all(Landed::is_whole), eq(true));
+    expect_that!(trial.wrongs(&landed), is_empty());
+}
+
 #[gtest]
 fn a_planned_stop_cuts_off_no_request() {
     let mut trial = few_runners(3);
