--- /dev/null
+++ b/tests/attack/world.rs
@@ -0,0 +1,727 @@
+//! Stewards, controllers and arbiters as they are, joined by a log and links in memory, on virtual
+//! time. Everything that happens follows from the seed.
+
+use super::fault::{Draw, Fault};
+use pimentovalve::core::clock::Millis;
+use pimentovalve::core::contract::configuration::{Configuration, Patch};
+use pimentovalve::core::contract::job::Job;
+use pimentovalve::core::contract::planner::weighted::Weighted;
+use pimentovalve::core::contract::request::Reason;
+use pimentovalve::core::contract::steward::{self, Ask, Landing, Steward, Told};
+use pimentovalve::core::contract::task;
+use pimentovalve::core::ledger::book::Book;
+use pimentovalve::core::ledger::fleet::Fleet;
+use pimentovalve::core::ledger::record::{self, Change, Record, Register};
+use pimentovalve::core::ledger::{Offset, Stream, Verdict};
+use pimentovalve::core::machine::arbiter::Arbiter;
+use pimentovalve::core::machine::capacity::Capacity;
+use pimentovalve::core::machine::controller::{
+    self, Controller, Ending, Grant, Heard, Outcome, Pulse, Standing, Wish,
+};
+use pimentovalve::core::machine::lease::Bounds;
+use pimentovalve::core::machine::worker::{self, Epoch, Inventory, Order, Reply};
+use pimentovalve::core::name::Name;
+use pimentovalve::core::zone::Place;
+use pimentovalve::core::zone::membership::{Instance, Membership, Role, State};
+use pimentovalve::core::zone::stewardship;
+
+/// Time between two looks at everything.
+pub const STEP: Millis = Millis(50);
+/// When a trial begins.
+const START: Millis = Millis(1_000_000);
+/// Time after which a call counts as not answered.
+const TIMEOUT: Millis = Millis(1000);
+/// Time between two readings of the list, and two signs of life between daemons.
+const LIST_EVERY: u64 = 200;
+/// Longest lag of the list with its reading.
+const LAG: Millis = Millis(500);
+/// Partitions of the ledger.
+const PARTITIONS: u16 = 2;
+/// The bounds of all trials.
+pub const BOUNDS: Bounds =
+    Bounds { lease_ms: Millis(2500), currency_ms: Millis(1500), skew_ms: Millis(100) };
+
+pub fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("the name is valid")
+}
+
+fn instance(name: Name, role: Role, domain: &str) -> Instance {
+    let place =
+        Place { region: self::name("lima"), domain: self::name(domain), rack: self::name("r") };
+    let address = name.to_string();
+    Instance { name, role, place, address, state: State::Live, worker: None, service: None }
+}
+
+/// What is under way between two processes.
+enum Message {
+    Adopt { from: usize, call: u64, worker: usize, expected: Epoch },
+    Beat { from: usize, call: u64, worker: usize, pulse: Pulse },
+    Orders { from: usize, call: u64, worker: usize, epoch: Epoch, orders: Vec<Order> },
+    Answer { to: usize, call: u64, answer: Answer },
+    TimedOut { to: usize, call: u64 },
+    Wishes { from: usize, to: usize, wishes: Vec<Wish> },
+    Grants { to: usize, wishes: Vec<Wish>, grants: Vec<Grant> },
+    Report { to: usize, from: Name, standings: Vec<Standing>, endings: Vec<Ending> },
+    Recorded { to: usize, recorded: Vec<(Name, u64)> },
+    Append { stream: Stream, record: Record },
+    Landed { to: usize, id: record::Id, landing: Landing },
+}
+
+enum Answer {
+    Adopted(Result<Inventory, Epoch>),
+    Beaten(Heard),
+    Ordered(Vec<Reply>),
+}
+
+/// What a call was about, until it is answered or timed out.
+enum Call {
+    Adopt(Name),
+    Beat(Name),
+    Orders(Name, Epoch, Vec<Order>),
+}
+
+struct Daemon {
+    name: Name,
+    membership: Membership,
+    steward: Steward,
+    controller: Controller,
+    fleet: Fleet,
+    /// Offsets of the next rows of the partitions that it reads.
+    positions: Vec<(u16, Offset)>,
+    calls: Vec<(u64, Call)>,
+    /// Which daemon reported each worker. Sorted by worker.
+    reporters: Vec<(Name, Name)>,
+    /// The last change that was reported.
+    change: u64,
+    losing: Vec<(Name, Millis)>,
+    numbers: u64,
+    skew: u64,
+    alive: bool,
+    frozen_until: Millis,
+}
+
+struct Machine {
+    name: Name,
+    arbiter: Arbiter,
+    capacity: Capacity,
+    /// Running attempts with the instant of their end. Sorted by task.
+    runs: Vec<(task::Id, task::Attempt, Millis)>,
+    skew: u64,
+    crashed: bool,
+    /// Cut off from this daemon, or from all, until then.
+    cut: (Option<usize>, Millis),
+}
+
+/// A trial.
+pub struct World {
+    pub now: Millis,
+    pub draw: Draw,
+    daemons: Vec<Daemon>,
+    machines: Vec<Machine>,
+    listed: Vec<Instance>,
+    /// Streams with their records: the partitions, then the fleet.
+    streams: Vec<Vec<Record>>,
+    /// Sorted by the time of arrival, then by number.
+    messages: Vec<(Millis, u64, Message)>,
+    number: u64,
+    configuration: Configuration,
+    jobs: Vec<(Job, bool)>,
+    log_out_until: Millis,
+    /// Appends whose answers are lost, or which land late, until then.
+    lost_until: Millis,
+    late_until: Millis,
+    /// Messages between processes are doubled and delayed until then.
+    disorder_until: Millis,
+    pub broken: Vec<String>,
+}
+
+impl World {
+    /// Returns a world of some daemons and workers.
+    pub fn new(seed: u64, daemons: usize, machines: usize) -> Self {
+        let patch: Patch =
+            toml::from_str(include_str!("../support/patch.toml")).expect("it is valid");
+        let configuration = Configuration::default().patched(&patch).expect("it can be made");
+        let mut world = Self {
+            now: START,
+            draw: Draw::new(seed),
+            daemons: Vec::new(),
+            machines: Vec::new(),
+            listed: Vec::new(),
+            streams: vec![Vec::new(); usize::from(PARTITIONS) + 1],
+            messages: Vec::new(),
+            number: 0,
+            configuration,
+            jobs: Vec::new(),
+            log_out_until: Millis::ZERO,
+            lost_until: Millis::ZERO,
+            late_until: Millis::ZERO,
+            disorder_until: Millis::ZERO,
+            broken: Vec::new(),
+        };
+        for i in 0..machines {
+            world.add_machine(i);
+        }
+        for _ in 0..daemons {
+            world.add_daemon();
+        }
+        world
+    }
+
+    fn add_machine(&mut self, i: usize) {
+        let listed =
+            instance(name(&format!("worker-{i}")), Role::Worker, &format!("domain-{}", i % 3));
+        let capacity = Capacity::new(6000, 16_384, 0);
+        let worker =
+            worker::Worker { name: listed.name.clone(), place: listed.place.clone(), capacity };
+        let skew = self.draw.below(BOUNDS.skew_ms.get());
+        self.machines.push(Machine {
+            name: listed.name.clone(),
+            arbiter: Arbiter::new(worker),
+            capacity,
+            runs: Vec::new(),
+            skew,
+            crashed: false,
+            cut: (None, Millis::ZERO),
+        });
+        self.listed.push(listed);
+    }
+
+    fn add_daemon(&mut self) {
+        let i = self.daemons.len();
+        let own = instance(name(&format!("entry-{i}")), Role::Entry, &format!("domain-{}", i % 3));
+        let config = steward::Config {
+            partitions: PARTITIONS,
+            bounds: BOUNDS,
+            ..steward::Config::default()
+        };
+        let planner = Box::new(Weighted::new(own.place.clone()));
+        let mut steward = Steward::new(name(&format!("entry-{i}.steward")), config, planner);
+        steward.configure(&self.configuration);
+        let config = controller::Config {
+            bounds: BOUNDS,
+            suspicion: Millis(1200),
+            loss: Millis(2500),
+            pause: Millis(500),
+        };
+        let mut controller = Controller::new(own.name.clone(), config);
+        controller.configure(&self.configuration);
+        let skew = self.draw.below(BOUNDS.skew_ms.get());
+        self.daemons.push(Daemon {
+            name: own.name.clone(),
+            membership: Membership::new(own.clone(), LAG, Millis(800)),
+            steward,
+            controller,
+            fleet: Fleet::default(),
+            positions: Vec::new(),
+            calls: Vec::new(),
+            reporters: Vec::new(),
+            change: 0,
+            losing: Vec::new(),
+            numbers: 0,
+            skew,
+            alive: true,
+            frozen_until: Millis::ZERO,
+        });
+        self.listed.push(own);
+    }
+
+    /// Adds a job, to be submitted until it is accepted.
+    pub fn submit(&mut self, job: Job) {
+        self.jobs.push((job, false));
+    }
+
+    /// Brings a fault about.
+    pub fn strike(&mut self, fault: Fault) {
+        let time = Millis(1000 + self.draw.below(6000));
+        let daemon = self.draw.index(self.daemons.len());
+        let machine = self.draw.index(self.machines.len());
+        let until = self.now + time;
+        match fault {
+            Fault::Kill => {
+                self.daemons[daemon].alive = false;
+                let dead = self.daemons[daemon].name.clone();
+                self.listed.retain(|i| i.name != dead);
+                self.add_daemon();
+            }
+            Fault::Freeze => self.daemons[daemon].frozen_until = until,
+            Fault::Outage => self.log_out_until = until,
+            Fault::LostAnswers => self.lost_until = until,
+            Fault::LateLanding => self.late_until = until,
+            Fault::Cut => self.machines[machine].cut = (None, until),
+            Fault::CutFromOne => self.machines[machine].cut = (Some(daemon), until),
+            Fault::Disorder => self.disorder_until = until,
+            Fault::Crash => {
+                let crashed = &mut self.machines[machine];
+                crashed.crashed = true;
+                crashed.runs.clear();
+                let gone = crashed.name.clone();
+                self.listed.retain(|i| i.name != gone);
+            }
+        }
+    }
+
+    /// Lets one step pass.
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.deliver();
+        for w in 0..self.machines.len() {
+            self.work(w);
+        }
+        for d in 0..self.daemons.len() {
+            if self.daemons[d].alive && self.daemons[d].frozen_until <= self.now {
+                self.run(d);
+            }
+        }
+        self.check();
+    }
+
+    /// Returns the jobs that were accepted and have not ended.
+    pub fn open_jobs(&self) -> Vec<String> {
+        let books: Vec<Book> = (0..usize::from(PARTITIONS)).map(|p| self.book(p)).collect();
+        let entries = || books.iter().flat_map(Book::jobs);
+        let open = entries().filter(|e| !e.has_ended()).map(|e| format!("{:?}", e.tasks));
+        let never = self.jobs.iter().filter(|(job, _)| !entries().any(|e| e.job.id == job.id));
+        open.chain(never.map(|(job, _)| format!("{} was never accepted", job.id))).collect()
+    }
+
+    fn book(&self, partition: usize) -> Book {
+        let mut book = Book::default();
+        for (offset, record) in (0..).zip(&self.streams[partition]) {
+            book.apply(offset, record);
+        }
+        book
+    }
+
+    fn send(&mut self, message: Message) {
+        let disorder = self.disorder_until > self.now;
+        let delay = if disorder { self.draw.below(1500) } else { self.draw.below(40) };
+        self.send_after(Millis(delay), message);
+    }
+
+    fn send_after(&mut self, delay: Millis, message: Message) {
+        self.number += 1;
+        let key = (self.now + delay, self.number);
+        let at = self.messages.partition_point(|(time, number, _)| (*time, *number) < key);
+        self.messages.insert(at, (key.0, key.1, message));
+    }
+
+    fn deliver(&mut self) {
+        while self.messages.first().is_some_and(|(at, ..)| *at <= self.now) {
+            let (_, _, message) = self.messages.remove(0);
+            self.handle(message);
+        }
+    }
+
+    /// Returns whether a message can pass between a daemon and a worker.
+    fn joined(&self, daemon: usize, machine: usize) -> bool {
+        let Machine { crashed, cut: (from, until), .. } = &self.machines[machine];
+        let cut = *until > self.now && from.is_none_or(|from| from == daemon);
+        !crashed && !cut && self.daemons[daemon].alive
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Adopt { from, call, worker, expected } if self.joined(from, worker) => {
+                let controller = self.daemons[from].name.clone();
+                let adopted = self.machines[worker].arbiter.adopt(&controller, expected).cloned();
+                self.send(Message::Answer { to: from, call, answer: Answer::Adopted(adopted) });
+            }
+            Message::Beat { from, call, worker, pulse } if self.joined(from, worker) => {
+                let heard = self.beat(worker, &pulse);
+                self.send_after(
+                    Millis(150),
+                    Message::Answer { to: from, call, answer: Answer::Beaten(heard) },
+                );
+            }
+            Message::Orders { from, call, worker, epoch, orders } if self.joined(from, worker) => {
+                let now = self.now + Millis(self.machines[worker].skew);
+                let arbiter = &mut self.machines[worker].arbiter;
+                let replies = orders.iter().map(|o| arbiter.order(epoch, o, now)).collect();
+                if self.disorder_until > self.now {
+                    let again = self.draw.below(2000);
+                    let message = Message::Orders { from, call, worker, epoch, orders };
+                    if self.draw.below(3) == 0 {
+                        self.send_after(Millis(again), message);
+                    }
+                }
+                self.send(Message::Answer { to: from, call, answer: Answer::Ordered(replies) });
+            }
+            Message::Append { stream, record } => self.streams[slot(stream)].push(record),
+            Message::Adopt { .. } | Message::Beat { .. } | Message::Orders { .. } => {}
+            other => self.handle_at_daemon(other),
+        }
+    }
+
+    fn handle_at_daemon(&mut self, message: Message) {
+        let to = match &message {
+            Message::Answer { to, .. }
+            | Message::TimedOut { to, .. }
+            | Message::Wishes { to, .. }
+            | Message::Grants { to, .. }
+            | Message::Report { to, .. }
+            | Message::Recorded { to, .. }
+            | Message::Landed { to, .. } => *to,
+            _ => return,
+        };
+        if !self.daemons[to].alive {
+            return;
+        }
+        if self.daemons[to].frozen_until > self.now {
+            self.send_after(STEP, message);
+            return;
+        }
+        let now = self.time_at(to);
+        let daemon = &mut self.daemons[to];
+        match message {
+            Message::Answer { call, answer, .. } => self.answered(to, call, Some(answer)),
+            Message::TimedOut { call, .. } => self.answered(to, call, None),
+            Message::Wishes { from, wishes, .. } => {
+                let grants = wishes.iter().map(|w| daemon.controller.wish(w, now)).collect();
+                self.send(Message::Grants { to: from, wishes, grants });
+            }
+            Message::Grants { wishes, grants, .. } => {
+                for (wish, grant) in wishes.iter().zip(grants) {
+                    daemon.steward.granted(wish, grant, now);
+                }
+            }
+            Message::Report { from, standings, endings, .. } => {
+                for standing in &standings {
+                    daemon.controller.stand(standing);
+                    let worker = &standing.worker.name;
+                    match daemon.reporters.binary_search_by(|(w, _)| w.cmp(worker)) {
+                        Ok(i) => daemon.reporters[i].1 = from.clone(),
+                        Err(i) => daemon.reporters.insert(i, (worker.clone(), from.clone())),
+                    }
+                }
+                let recorded = daemon.steward.report(&standings, &endings, now);
+                if let Some(to) = self.daemons.iter().position(|d| d.name == from) {
+                    self.send(Message::Recorded { to, recorded });
+                }
+            }
+            Message::Recorded { recorded, .. } => daemon.controller.recorded(&recorded),
+            Message::Landed { id, landing, .. } => daemon.steward.landed(&id, landing),
+            _ => {}
+        }
+    }
+
+    fn time_at(&self, daemon: usize) -> Millis {
+        self.now + Millis(self.daemons[daemon].skew)
+    }
+
+    fn answered(&mut self, d: usize, call: u64, answer: Option<Answer>) {
+        let now = self.time_at(d);
+        let daemon = &mut self.daemons[d];
+        let Some(i) = daemon.calls.iter().position(|(number, _)| *number == call) else { return };
+        let controller = &mut daemon.controller;
+        match (daemon.calls.remove(i).1, answer) {
+            (Call::Adopt(worker), Some(Answer::Adopted(inventory))) => {
+                controller.adopted(worker.as_str(), Outcome::Answered(inventory), now);
+            }
+            (Call::Adopt(worker), _) => controller.adopted(worker.as_str(), Outcome::Silent, now),
+            (Call::Beat(worker), Some(Answer::Beaten(heard))) => {
+                controller.beaten(worker.as_str(), Outcome::Answered(heard), now);
+            }
+            (Call::Beat(worker), _) => controller.beaten(worker.as_str(), Outcome::Silent, now),
+            (Call::Orders(worker, epoch, orders), Some(Answer::Ordered(replies))) => {
+                let outcome = Outcome::Answered(replies);
+                controller.ordered(worker.as_str(), epoch, &orders, outcome, now);
+            }
+            (Call::Orders(worker, epoch, orders), _) => {
+                controller.ordered(worker.as_str(), epoch, &orders, Outcome::Silent, now);
+            }
+        }
+    }
+
+    fn beat(&mut self, w: usize, pulse: &Pulse) -> Heard {
+        let machine = &mut self.machines[w];
+        let now = self.now + Millis(machine.skew);
+        let arbiter = &mut machine.arbiter;
+        if let Some(until) = pulse.renew_all {
+            arbiter.renew_all(pulse.epoch, until, now);
+        }
+        arbiter.acknowledge(pulse.epoch, pulse.acknowledged);
+        arbiter.lapse(now);
+        let inventory = arbiter.inventory().clone();
+        let ended = inventory.ended.clone();
+        Heard { epoch: inventory.epoch, revision: 1, inventory: Some(inventory), ended }
+    }
+
+    /// Lets a worker's tasks come to their end.
+    fn work(&mut self, w: usize) {
+        if self.machines[w].crashed {
+            return;
+        }
+        let real = self.now;
+        let machine = &mut self.machines[w];
+        let now = real + Millis(machine.skew);
+        machine.arbiter.lapse(now);
+        let running = machine.arbiter.inventory().running.clone();
+        let mut runs = Vec::new();
+        for holding in &running {
+            let found = machine.runs.iter().find(|r| r.0 == holding.task && r.1 == holding.attempt);
+            let end = found.map_or_else(
+                || {
+                    let job = self.jobs.iter().find(|(j, _)| j.id == holding.task.job);
+                    real + job.map_or(STEP, |(j, _)| j.run_ms)
+                },
+                |r| r.2,
+            );
+            runs.push((holding.task.clone(), holding.attempt, end));
+        }
+        for (task, attempt, _) in runs.iter().filter(|r| r.2 <= real) {
+            let ending = worker::Ending::Completed("done".into());
+            machine.arbiter.finish(task, *attempt, ending, now);
+        }
+        runs.retain(|r| r.2 > real);
+        machine.runs = runs;
+    }
+
+    /// Lets a daemon do what it does in a step.
+    fn run(&mut self, d: usize) {
+        self.look_around(d);
+        self.read(d);
+        self.ask(d);
+        let now = self.time_at(d);
+        let daemon = &mut self.daemons[d];
+        daemon.steward.open(Ok::<(), Reason>(()));
+        daemon.steward.tick(now);
+        daemon.controller.tick(now);
+        self.carry_out_steward(d);
+        self.carry_out_controller(d);
+        self.report(d);
+    }
+
+    /// Reads the list and hears the peers.
+    fn look_around(&mut self, d: usize) {
+        let now = self.time_at(d);
+        if self.now.get() % LIST_EVERY == 0 {
+            let listed = self.listed.clone();
+            let heard: Vec<Name> = self
+                .daemons
+                .iter()
+                .filter(|p| p.alive && p.frozen_until <= self.now)
+                .map(|p| p.name.clone())
+                .collect();
+            let membership = &mut self.daemons[d].membership;
+            membership.listed(&listed, now);
+            for peer in heard {
+                membership.heard(peer.as_str(), false, now);
+            }
+        }
+        let workers: Vec<Instance> =
+            self.listed.iter().filter(|i| i.role == Role::Worker).cloned().collect();
+        let daemon = &mut self.daemons[d];
+        let asked_since = daemon.membership.asked_since(now);
+        daemon.steward.asked_since(asked_since);
+        let candidates = daemon.membership.candidates(now);
+        daemon.controller.members(&workers, &candidates, asked_since.is_some(), now);
+        for index in 0..PARTITIONS {
+            let stream = Stream::Partition(index).to_string();
+            let mine = stewardship::owner(&stream, None, &candidates) == Some(&daemon.name);
+            match (mine, daemon.positions.iter().position(|(p, _)| *p == index)) {
+                (true, None) => {
+                    daemon.positions.push((index, 0));
+                    daemon.steward.take(index, None);
+                }
+                (false, Some(i)) => {
+                    daemon.positions.remove(i);
+                    daemon.steward.give_up(index);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Reads the log, whose answers are as old as the step before.
+    fn read(&mut self, d: usize) {
+        if self.log_out_until > self.now {
+            return;
+        }
+        let now = self.time_at(d);
+        let daemon = &mut self.daemons[d];
+        for (index, next) in &mut daemon.positions {
+            let stream = &self.streams[usize::from(*index)];
+            let from = usize::try_from(*next).unwrap_or(usize::MAX);
+            let rows: Vec<(Offset, Record)> = (*next..).zip(stream[from..].to_vec()).collect();
+            *next = stream.len() as u64;
+            daemon.steward.rows(*index, &rows, true, now);
+        }
+        let fleet = &self.streams[usize::from(PARTITIONS)];
+        for (offset, record) in (0..).zip(fleet).skip(daemon.fleet.next as usize) {
+            let before = daemon.fleet.next;
+            let verdict: Verdict = daemon.fleet.apply(offset, record);
+            if daemon.fleet.next <= before {
+                self.broken.push(format!("the fleet's view went back: {verdict:?}"));
+            }
+        }
+        daemon.steward.fleet(&daemon.fleet, now);
+        daemon.controller.fleet(&daemon.fleet, now - STEP);
+    }
+
+    /// Submits what is not accepted yet, and lets an operator release what a crash holds.
+    fn ask(&mut self, d: usize) {
+        if self.draw.below(4) != 0 {
+            return;
+        }
+        let now = self.time_at(d);
+        let steward = &mut self.daemons[d].steward;
+        for (i, (job, accepted)) in (0..).zip(&self.jobs) {
+            if !accepted {
+                steward.ask(i, Ask::Submit(job.clone()), now);
+            }
+        }
+        let gone: Vec<&Name> =
+            self.machines.iter().filter(|m| m.crashed).map(|m| &m.name).collect();
+        let held = (0..PARTITIONS).filter_map(|p| steward.book(p)).flat_map(Book::jobs);
+        let mut asks = Vec::new();
+        for entry in held {
+            for (t, index) in entry.tasks.iter().zip(0..) {
+                if t.placement().is_some_and(|(worker, _)| gone.contains(&worker)) {
+                    asks.push(Ask::Release {
+                        team: entry.job.team.clone(),
+                        task: task::Id { job: entry.job.id.clone(), index },
+                        attempt: t.attempt,
+                        operator: name("operator"),
+                    });
+                }
+            }
+        }
+        for ask in asks {
+            steward.ask(u64::MAX, ask, now);
+        }
+    }
+
+    fn carry_out_steward(&mut self, d: usize) {
+        let mut wishes: Vec<(Name, Vec<Wish>)> = Vec::new();
+        for effect in self.daemons[d].steward.effects() {
+            match effect {
+                steward::Effect::Append { stream, record } => self.append(d, stream, record),
+                steward::Effect::Wish(wish) => {
+                    let reporters = &self.daemons[d].reporters;
+                    let found = reporters.binary_search_by(|(w, _)| w.cmp(wish.worker()));
+                    let Ok(i) = found else { continue };
+                    let controller = reporters[i].1.clone();
+                    match wishes.iter_mut().find(|(c, _)| *c == controller) {
+                        Some((_, list)) => list.push(wish),
+                        None => wishes.push((controller, vec![wish])),
+                    }
+                }
+                steward::Effect::Tell { ticket, told: Told::Job(_) } => {
+                    if let Some((_, accepted)) = self.jobs.get_mut(ticket as usize) {
+                        *accepted = true;
+                    }
+                }
+                steward::Effect::Tell { .. } | steward::Effect::Note { .. } => {}
+            }
+        }
+        for (controller, wishes) in wishes {
+            if let Some(to) = self.daemons.iter().position(|p| p.name == controller) {
+                self.send(Message::Wishes { from: d, to, wishes });
+            }
+        }
+    }
+
+    fn append(&mut self, d: usize, stream: Stream, record: Record) {
+        let id = record.id.clone();
+        let landing = if self.log_out_until > self.now {
+            Landing::Refused
+        } else if self.late_until > self.now && self.draw.below(2) == 0 {
+            let late = Millis(self.draw.below(5000));
+            self.send_after(late, Message::Append { stream, record });
+            Landing::Unknown
+        } else {
+            let lost = self.lost_until > self.now && self.draw.below(2) == 0;
+            self.send(Message::Append { stream, record });
+            if lost { Landing::Unknown } else { Landing::Landed }
+        };
+        self.send_after(Millis(400), Message::Landed { to: d, id, landing });
+    }
+
+    fn carry_out_controller(&mut self, d: usize) {
+        for effect in self.daemons[d].controller.effects() {
+            self.number += 1;
+            let (from, call) = (d, self.number);
+            let machine = |name: &Name| self.machines.iter().position(|m| m.name == *name);
+            let (about, message) = match effect {
+                controller::Effect::Adopt { worker, expected, .. } => {
+                    let Some(w) = machine(&worker) else { continue };
+                    (Call::Adopt(worker), Message::Adopt { from, call, worker: w, expected })
+                }
+                controller::Effect::Beat { worker, pulse, .. } => {
+                    let Some(w) = machine(&worker) else { continue };
+                    (Call::Beat(worker), Message::Beat { from, call, worker: w, pulse })
+                }
+                controller::Effect::Order { worker, epoch, orders, .. } => {
+                    let Some(w) = machine(&worker) else { continue };
+                    let sent = orders.clone();
+                    (
+                        Call::Orders(worker, epoch, orders),
+                        Message::Orders { from, call, worker: w, epoch, orders: sent },
+                    )
+                }
+                controller::Effect::Lose { worker, epoch, expect } => {
+                    self.lose(d, worker, epoch, expect);
+                    continue;
+                }
+            };
+            self.daemons[d].calls.push((call, about));
+            self.send(message);
+            self.send_after(TIMEOUT, Message::TimedOut { to: d, call });
+        }
+    }
+
+    fn lose(&mut self, d: usize, worker: Name, epoch: Epoch, expect: u64) {
+        let now = self.now;
+        let daemon = &mut self.daemons[d];
+        daemon.losing.retain(|(_, at)| now.since(*at) < Millis(2000));
+        if daemon.losing.iter().any(|(w, _)| *w == worker) {
+            return;
+        }
+        daemon.losing.push((worker.clone(), now));
+        daemon.numbers += 1;
+        let writer = name(&format!("{}.ledger", daemon.name));
+        let id = record::Id { writer, number: daemon.numbers };
+        let at = now + Millis(daemon.skew);
+        let (register, change) = (Register::Worker(worker), Change::Lost { epoch });
+        self.append(d, Stream::Fleet, Record { id, at, register, expect, change });
+    }
+
+    fn report(&mut self, d: usize) {
+        if self.now.get() % LIST_EVERY != 0 {
+            return;
+        }
+        let daemon = &mut self.daemons[d];
+        // Everything, always: a peer that was dead or frozen must hear it too.
+        let (standings, last) = daemon.controller.standings(0);
+        daemon.change = last;
+        let (endings, from) = (daemon.controller.endings(), daemon.name.clone());
+        for to in 0..self.daemons.len() {
+            let (standings, endings) = (standings.clone(), endings.clone());
+            self.send(Message::Report { to, from: from.clone(), standings, endings });
+        }
+    }
+
+    /// Notes what must never be.
+    fn check(&mut self) {
+        let mut running: Vec<(&task::Id, &Name)> = Vec::new();
+        for machine in self.machines.iter().filter(|m| !m.crashed) {
+            let inventory = machine.arbiter.inventory();
+            let taken = inventory.running.iter().fold(Capacity::ZERO, |sum, h| sum.plus(&h.needs));
+            if !machine.capacity.holds(&taken) {
+                self.broken.push(format!("{} is over its capacity", machine.name));
+            }
+            running.extend(inventory.running.iter().map(|h| (&h.task, &machine.name)));
+        }
+        running.sort();
+        for pair in running.windows(2).filter(|pair| pair[0].0 == pair[1].0) {
+            self.broken.push(format!("{:?} runs twice at {}", pair, self.now));
+        }
+    }
+}
+
+fn slot(stream: Stream) -> usize {
+    match stream {
+        Stream::Partition(index) => usize::from(index),
+        Stream::Fleet | Stream::Configuration => usize::from(PARTITIONS),
+    }
+}
