Follow an attempt whose record landed after it was given up

Cause: a gang's attempt record was given up, decided again, and landed after all; the second record was illegal, and its overtaking removed the flight of the attempt in force, so nobody started it. Ruled out: a lost grant; no steward had a flight of the task (a trace of every follow-up was empty). Change: a decision falls as a whole if a task of it is placed by now, and an overtaken steward follows the attempt that is in force.

--- a/crates/core/src/contract/steward/place.rs
+++ b/crates/core/src/contract/steward/place.rs
@@ -70,14 +70,23 @@
         }
     }
 
+    /// Asks controllers for the places of a decision. It falls as a whole if one of its tasks is
+    /// placed or over by now, as when a record lands that was given up.
     fn reserve(&mut self, placements: Vec<Placement>, now: Millis) {
+        if placements.iter().any(|p| self.next_attempt(&p.task).is_none()) {
+            for placement in placements {
+                if self.next_attempt(&placement.task).is_some() {
+                    self.planner.refused(&placement, now);
+                } else {
+                    self.planner.withdraw(&placement.task, now);
+                }
+            }
+            return;
+        }
         self.numbers += 1;
         let group = if placements.len() > 1 { self.numbers } else { 0 };
         for placement in placements {
-            let Some((team, attempt)) = self.next_attempt(&placement.task) else {
-                self.planner.withdraw(&placement.task, now);
-                continue;
-            };
+            let Some((team, attempt)) = self.next_attempt(&placement.task) else { continue };
             let Placement { task, worker, needs } = placement.clone();
             let until = now + self.config.reservation;
             let reserve =
@@ -101,10 +110,13 @@
         }
     }
 
+    /// Returns the team and the number of the next attempt of a task that may be placed.
     fn next_attempt(&self, id: &task::Id) -> Option<(Name, Attempt)> {
         let entry = self.partitions.iter().find_map(|p| p.book.job(id.job.as_str()))?;
         let task = entry.tasks.get(id.index as usize)?;
-        (!task.state.is_final()).then(|| (entry.job.team.clone(), task.attempt + 1))
+        let fenced = || self.flight(id).is_ok_and(|f| self.flights[f].stage == Stage::Fenced);
+        let free = task.state == State::Waiting || (task.placement().is_some() && fenced());
+        free.then(|| (entry.job.team.clone(), task.attempt + 1))
     }
 
     fn preempt(&mut self, task: &task::Id, worker: Name) {
@@ -226,11 +238,14 @@
         }
         let flight = self.flights.remove(f);
         self.unreserve(&flight.worker, task);
-        let waits = self.partitions[i].book.task(task).is_some_and(|t| t.state == State::Waiting);
-        if waits {
-            self.planner.refused(&flight.placement, now);
-        } else {
-            self.planner.withdraw(task, now);
+        let state = self.partitions[i].book.task(task).map(|t| t.state.clone());
+        match state {
+            Some(State::Waiting) => self.planner.refused(&flight.placement, now),
+            Some(State::Placed { .. }) => {
+                self.planner.withdraw(task, now);
+                self.fly(i, task, now);
+            }
+            _ => self.planner.withdraw(task, now),
         }
     }
 
