Ask the worker before a stopped attempt counts as absent

Ruled out: the fence (no loss was recorded), the arbiter (it ran each attempt once). Change: a stop always goes to the worker, which refuses a start still under way; the attempt counts as absent once the worker says so and no ending of it was heard in the two answers after.

--- a/crates/core/src/machine/controller/hold.rs
+++ b/crates/core/src/machine/controller/hold.rs
@@ -12,6 +12,9 @@
 /// Attempts that are remembered as never to be started.
 const REMEMBERED: usize = 1024;
 
+/// Answers to signs of life after which an ending that came before would have been heard.
+const HEARINGS: u8 = 2;
+
 /// Capacity that is held for an attempt.
 #[derive(Clone, Debug)]
 pub(super) struct Reservation {
@@ -42,6 +45,18 @@
     acknowledged: u64,
     /// Attempts that never start here, oldest first.
     refused: Vec<(task::Id, task::Attempt)>,
+    /// Attempts that the worker said it doesn't run.
+    absent: Vec<Absent>,
+}
+
+/// An attempt that the worker said it doesn't run. It may have ended just before, so that its
+/// ending must be heard first if there is one.
+#[derive(Clone, Debug)]
+struct Absent {
+    task: task::Id,
+    attempt: task::Attempt,
+    /// Answers to signs of life that are still to be heard. The first may be older than the word.
+    hearings: u8,
 }
 
 impl Hold {
@@ -55,6 +70,7 @@
             recorded: Vec::new(),
             acknowledged: 0,
             refused: Vec::new(),
+            absent: Vec::new(),
         }
     }
 
@@ -148,15 +164,24 @@
                 (_, Reply::Refused(Refusal::Epoch)) => return false,
                 (Action::Start(start), Reply::Done) => self.started(order, start),
                 (Action::Start(_), Reply::Refused(_)) => {
-                    self.refuse(&order.task, order.attempt);
+                    self.note_absent(order);
                     self.unreserve(&order.task);
                 }
+                (Action::Stop | Action::Checkpoint, Reply::Refused(Refusal::Absent)) => {
+                    self.note_absent(order);
+                }
                 _ => {}
             }
         }
         true
     }
 
+    fn note_absent(&mut self, order: &Order) {
+        let Order { task, attempt, .. } = order.clone();
+        self.absent.retain(|a| a.task != task);
+        self.absent.push(Absent { task, attempt, hearings: HEARINGS });
+    }
+
     fn started(&mut self, order: &Order, start: &Start) {
         self.unreserve(&order.task);
         let Err(i) = self.inventory.running.binary_search_by(|h| h.task.cmp(&order.task)) else {
@@ -189,6 +214,15 @@
             self.inventory = inventory;
         }
         self.inventory.ended = heard.ended;
+        for absent in &mut self.absent {
+            absent.hearings = absent.hearings.saturating_sub(1);
+        }
+        let heard: Vec<Absent> = self.absent.extract_if(.., |a| a.hearings == 0).collect();
+        for Absent { task, attempt, .. } in heard {
+            if !self.has_ended(&task, attempt) {
+                self.refuse(&task, attempt);
+            }
+        }
     }
 
     /// Returns the ended attempts that are not recorded yet.
--- a/crates/core/src/machine/controller/wish.rs
+++ b/crates/core/src/machine/controller/wish.rs
@@ -78,17 +78,20 @@
     }
 }
 
+/// Stops an attempt. That nothing of it is seen from here doesn't show that it doesn't run: its
+/// start may have been sent without an answer, and the inventory may be older than the start. So
+/// the worker is asked, which then refuses a start that is still under way.
 fn end(hold: &mut Hold, task: &task::Id, attempt: task::Attempt, action: Action) -> Grant {
     if hold.has_ended(task, attempt) {
         return Grant::Accepted;
     }
-    if hold.runs(task, attempt) || hold.is_starting(task) {
-        hold.enqueue(Order { task: task.clone(), attempt, action });
-        return Grant::Accepted;
+    if hold.is_refused(task, attempt) {
+        return Grant::Absent;
     }
-    // Nothing of it is under way from here; a start that is wished later is refused.
     hold.drop_start(task);
-    hold.unreserve(task);
-    hold.refuse(task, attempt);
-    Grant::Absent
+    if !hold.is_starting(task) {
+        hold.unreserve(task);
+    }
+    hold.enqueue(Order { task: task.clone(), attempt, action });
+    Grant::Accepted
 }
--- a/tests/attack.rs
+++ b/tests/attack.rs
@@ -66,6 +66,9 @@
     let mut broken = std::mem::take(&mut world.broken);
     broken.extend(world.open_jobs());
     if !broken.is_empty() {
+        if let Ok(t) = std::env::var("TRACE") {
+            world.trace(&t);
+        }
         broken.insert(0, format!("seed {seed}: {faults:?}"));
     }
     broken
