--- /dev/null
+++ b/examples/embed.rs
@@ -0,0 +1,188 @@
+//! Embeds the decision objects behind another front end: no HTTP, no threads, no runtime.
+//!
+//! One steward, one controller and one worker's arbiter in a loop on virtual time. The "log" is a
+//! vector, the "links" are calls. A real embedding puts its own transport in place of them; the
+//! decisions and their promises stay the same.
+//!
+//!     cargo run --example embed
+
+use pimentovalve::core::clock::Millis;
+use pimentovalve::core::contract::class::Class;
+use pimentovalve::core::contract::configuration::{Configuration, Patch};
+use pimentovalve::core::contract::job::{Job, Raw};
+use pimentovalve::core::contract::kind::{Kind, Separation, Shape};
+use pimentovalve::core::contract::planner::weighted::Weighted;
+use pimentovalve::core::contract::steward::{self, Ask, Effect, Landing, Steward, Told};
+use pimentovalve::core::contract::team::Team;
+use pimentovalve::core::finding::List;
+use pimentovalve::core::ledger::book::Book;
+use pimentovalve::core::ledger::record::Record;
+use pimentovalve::core::ledger::{Offset, Stream};
+use pimentovalve::core::machine::arbiter::Arbiter;
+use pimentovalve::core::machine::capacity::Capacity;
+use pimentovalve::core::machine::controller::{Ending, Grant, Standing, Wish};
+use pimentovalve::core::machine::worker::{Action, Ending as End, Order, Worker};
+use pimentovalve::core::name::Name;
+use pimentovalve::core::zone::Place;
+
+/// Time between two rounds of the loop.
+const ROUND: Millis = Millis(50);
+/// Rounds after which a job that has not ended counts as stuck.
+const MAX_ROUNDS: u32 = 1000;
+
+fn main() -> Result<(), List> {
+    let mut cell = Cell::new()?;
+    let raw = Raw {
+        id: "seal-1".into(),
+        team: "notaries".into(),
+        kind: "sealing".into(),
+        class: None,
+        tasks: 3,
+        needs: Capacity::new(1000, 1024, 0),
+        run_ms: Millis(200),
+        payload: "deeds 1 to 3".into(),
+    };
+    cell.report();
+    cell.steward.ask(1, Ask::Submit(Job::try_from(raw)?), cell.now);
+    for round in 0..MAX_ROUNDS {
+        if cell.round() {
+            println!("the job ended after {round} rounds and {} records", cell.log.len());
+            return Ok(());
+        }
+    }
+    Err(List::one("seal-1", "did not end"))
+}
+
+/// Everything that a daemon, a log and a worker would hold.
+struct Cell {
+    now: Millis,
+    steward: Steward,
+    log: Vec<Record>,
+    worker: Arbiter,
+    controller: Name,
+}
+
+impl Cell {
+    fn new() -> Result<Self, List> {
+        let name = |raw: &str| Name::try_from(raw);
+        let place = Place { region: name("lima")?, domain: name("lima-a")?, rack: name("r1")? };
+        let now = Millis::from_secs(1);
+        let config = steward::Config { partitions: 1, ..steward::Config::default() };
+        let planner = Box::new(Weighted::new(place.clone()));
+        let mut steward = Steward::new(name("front-end")?, config, planner);
+        steward.configure(&configuration()?);
+        steward.open(Ok(()));
+        steward.take(0, Some(Book::default()));
+        steward.rows(0, &[], true, now);
+        let capacity = Capacity::new(8000, 16 * 1024, 0);
+        let mut worker = Arbiter::new(Worker { name: name("worker-1")?, place, capacity });
+        let controller = name("front-end")?;
+        if worker.adopt(&controller, 0).is_err() {
+            return Err(List::one("worker-1", "is controlled by somebody else"));
+        }
+        Ok(Self { now, steward, log: Vec::new(), worker, controller })
+    }
+
+    /// Lets some time pass. Returns whether the job has ended.
+    fn round(&mut self) -> bool {
+        self.now = self.now + ROUND;
+        self.report();
+        self.steward.tick(self.now);
+        for effect in self.steward.effects() {
+            match effect {
+                Effect::Append { record, .. } => self.append(record),
+                Effect::Wish(wish) => {
+                    let grant = self.carry_out(&wish);
+                    self.steward.granted(&wish, grant, self.now);
+                }
+                Effect::Tell { told, .. } => println!("told: {told:?}"),
+                Effect::Note { stream, offset, verdict, .. } => {
+                    println!("{stream} {offset}: {verdict:?}");
+                }
+            }
+        }
+        self.steward.ask(2, Ask::Status { team: team_name(), job: job_name() }, self.now);
+        let told = self.steward.effects();
+        told.iter().any(|e| matches!(e, Effect::Tell { told: Told::Job(job), .. } if job.ended))
+    }
+
+    fn append(&mut self, record: Record) {
+        let offset = self.log.len() as Offset;
+        self.log.push(record.clone());
+        self.steward.landed(&record.id, Landing::Landed);
+        self.steward.rows(0, &[(offset, record)], true, self.now);
+    }
+
+    /// Reports the worker, and ends attempts that ran long enough.
+    fn report(&mut self) {
+        let running = self.worker.inventory().running.clone();
+        for holding in running {
+            self.worker.finish(
+                &holding.task,
+                holding.attempt,
+                End::Completed("sealed".into()),
+                self.now,
+            );
+        }
+        let inventory = self.worker.inventory();
+        let standing = Standing {
+            worker: inventory.worker.clone(),
+            epoch: inventory.epoch,
+            free: inventory.free(),
+            closed: false,
+            as_of: self.now,
+        };
+        let worker = inventory.worker.name.clone();
+        let ending = |ended| Ending { worker: worker.clone(), ended };
+        let endings: Vec<Ending> = inventory.ended.iter().cloned().map(ending).collect();
+        let epoch = inventory.epoch;
+        for (_, sequence) in self.steward.report(&[standing], &endings, self.now) {
+            self.worker.acknowledge(epoch, sequence);
+        }
+    }
+
+    /// Answers a wish as a controller would; here the worker is at hand.
+    fn carry_out(&mut self, wish: &Wish) -> Grant {
+        let epoch = self.worker.inventory().epoch;
+        let action = match wish {
+            Wish::Reserve { needs, .. } if self.worker.inventory().free().holds(needs) => {
+                return Grant::Reserved { epoch };
+            }
+            Wish::Reserve { .. } => return Grant::Full,
+            Wish::Release { .. } => return Grant::Accepted,
+            Wish::Start { start, .. } => Action::Start(start.clone()),
+            Wish::Stop { .. } => Action::Stop,
+        };
+        let attempt = match wish {
+            Wish::Start { attempt, .. } | Wish::Stop { attempt, .. } => *attempt,
+            Wish::Reserve { .. } | Wish::Release { .. } => 0,
+        };
+        let order = Order { task: wish.task().clone(), attempt, action };
+        let reply = self.worker.order(epoch, &order, self.now);
+        println!("{} for {}: {reply:?}", self.controller, order.task);
+        Grant::Accepted
+    }
+}
+
+fn team_name() -> Name {
+    Name::try_from("notaries").unwrap_or_else(|_| unreachable!("it is a name"))
+}
+
+fn job_name() -> Name {
+    Name::try_from("seal-1").unwrap_or_else(|_| unreachable!("it is a name"))
+}
+
+fn configuration() -> Result<Configuration, List> {
+    let kind = Kind {
+        name: Name::try_from("sealing")?,
+        shape: Shape::Batch,
+        separation: Separation::Move,
+        class: Class::Normal,
+        attempts: 3,
+    };
+    let quota = Capacity::new(8000, 16 * 1024, 0);
+    let team = Team { name: team_name(), weight: 1, quota };
+    let patch = Patch { kinds: vec![kind], teams: vec![team], ..Patch::default() };
+    assert_eq!(Stream::of_team(&team_name(), 1), Stream::Partition(0));
+    Configuration::default().patched(&patch)
+}
