Test the book and tell what a patch means for running work

Cause: the book had no tests of its own, and a patch that makes running work illegal had its effect described in two doc comments only. Conclusion: a patch never ends work; the operator is told what it leaves running.

--- a/crates/core/src/contract/configuration.rs
+++ b/crates/core/src/contract/configuration.rs
@@ -1,4 +1,10 @@
 //! Configuration: numbered versions, each made from its predecessor by a patch.
+//!
+//! Versions only go up: [`crate::ledger::history`] says which patch of those that race is accepted,
+//! [`crate::ledger::currency`] until when a version may be acted on. Model:
+//! `specs/configuration.tla`.
+
+pub mod consequence;
 
 use crate::contract::class::Class;
 use crate::contract::kind::{Kind, Separation};
