Let the controller renew and start by the one rule of adoption

Cause: which leases may be renewed stood twice, in machine::controller::hold and in machine::adoption, and the object for one worker there repeated the controller. Conclusion: one place for the rule. Planned hand-over stays what it was: a draining instance is no candidate, the preferred one adopts by compare-and-set.

--- a/crates/core/src/ledger/currency.rs
+++ b/crates/core/src/ledger/currency.rs
@@ -61,7 +61,8 @@
         self.age(now).is_some_and(|age| age <= term)
     }
 
-    fn note(&mut self, as_of: Millis) {
+    /// Takes in that the view was complete at `as_of`.
+    pub fn note(&mut self, as_of: Millis) {
         self.as_of = self.as_of.max(Some(as_of));
     }
 }
--- a/crates/core/src/machine/controller.rs
+++ b/crates/core/src/machine/controller.rs
@@ -9,9 +9,10 @@
 
 use crate::clock::Millis;
 use crate::contract::configuration::Configuration;
-use crate::contract::kind::Separation;
 use crate::contract::task;
+use crate::ledger::currency::Proof;
 use crate::ledger::fleet::Fleet;
+use crate::machine::adoption::View;
 use crate::machine::capacity::Capacity;
 use crate::machine::lease::Bounds;
 use crate::machine::worker::{Ended, Epoch, Inventory, Order, Reply, Start, Worker};
@@ -260,11 +261,12 @@
     /// Sorted by name.
     entries: Vec<Entry>,
     fleet: Fleet,
-    fleet_as_of: Millis,
+    /// How current that is.
+    proof: Proof,
     /// Whether this instance may record losses: it has been listed long enough.
     may_lose: bool,
-    /// Kinds whose tasks go on when nothing can be shown. Sorted.
-    held_kinds: Vec<Name>,
+    /// The configuration in force, for the kinds' `separation`.
+    configuration: Configuration,
     change: u64,
     effects: Vec<Effect>,
 }
@@ -277,9 +279,9 @@
             config,
             entries: Vec::new(),
             fleet: Fleet::default(),
-            fleet_as_of: Millis::ZERO,
+            proof: Proof::none(),
             may_lose: false,
-            held_kinds: Vec::new(),
+            configuration: Configuration::default(),
             change: 0,
             effects: Vec::new(),
         }
@@ -292,8 +294,9 @@
 
     /// Takes in the configuration in force.
     pub fn configure(&mut self, configuration: &Configuration) {
-        let held = configuration.kinds.iter().filter(|k| k.separation == Separation::Hold);
-        self.held_kinds = held.map(|k| k.name.clone()).collect();
+        if configuration.version > self.configuration.version {
+            self.configuration = configuration.clone();
+        }
     }
 
     /// Takes in the losses in force, and the instant as of which they are complete.
@@ -301,7 +304,7 @@
         if fleet.next > self.fleet.next {
             self.fleet = fleet.clone();
         }
-        self.fleet_as_of = self.fleet_as_of.max(as_of);
+        self.proof.note(as_of);
     }
 
     /// Takes in the listed workers and the instances that may control them.
@@ -501,29 +504,22 @@
 
     /// Sends a sign of life, with the renewals that may be given now, and the orders that wait.
     fn beat(&mut self, i: usize, worker: Name, address: String, now: Millis) {
-        let proof = self.proof(now);
-        let Self { entries, held_kinds, config, fleet, .. } = self;
+        let Self { entries, config, fleet, proof, configuration, .. } = self;
+        let view = View { fleet, proof, configuration, bounds: &config.bounds };
         let Some(hold) = &mut entries[i].hold else { return };
-        let loss = fleet.loss(worker.as_str()).map_or(0, |l| l.epoch);
-        let renewal = hold.renew(loss, proof, held_kinds, now + config.bounds.lease_ms);
+        let renewal = hold.renew(&view, now);
         let pulse = hold.pulse(renewal);
         entries[i].calling = true;
         self.effects.push(Effect::Beat { worker, address, pulse });
         self.send_orders(i, now);
     }
 
-    /// Returns whether this instance can show that it knows all losses in force.
-    fn proof(&self, now: Millis) -> bool {
-        // A clock that went back would make an old reading look new.
-        self.fleet_as_of <= now && now.since(self.fleet_as_of) <= self.config.bounds.currency_ms
-    }
-
     fn send_orders(&mut self, i: usize, now: Millis) {
-        let proof = self.proof(now);
-        let Self { entries, effects, config, .. } = self;
+        let Self { entries, effects, config, fleet, proof, configuration, .. } = self;
+        let view = View { fleet, proof, configuration, bounds: &config.bounds };
         let entry = &mut entries[i];
         let Some(hold) = &mut entry.hold else { return };
-        let orders = hold.orders(proof, now + config.bounds.lease_ms);
+        let orders = hold.orders(&view, now);
         if !orders.is_empty() {
             effects.push(Effect::Order {
                 worker: entry.instance.name.clone(),
--- a/crates/core/src/machine/controller/hold.rs
+++ b/crates/core/src/machine/controller/hold.rs
@@ -3,11 +3,11 @@
 use super::{Heard, Outcome, Pulse};
 use crate::clock::Millis;
 use crate::contract::task;
+use crate::machine::adoption::{Renewal, View};
 use crate::machine::capacity::Capacity;
 use crate::machine::worker::{
     Action, Ended, Epoch, Holding, Inventory, Order, Refusal, Reply, Start,
 };
-use crate::name::Name;
 
 /// Attempts that are remembered as never to be started.
 const REMEMBERED: usize = 1024;
@@ -119,15 +119,16 @@
     }
 
     /// Takes the orders that may be sent now. A start waits until it can be shown that no loss is
-    /// in force, and its lease never exceeds `until`.
-    pub fn orders(&mut self, proof: bool, until: Millis) -> Vec<Order> {
+    /// in force, and its lease ends where one that is given now ends.
+    pub fn orders(&mut self, view: &View, now: Millis) -> Vec<Order> {
+        let worker = self.inventory.worker.name.as_str();
         let mut orders = Vec::new();
         for waiting in self.waiting.iter_mut().filter(|w| !w.sent) {
-            if let Action::Start(Start { until: lease, .. }) = &mut waiting.order.action {
-                if !proof {
+            if let Action::Start(start) = &mut waiting.order.action {
+                if !view.may_start(worker, start.epoch, now) {
                     continue;
                 }
-                *lease = until;
+                start.until = view.bounds.until(now);
             }
             waiting.sent = true;
             orders.push(waiting.order.clone());
@@ -216,26 +217,27 @@
 
     /// Returns the new end of all leases when all may be renewed; else enqueues a renewal for each
     /// attempt that may, and a stop for each that is lost.
-    pub fn renew(
-        &mut self,
-        loss: Epoch,
-        proof: bool,
-        held_kinds: &[Name],
-        until: Millis,
-    ) -> Option<Millis> {
-        let is_held = |h: &Holding| held_kinds.binary_search(&h.kind).is_ok();
-        let may = |h: &Holding| is_held(h) || (proof && h.epoch > loss);
+    pub fn renew(&mut self, view: &View, now: Millis) -> Option<Millis> {
+        let Renewal { until, attempts } = view.renewal(&self.inventory, now);
         // Without a proof each attempt is named: one that was started a moment ago may run without
         // being in the inventory yet, and need not be of a kind that holds.
-        if proof && self.inventory.running.iter().all(may) {
+        if view.is_current(now) && attempts.len() == self.inventory.running.len() {
             return Some(until);
         }
-        let (renewed, other): (Vec<Holding>, Vec<Holding>) =
-            self.inventory.running.iter().cloned().partition(may);
-        for Holding { task, attempt, .. } in renewed {
+        let worker = self.inventory.worker.name.as_str();
+        let renewed = |h: &Holding| attempts.iter().any(|(t, a)| *t == h.task && *a == h.attempt);
+        let is_lost = |h: &Holding| view.fleet.covers(worker, h.epoch).is_some() && !renewed(h);
+        let lost: Vec<(task::Id, task::Attempt)> = self
+            .inventory
+            .running
+            .iter()
+            .filter(|h| is_lost(h))
+            .map(|h| (h.task.clone(), h.attempt))
+            .collect();
+        for (task, attempt) in attempts {
             self.enqueue(Order { task, attempt, action: Action::Renew { until } });
         }
-        for Holding { task, attempt, .. } in other.into_iter().filter(|h| h.epoch <= loss) {
+        for (task, attempt) in lost {
             self.enqueue(Order { task, attempt, action: Action::Stop });
         }
         None
--- a/crates/core/tests/interleavings/world.rs
+++ b/crates/core/tests/interleavings/world.rs
@@ -411,8 +411,6 @@
     fn view(&self, i: usize) -> adoption::View<'_> {
         let node = &self.nodes[i];
         adoption::View {
-            membership: &node.membership,
-            preferred: None,
             fleet: &node.fleet,
             proof: &node.proof,
             configuration: node.history.configuration(),
