--- a/crates/bench/src/experiment/live.rs
+++ b/crates/bench/src/experiment/live.rs
@@ -45,7 +45,7 @@
 }
 
 fn measure(report: &mut Report) -> Result<(), cell::Error> {
-    let mut cell = Cell::start(DAEMONS, DOMAINS, WORKERS_PER_DOMAIN, TEAMS)?;
+    let cell = Cell::start(DAEMONS, DOMAINS, WORKERS_PER_DOMAIN, TEAMS)?;
     report.row("workers controlled", cell.adopted() as f64, None, None);
     let rest = window(&cell, |_| {});
     rows(report, "rest", &rest, true);
@@ -66,13 +66,17 @@
     Ok(())
 }
 
-/// What daemons used in one window.
-struct Used {
-    /// For each daemon: percent of a core, MB resident, KB/s with platform, machines, peers.
-    daemons: Vec<(f64, f64, [f64; 3])>,
+/// What one daemon used in one window.
+struct Use {
+    /// Percent of a core.
+    cpu: f64,
+    /// Resident memory, in MB.
+    memory: f64,
+    /// Control with platform, machines, peers, in KB a second.
+    wire: [f64; 3],
 }
 
-fn window(cell: &Cell, load: impl FnOnce(&Cell)) -> Used {
+fn window(cell: &Cell, load: impl FnOnce(&Cell)) -> Vec<Use> {
     let before = cell.accounts();
     let started = std::time::Instant::now();
     load(cell);
@@ -86,30 +90,27 @@
         for (i, rate) in rates.iter_mut().enumerate() {
             *rate = (b.bytes[i] - a.bytes[i]) as f64 / seconds / 1e3;
         }
-        (cpu, memory, rates)
+        Use { cpu, memory, wire: rates }
     };
-    Used { daemons: before.iter().zip(&after).map(used).collect() }
+    before.iter().zip(&after).map(used).collect()
 }
 
-fn rows(report: &mut Report, phase: &str, used: &Used, targets: bool) {
+fn rows(report: &mut Report, phase: &str, used: &[Use], targets: bool) {
     let target = |bound: f64| targets.then_some(Target::AtMost(bound));
-    let mean = |of: &dyn Fn(&(f64, f64, [f64; 3])) -> f64| {
-        used.daemons.iter().map(of).sum::<f64>() / used.daemons.len() as f64
-    };
-    let most =
-        |of: &dyn Fn(&(f64, f64, [f64; 3])) -> f64| used.daemons.iter().map(of).fold(0.0, f64::max);
-    let wire = |d: &(f64, f64, [f64; 3])| d.2.iter().sum::<f64>();
+    let mean = |of: &dyn Fn(&Use) -> f64| used.iter().map(of).sum::<f64>() / used.len() as f64;
+    let most = |of: &dyn Fn(&Use) -> f64| used.iter().map(of).fold(0.0, f64::max);
+    let wire = |d: &Use| d.wire.iter().sum::<f64>();
     report.row(
         format!("{phase}: cpu mean, % of a core"),
-        mean(&|d| d.0),
+        mean(&|d| d.cpu),
         None,
         target(CPU_PERCENT),
     );
-    report.row(format!("{phase}: cpu most, % of a core"), most(&|d| d.0), None, None);
-    report.row(format!("{phase}: memory most, MB"), most(&|d| d.1), None, target(MEMORY_MB));
+    report.row(format!("{phase}: cpu most, % of a core"), most(&|d| d.cpu), None, None);
+    report.row(format!("{phase}: memory most, MB"), most(&|d| d.memory), None, target(MEMORY_MB));
     report.row(format!("{phase}: wire mean, KB/s"), mean(&wire), None, target(KB_PER_SECOND));
     report.row(format!("{phase}: wire most, KB/s"), most(&wire), None, None);
     for (i, with) in ["platform", "machines", "peers"].into_iter().enumerate() {
-        report.row(format!("{phase}: wire with {with}, KB/s"), mean(&|d| d.2[i]), None, None);
+        report.row(format!("{phase}: wire with {with}, KB/s"), mean(&|d| d.wire[i]), None, None);
     }
 }
--- a/crates/core/src/contract/steward.rs
+++ b/crates/core/src/contract/steward.rs
@@ -191,7 +191,7 @@
     pub reservation: Millis,
     /// Time after which an unanswered wish is repeated.
     pub repeat: Millis,
-    /// Time for which ended jobs and claimed keys are kept.
+    /// Time for which ended jobs and claimed keys are kept; the same at all instances.
     pub window: Millis,
     /// Most placements in one decision round.
     pub round: usize,
@@ -218,9 +218,9 @@
     /// Whether new work may be taken: the configuration is current and the daemon isn't draining.
     open: Result<(), request::Reason>,
     fleet: Fleet,
-    /// When this instance read each loss; the fence counts from then.
+    /// When this instance first saw each loss in force.
     sightings: Sightings,
-    /// Since when every controller must ask this instance; the fence counts from then, too.
+    /// Since when every controller must ask this instance, if that can be shown.
     asked_since: Option<Millis>,
     planner: Box<dyn Planner>,
     /// Sorted by index.
@@ -229,6 +229,10 @@
     pending: Vec<Pending>,
     /// Tasks on their way to a worker or on one. Sorted by task.
     flights: Vec<Flight>,
+    /// When all flights were last looked at.
+    followed: Millis,
+    /// Whether a flight must be looked at without delay.
+    urgent: bool,
     /// Workers' latest standings. Sorted by worker.
     standings: Vec<Standing>,
     numbers: u64,
@@ -250,6 +254,8 @@
             partitions: Vec::new(),
             pending: Vec::new(),
             flights: Vec::new(),
+            followed: Millis::ZERO,
+            urgent: false,
             standings: Vec::new(),
             numbers: 0,
             effects: Vec::new(),
@@ -283,10 +289,10 @@
         self.sightings.note(fleet, now);
     }
 
-    /// Takes in since when every controller must ask this instance, from
-    /// [`Membership::asked_since`](crate::zone::membership::Membership::asked_since).
-    pub fn listed(&mut self, asked_since: Option<Millis>) {
-        self.asked_since = asked_since;
+    /// Takes in since when every controller must ask this instance before it renews on the word
+    /// of its peers; without it, this instance may not rest on a loss.
+    pub fn asked_since(&mut self, since: Option<Millis>) {
+        self.asked_since = since;
     }
 
     /// Forgets a worker that has left the fleet.
@@ -305,9 +311,9 @@
         self.partitions.iter().map(|p| p.index)
     }
 
-    /// Becomes the steward of a partition, from a snapshot's book or an empty one.
+    /// Becomes the steward of a partition, from the book of a snapshot or an empty one.
     pub fn take(&mut self, index: u16, book: Option<Book>) {
-        let book = book.unwrap_or_else(|| Book::with_window(self.config.window));
+        let book = book.unwrap_or_else(|| Book::new(self.config.window));
         if let Err(i) = self.partitions.binary_search_by_key(&index, |p| p.index) {
             self.partitions.insert(i, Partition { index, book, complete: false });
         }
@@ -328,6 +334,12 @@
         }
     }
 
+    /// Returns the book of a partition, if it was read to the end of its stream.
+    pub fn book(&self, index: u16) -> Option<&Book> {
+        let i = self.partitions.binary_search_by_key(&index, |p| p.index).ok()?;
+        Some(&self.partitions[i]).filter(|p| p.complete).map(|p| &p.book)
+    }
+
     /// Takes in rows of a partition's stream, and whether they reach its end.
     pub fn rows(&mut self, index: u16, rows: &[(Offset, Record)], at_end: bool, now: Millis) {
         let Ok(i) = self.partitions.binary_search_by_key(&index, |p| p.index) else {
--- a/crates/core/src/contract/steward/place.rs
+++ b/crates/core/src/contract/steward/place.rs
@@ -11,12 +11,15 @@
 use crate::contract::request::Reason;
 use crate::contract::task::{self, Attempt, State};
 use crate::ledger::Offset;
-use crate::ledger::attempt::{Ruling, View};
+use crate::ledger::attempt::{self, Ruling};
 use crate::ledger::record::{Change, End, Record, Register};
 use crate::machine::controller::{Ending, Grant, Wish};
 use crate::machine::worker::{Ended, Epoch, Start};
 use crate::name::Name;
 
+/// Looks at all flights in the time after which an unanswered wish is repeated.
+const LOOKS_PER_REPEAT: u64 = 8;
+
 /// How far a task has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Stage {
@@ -284,8 +287,12 @@
     fn withdraw_all(&mut self, i: usize, id: &job::Id, now: Millis) {
         let Some(entry) = self.partitions[i].book.job(id.as_str()) else { return };
         for (task, index) in entry.tasks.iter().zip(0..) {
+            let task_id = task::Id { job: id.clone(), index };
             if task.state == State::Cancelled {
-                self.planner.withdraw(&task::Id { job: id.clone(), index }, now);
+                self.planner.withdraw(&task_id, now);
+            } else if let Ok(f) = self.flights.binary_search_by(|f| f.task.cmp(&task_id)) {
+                self.flights[f].asked = Millis::ZERO;
+                self.urgent = true;
             }
         }
     }
@@ -310,6 +317,7 @@
         };
         self.planner.placed(&entry.job, &entry.kind, &placement, now);
         self.put_flight(flight);
+        self.urgent = true;
     }
 
     /// A recorded attempt is over.
@@ -359,7 +367,7 @@
         if let Ok(f) = self.flight(id) {
             self.flights[f].ended = Some(ending.ended.clone());
         }
-        self.append_over(i, id, *attempt, End::from(end), now);
+        self.append_over(i, id, *attempt, attempt::end(end), now);
         false
     }
 
@@ -380,8 +388,14 @@
         }
     }
 
-    /// Repeats what was not answered, and passes fences.
+    /// Repeats what was not answered, and passes fences. All flights are looked at several times
+    /// in each repetition and not at every tick, so that an idle steward costs little.
     pub(super) fn follow_up(&mut self, now: Millis) {
+        let pause = Millis(self.config.repeat.get() / LOOKS_PER_REPEAT);
+        if !self.urgent && now.since(self.followed) < pause {
+            return;
+        }
+        (self.urgent, self.followed) = (false, now);
         let due: Vec<task::Id> = self
             .flights
             .iter()
@@ -414,18 +428,18 @@
         let Flight { task, team, worker, attempt, placement, stage, .. } = self.flights[f].clone();
         let Some(i) = self.partition_of(&team) else { return };
         let Some(entry) = self.partitions[i].book.job(task.job.as_str()) else { return };
+        let placed_at = entry.tasks.get(task.index as usize).map_or(Millis::ZERO, |t| t.placed_at);
         if entry.cancelled || self.is_broken_gang(i, &task) {
             let checkpoint = !entry.cancelled;
             let stop =
                 Wish::Stop { worker: worker.clone(), task: task.clone(), attempt, checkpoint };
             self.effects.push(Effect::Wish(stop));
         } else if stage == Stage::Starting(epoch) || self.is_newer_epoch(&worker, epoch) {
-            let placed_at = entry.tasks.get(task.index as usize).map_or(now, |t| t.placed_at);
             let start = Start {
                 epoch,
                 needs: placement.needs,
                 start_by: self.config.bounds.start_by(placed_at),
-                until: now + self.config.bounds.lease_ms,
+                until: self.config.bounds.until(now),
                 team: team.clone(),
                 kind: entry.kind.name.clone(),
                 payload: entry.job.payload.clone(),
@@ -435,27 +449,29 @@
             self.flights[f].stage = Stage::Starting(epoch);
             self.effects.push(Effect::Wish(start));
         }
-        if let Some(offset) = self.passed_fence(i, &task, now) {
-            self.flights[f].stage = Stage::Fenced;
-            self.flights[f].fence = Some(offset);
-            self.planner.over(&task, &worker, None, now);
-            self.enqueue(i, &task);
-        }
+        self.pass_fence(f, i, now);
     }
 
-    /// Returns the loss that covers an attempt whose next one may be recorded now.
-    fn passed_fence(&self, i: usize, task: &task::Id, now: Millis) -> Option<Offset> {
-        let entry = self.partitions[i].book.job(task.job.as_str())?;
-        let view = View {
+    /// Lets go of an attempt on a lost worker once it can't run any more: the task is placed
+    /// again, or is over if its job was cancelled.
+    fn pass_fence(&mut self, f: usize, i: usize, now: Millis) {
+        let Flight { task, worker, attempt, .. } = self.flights[f].clone();
+        let Some(entry) = self.partitions[i].book.job(task.job.as_str()) else { return };
+        let Some(placed) = entry.tasks.get(task.index as usize) else { return };
+        let view = attempt::View {
             fleet: &self.fleet,
             sightings: &self.sightings,
             asked_since: self.asked_since,
             bounds: &self.config.bounds,
         };
-        let task = entry.tasks.get(task.index as usize)?;
-        match view.rule(task, entry.kind.separation, now) {
-            Ruling::Fenced(offset) if !entry.cancelled => Some(offset),
-            _ => None,
+        let Ruling::Fenced(offset) = view.rule(placed, entry.kind.separation, now) else { return };
+        if entry.cancelled {
+            self.append_over(i, &task, attempt, End::Evicted, now);
+        } else {
+            self.flights[f].stage = Stage::Fenced;
+            self.flights[f].fence = Some(offset);
+            self.planner.over(&task, &worker, None, now);
+            self.enqueue(i, &task);
         }
     }
 
@@ -491,14 +507,3 @@
         }
     }
 }
-
-impl From<&crate::machine::worker::Ending> for End {
-    fn from(ending: &crate::machine::worker::Ending) -> Self {
-        use crate::machine::worker::Ending;
-        match ending {
-            Ending::Completed(result) => Self::Completed(result.clone()),
-            Ending::Failed(reason) => Self::Failed(reason.clone()),
-            Ending::Stopped | Ending::Checkpointed | Ending::Lapsed => Self::Evicted,
-        }
-    }
-}
--- a/crates/core/src/ledger/snapshot/tests.rs
+++ b/crates/core/src/ledger/snapshot/tests.rs
@@ -1,51 +1,45 @@
-use super::*;
+use super::{Schedule, State, best};
+use crate::clock::Millis;
+use crate::ledger::Stream;
+use crate::ledger::book::Book;
+use crate::ledger::fleet::Fleet;
 use googletest::prelude::*;
 
-const HOUR: Millis = Millis::from_secs(3600);
-
-#[gtest]
-fn a_snapshot_is_written_four_times_in_the_retention() {
-    let last = |at| Some(Written { next: 5, at });
-    expect_false!(is_due(None, 0, HOUR, Millis::ZERO));
-    expect_true!(is_due(None, 1, HOUR, Millis::ZERO));
-    expect_false!(is_due(last(HOUR), 9, HOUR, HOUR + Millis::from_secs(899)));
-    expect_true!(is_due(last(HOUR), 5, HOUR, HOUR + Millis::from_secs(900)));
+fn book(next: u64) -> State {
+    let mut book = Book::default();
+    book.next = next;
+    State::Book(book)
 }
 
 #[gtest]
-fn a_view_goes_on_only_without_a_gap() {
-    expect_that!(check(5, 5), ok(eq(())));
-    expect_that!(check(5, 6), err(eq(Gap { next: 5, first: 6 })));
+fn the_greatest_offset_is_the_best_whatever_the_order() {
+    let found = best(Stream::Partition(0), [book(3), book(9), book(9), book(5)]);
+    expect_that!(found.map(|s| s.next()), some(eq(9)));
 }
 
 #[gtest]
-fn parts_give_the_whole_in_any_order_and_with_duplicates() {
-    let bytes: Vec<u8> = (0..=9).collect();
-    let parts = split(3, &bytes, 4);
-    expect_that!(parts.len(), eq(3));
-    let mut assembly = Assembly::default();
-    for i in [2, 0, 2, 0, 1, 1] {
-        assembly.take(parts[i].clone());
-    }
-    expect_that!(assembly.newest(), some(eq((3, bytes.as_slice()))));
+fn a_snapshot_of_another_stream_is_no_snapshot() {
+    let mut fleet = Fleet::default();
+    fleet.next = 10;
+    expect_that!(best(Stream::Partition(0), [State::Fleet(fleet)]), none());
 }
 
 #[gtest]
-fn an_older_or_unfinished_snapshot_does_not_replace_a_newer_one() {
-    let mut assembly = Assembly::default();
-    split(9, b"new", 8).into_iter().for_each(|part| assembly.take(part));
-    split(4, b"old", 8).into_iter().for_each(|part| assembly.take(part));
-    assembly.take(split(12, b"half", 2)[0].clone());
-    expect_that!(assembly.newest(), some(eq((9, b"new".as_slice()))));
+fn a_snapshot_is_repeated_well_before_the_retention_ends() {
+    let mut schedule = Schedule::new(Millis(4000));
+    expect_that!(schedule.is_due(0, Millis(10)), eq(false));
+    expect_that!(schedule.is_due(1, Millis(10)), eq(true));
+    schedule.tried(Millis(10));
+    expect_that!(schedule.is_due(1, Millis(11)), eq(false));
+    schedule.written(1, Millis(10));
+    expect_that!(schedule.is_due(2, Millis(900)), eq(false));
+    expect_that!(schedule.is_due(1, Millis(1010)), eq(true));
 }
 
 #[gtest]
-fn an_encoded_snapshot_is_the_same_again() {
-    let mut fleet = Fleet::default();
-    fleet.next = 3;
-    let snapshot = Snapshot::Fleet(fleet);
-    let bytes = rmp_serde::to_vec_named(&snapshot).unwrap();
-    let again: Snapshot = rmp_serde::from_slice(&bytes).unwrap();
-    expect_that!(again, eq(&snapshot));
-    expect_that!(again.next(), eq(3));
+fn many_records_bring_a_snapshot_forward() {
+    let mut schedule = Schedule::new(Millis::from_secs(3600));
+    schedule.written(1, Millis(0));
+    expect_that!(schedule.is_due(4096, Millis(1)), eq(false));
+    expect_that!(schedule.is_due(4097, Millis(1)), eq(true));
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -35,6 +35,7 @@
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::keys::Keys;
 use pimentovalve_wire::http::traffic::Traffic;
+use pimentovalve_wire::peer::Ping;
 use snafu::{ResultExt, Snafu};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -118,6 +119,7 @@
     members: (Publisher<Arc<Members>>, Latest<Arc<Members>>),
     held: (Publisher<Held>, Latest<Held>),
     figures: (Publisher<Figures>, Latest<Figures>),
+    gossip: (Sender<Ping>, Receiver<Ping>),
     ledger: (Sender<duty::ledger::Command>, Receiver<duty::ledger::Command>),
     steward: (Sender<duty::steward::Event>, Receiver<duty::steward::Event>),
     control: (Sender<duty::control::Event>, Receiver<duty::control::Event>),
@@ -165,7 +167,8 @@
         let (telemetry, writer) = Telemetry::new(process, duty, settings.ring, sink);
         let own = own_instance(settings, addresses.peers);
         let wiring = Wiring::new(settings.ring, &own);
-        let (front, back) = (Tokens::default(), Tokens::default());
+        let back = Tokens::default();
+        let front = Tokens { freeze: back.freeze.clone(), ..Tokens::default() };
         let drain = CancellationToken::new();
         let duties = back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
         let (held, members) = (wiring.held.1.clone(), wiring.members.1.clone());
@@ -232,10 +235,16 @@
         !self.held.borrow().workers.is_empty() && !self.members.borrow().candidates.is_empty()
     }
 
+    /// Holds or releases all threads, as if the process were paused.
+    pub fn freeze(&self, on: bool) {
+        self.back.freeze.set(on);
+    }
+
     /// Ends at once, as if the process had died.
     pub fn kill(mut self) {
         self.front.kill.cancel();
         self.back.kill.cancel();
+        self.freeze(false);
         join(&mut self.fronts);
         join(&mut self.backs);
     }
@@ -272,6 +281,7 @@
             members: ring::latest(Arc::new(Members::alone(own.clone()))),
             held: ring::latest(Held::default()),
             figures: ring::latest(Figures::default()),
+            gossip: ring::ring(places),
             ledger: ring::ring(places),
             steward: ring::ring(places),
             control: ring::ring(places),
@@ -294,6 +304,7 @@
             held: self.held.1.clone(),
             figures: self.figures.1.clone(),
             rings: vec![
+                ("gossip", Box::new(self.gossip.0.clone())),
                 ("ledger", Box::new(self.ledger.0.clone())),
                 ("steward", Box::new(self.steward.0.clone())),
                 ("control", Box::new(self.control.0.clone())),
@@ -363,22 +374,27 @@
     };
     let gossip = Gossip {
         traffic: wiring.traffic("peers"),
-        membership: Membership::new(own, platform.list_lag_ms, timing.suspicion_ms),
+        membership: Membership::new(
+            own,
+            platform.list_lag_ms + timing.list_ms + timing.log_ms,
+            timing.suspicion_ms,
+        ),
         list: service(),
         list_every: timing.list_ms,
-        list_lag: platform.list_lag_ms,
         ping_every: timing.ping_ms,
         skew: settings.bounds.skew_ms,
         key: key.clone(),
         facts: wiring.facts.1.clone(),
         ledger: wiring.ledger.0.clone(),
         members: wiring.members.0.clone(),
+        pings: wiring.gossip.1.clone(),
         drain: drain.clone(),
     };
     let ledger = Ledger {
         writer: writer_name(&settings.name, "ledger"),
         log: service(),
         partitions: settings.partitions,
+        retention: platform.retention_ms,
         read_wait: Millis(settings.bounds.currency_ms.get() / READS_PER_CURRENCY),
         commands: wiring.ledger.1.clone(),
         steward: wiring.steward.0.clone(),
@@ -515,6 +531,7 @@
     let peer = Peer {
         keys,
         route: wiring.route(settings, key),
+        gossip: wiring.gossip.0.clone(),
         control: wiring.control.0.clone(),
         dispatch: wiring.dispatch.0.clone(),
         members: wiring.members.1.clone(),
--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -6,11 +6,13 @@
 
 pub mod control;
 pub mod dispatch;
+pub mod freeze;
 pub mod gossip;
 pub mod ledger;
 pub mod steward;
 pub mod watch;
 
+use freeze::Freeze;
 use pimentovalve_wire::http::Pending;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use snafu::{ResultExt, Snafu};
@@ -39,13 +41,15 @@
     fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()>;
 }
 
-/// The two ways to end all duties of a daemon.
+/// The ways to end or hold all duties of a daemon.
 #[derive(Clone, Debug, Default)]
 pub struct Tokens {
     /// Finish what is in flight, then end.
     pub stop: CancellationToken,
     /// End at once, as if the process had died.
     pub kill: CancellationToken,
+    /// Hold all threads for a while, as if the process were paused.
+    pub freeze: Freeze,
 }
 
 /// Starts the thread of a duty.
@@ -65,6 +69,7 @@
         .spawn(move || {
             let kill = tokens.kill.clone();
             runtime.block_on(async {
+                tokio::spawn(tokens.freeze.clone().hold());
                 tokio::select! {
                     () = live(duty, tokens) => {}
                     () = kill.cancelled() => {}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -17,6 +17,8 @@
 pub struct Ping {
     /// The sender.
     pub from: Name,
+    /// When it says this, by its clock.
+    pub at: Millis,
     /// Whether the sender is draining and owns nothing new.
     pub draining: bool,
     /// Configuration in force at the sender.
--- a/specs/claim.tla
+++ b/specs/claim.tla
@@ -2,8 +2,8 @@
 \* The claim on the key of one non-idempotent request, asked for at two instances.
 \*
 \* Code that follows this specification: crates/core/src/ledger/append.rs (what becomes of an
-\* append), crates/core/src/ledger/book.rs (the first claim wins), crates/core/src/ledger/window.rs
-\* (what is too old) and crates/core/src/contract/steward/ask.rs (who may send).
+\* append), crates/core/src/ledger/book.rs (the first claim wins, and what is too old) and
+\* crates/core/src/contract/steward/ask.rs (who may send).
 \*
 \* An append may land at once, late, never, or twice if a library repeats it; its answer may be
 \* lost. An instance that dies comes back under another name and knows nothing.
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -150,6 +150,18 @@
         }
     }
 
+    /// Holds or releases all threads of a daemon, as if its process were paused.
+    pub fn freeze(&self, index: usize, on: bool) {
+        if let Some(daemon) = &self.nodes[index].daemon {
+            daemon.freeze(on);
+        }
+    }
+
+    /// Takes a daemon from the list, as the platform does once it has noticed its death.
+    pub fn unlist(&self, index: usize) {
+        self.fleet.list.remove(&self.nodes[index].instance.name);
+    }
+
     /// Stops a daemon as planned and takes it from the list.
     pub fn stop(&mut self, index: usize) {
         if let Some(daemon) = self.nodes[index].daemon.take() {
