--- a/crates/core/src/ledger/currency.rs
+++ b/crates/core/src/ledger/currency.rs
@@ -40,9 +40,11 @@
     }
 
     /// Takes in the answers of peers, given what the view has taken in. Returns whether they are a
-    /// proof.
+    /// proof. Somebody among this instance and the peers must have been current once: those that
+    /// have just started know nothing, however well they agree.
     pub fn peers(&mut self, poll: &Poll, next: Offset) -> bool {
-        let outcome = poll.outcome(next);
+        let known = self.as_of.is_some() || poll.answers.iter().any(|a| a.age.is_some());
+        let outcome = poll.outcome(next).filter(|_| known);
         if let Some(as_of) = outcome {
             self.note(as_of);
         }
@@ -59,7 +61,8 @@
         self.age(now).is_some_and(|age| age <= term)
     }
 
-    fn note(&mut self, as_of: Millis) {
+    /// Takes in that the view was complete at `as_of`.
+    pub fn note(&mut self, as_of: Millis) {
         self.as_of = self.as_of.max(Some(as_of));
     }
 }
--- a/crates/core/src/machine/worker.rs
+++ b/crates/core/src/machine/worker.rs
@@ -108,17 +108,6 @@
     Full,
 }
 
-impl Refusal {
-    /// Returns whether the refusal of a start order shows that the attempt never ran here and
-    /// never will.
-    ///
-    /// [`Self::Epoch`] and [`Self::Conflict`] don't: a duplicate of the order may have been taken
-    /// before. [`Self::Full`] doesn't: a duplicate may be taken later. [`Self::Absent`] doesn't answer a start order.
-    pub const fn is_final(self) -> bool {
-        matches!(self, Self::Late | Self::Capacity | Self::Leaving)
-    }
-}
-
 /// A running attempt in a worker's inventory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
--- a/specs/attempt.tla
+++ b/specs/attempt.tla
@@ -185,7 +185,7 @@
     /\ UNCHANGED <<clock, landed, known, proof, question, state, until, sent, first, read, recorded,
                    elsewhere, list>>
 
-\* attempt::permits: the next attempt is recorded, and starts elsewhere at once.
+\* attempt::View::rule: the next attempt is recorded, and starts elsewhere at once.
 Fenced ==
     /\ Guard("hold", Separation = "move")
     /\ from # None /\ clock["s"] - from > Fence
