Let servers keep idle connections longer than clients do

Cause: in a live run one daemon's metrics were not read: the client used a connection after 10 s of rest, when the server closed it; such a call ends as unknown. Change: the time for heads, which also ends idle connections, is 30 s; clients keep them for 20 s. Conclusion: a call meets no closing connection unless a timer is 10 s late.

--- a/crates/wire/src/http/server.rs
+++ b/crates/wire/src/http/server.rs
@@ -36,7 +36,8 @@
     pub header_bytes: usize,
     /// Greatest size of a request's body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for a request's head to arrive.
+    /// Longest time for a request's head to arrive, and for a connection to be idle. It is longer
+    /// than clients keep idle connections, so that no call meets a connection that just closes.
     pub header_ms: Millis,
     /// Longest time for a request's body to arrive and the request to be answered.
     pub request_ms: Millis,
@@ -48,7 +49,7 @@
             connections: 512,
             header_bytes: 16 * 1024,
             body_bytes: 256 * 1024,
-            header_ms: Millis::from_secs(10),
+            header_ms: Millis::from_secs(30),
             request_ms: Millis::from_secs(75),
         }
     }
