Learn estimates for each kind and team, and tell gangs of stewards apart

Change: the bench draws the factor for each team, and estimates are kept for each kind and team; the bench tells groups apart by job; broken promises are named on standard error.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -158,7 +158,7 @@
     pub accelerators: u64,
     /// Median run time.
     pub run: Millis,
-    /// Declared size to real size is drawn between these, once for the stream.
+    /// Declared size to real size is drawn between these, once for each team.
     pub error: (f64, f64),
     /// Factor by which each job's declared size is off at most, either way, besides.
     pub noise: f64,
@@ -172,7 +172,8 @@
         let (from, to) = (self.span.0.get(), self.span.1.get());
         let count = (to - from) as f64 / 1000.0 * self.rate;
         let run = LogNormal::new((self.run.get() as f64).ln(), 0.6).expect("a finite deviation");
-        let bias = log_uniform(rng, self.error);
+        let teams = self.teams.1 - self.teams.0;
+        let biases: Vec<f64> = (0..teams).map(|_| log_uniform(rng, self.error)).collect();
         let noise = (1.0 / self.noise, self.noise);
         (0..count as usize)
             .map(|i| {
@@ -180,14 +181,14 @@
                 let cores = rng.random_range(self.cpu_milli.0..=self.cpu_milli.1);
                 let per_core = rng.random_range(self.memory_per_core.0..=self.memory_per_core.1);
                 let real = Capacity::new(cores, cores * per_core / 1000, self.accelerators);
-                let error = bias * log_uniform(rng, noise);
+                let error = biases[i % teams] * log_uniform(rng, noise);
                 let declared = Capacity {
                     cpu_milli: ((cores as f64 * error) as u64).clamp(1, 30_000),
                     memory_mib: ((real.memory_mib as f64 * error) as u64).clamp(1, 60_000),
                     accelerators: self.accelerators,
                 };
                 let ran = run.sample(rng).clamp(50.0, 20.0 * self.run.get() as f64);
-                let team = team(self.teams.0 + i % (self.teams.1 - self.teams.0));
+                let team = team(self.teams.0 + i % teams);
                 let job = Job {
                     id: name(&format!("{}-{i}", self.prefix)),
                     team,
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -332,7 +332,8 @@
         let mut rest = decisions.as_slice();
         while let Some(first) = rest.first() {
             let group = |d: &Decision| match d {
-                Decision::Place { gang, .. } => *gang,
+                // The numbers of groups are unique for one steward only, jobs for all of them.
+                Decision::Place { gang, task, .. } => gang.map(|gang| (gang, task.job.clone())),
                 Decision::Preempt { .. } => None,
             };
             let same = |d: &&Decision| group(first).is_some() && group(d) == group(first);
@@ -524,6 +525,9 @@
         let live = self.tasks.iter().zip(&self.cancelled).filter(|(_, cancelled)| !**cancelled);
         let waiting = live.flat_map(|(tasks, _)| tasks.iter().filter(open)).count() as u64;
         self.tally.missing = waiting.wrapping_sub(contender.waiting()).cast_signed();
+        if self.tally.violations() > 0 {
+            eprintln!("promises broken: {}", self.tally.broken());
+        }
     }
 
     /// Counts what a worker delivered since its use last changed.
--- a/crates/bench/src/world/tally.rs
+++ b/crates/bench/src/world/tally.rs
@@ -197,6 +197,15 @@
         self.missing.unsigned_abs()
     }
 
+    /// Returns what the broken promises are.
+    pub fn broken(&self) -> String {
+        let Self { over_capacity, double_runs, refused_but_ran, missing, .. } = self;
+        format!(
+            "{over_capacity} over capacity, {double_runs} double runs, {refused_but_ran} refused \
+             and run, {missing} missing"
+        )
+    }
+
     /// Returns the number of broken promises.
     pub const fn violations(&self) -> u64 {
         self.over_capacity + self.double_runs + self.refused_but_ran + self.lost()
--- a/crates/core/src/contract/scheduler.rs
+++ b/crates/core/src/contract/scheduler.rs
@@ -378,11 +378,12 @@
         let Some((number, claim)) = self.claim(task) else { return };
         let Some(entry) = self.table.get(number) else { return };
         let (hash, kind, declared_run) = (entry.hash, entry.kind.clone(), entry.run);
+        let team = entry.team;
         let sample = Sample { declared: entry.needs, peak: *peak, declared_run, ran };
         let handle = claim.worker;
         match ending {
             Ending::Completed(_) => {
-                self.estimates.completed(&kind, &sample);
+                self.estimates.completed(&kind, team, &sample);
                 self.health.succeeded(handle, hash, now - ran, now);
             }
             Ending::Failed(_) => {
@@ -393,7 +394,7 @@
                 }
             }
             Ending::Stopped | Ending::Checkpointed | Ending::Lapsed => {
-                self.estimates.seen(&kind, &sample.declared, peak);
+                self.estimates.seen(&kind, team, &sample.declared, peak);
                 self.health.withdrawn(handle, now - ran, now);
             }
         }
@@ -408,7 +409,7 @@
         if let Some((number, _)) = self.claim(task)
             && let Some(entry) = self.table.get(number)
         {
-            self.estimates.seen(&entry.kind, &entry.needs, usage);
+            self.estimates.seen(&entry.kind, entry.team, &entry.needs, usage);
         }
     }
 
@@ -545,7 +546,7 @@
 
     /// Returns what is reserved for a task of a job.
     fn needs(&self, entry: &Entry) -> Capacity {
-        let estimated = self.estimates.needs(entry.kind.as_str(), &entry.needs);
+        let estimated = self.estimates.needs(entry.kind.as_str(), entry.team, &entry.needs);
         let quota = self.teams[usize::from(entry.team)].quota;
         // An estimate above every worker or the quota would wait for ever.
         let bound = self.view.largest().least(&quota).greatest(&entry.needs);
@@ -554,7 +555,7 @@
 
     /// Returns how long a task of a job is expected to run.
     fn run(&self, entry: &Entry) -> Millis {
-        entry.policy.run(entry.run, self.estimates.run(entry.kind.as_str(), entry.run))
+        entry.policy.run(entry.run, self.estimates.run(entry.kind.as_str(), entry.team, entry.run))
     }
 
     /// Returns the cost of a task, in millionths of the fleet times milliseconds.
--- a/crates/core/src/machine/estimate.rs
+++ b/crates/core/src/machine/estimate.rs
@@ -1,7 +1,7 @@
 //! Estimates of what a task really takes, from what earlier tasks of its kind took.
 //!
-//! Declared sizes and run times are far off, but the tasks of one kind tend to be off by the same
-//! factor. [`Estimates`] keeps, for each kind, the latest ratios of peak usage to declared size,
+//! Declared sizes and run times are far off, but the tasks of one kind and team tend to be off by
+//! the same factor. [`Estimates`] keeps, for each kind and team, the latest ratios of peak usage to declared size,
 //! and reserves the declared size times a high quantile of them, with a safety margin.
 
 use crate::clock::Millis;
@@ -52,10 +52,12 @@
     }
 }
 
-/// What is known of one kind.
+/// What is known of one kind of work of one team.
 #[derive(Clone, Debug)]
 struct Kind {
     name: Name,
+    /// Number of the team.
+    team: u16,
     /// Peak processor time to declared, in thousandths.
     cpu: Window,
     /// Peak memory to declared, in thousandths.
@@ -79,20 +81,20 @@
     pub ran: Millis,
 }
 
-/// Estimates by kind.
+/// Estimates by kind and team.
 #[derive(Clone, Debug, Default)]
 pub struct Estimates {
-    /// Sorted by name.
+    /// Sorted by name and team.
     kinds: Vec<Kind>,
 }
 
 impl Estimates {
     /// Takes in a task that ran to its end. A task without any usage report teaches nothing.
-    pub fn completed(&mut self, kind: &Name, sample: &Sample) {
+    pub fn completed(&mut self, kind: &Name, team: u16, sample: &Sample) {
         if sample.peak == Capacity::ZERO {
             return;
         }
-        let kind = self.kind_mut(kind);
+        let kind = self.kind_mut(kind, team);
         kind.add_size(&sample.declared, &sample.peak);
         if sample.declared_run > Millis::ZERO {
             kind.run_ratio.add(sample.ran.get() * ONE / sample.declared_run.get());
@@ -103,15 +105,15 @@
 
     /// Takes in the usage of a running task, or of one that didn't run to its end: it counts only
     /// when it is above the present estimate, since the peak may still come.
-    pub fn seen(&mut self, kind: &Name, declared: &Capacity, usage: &Capacity) {
-        if !self.needs(kind.as_str(), declared).holds(usage) {
-            self.kind_mut(kind).add_size(declared, usage);
+    pub fn seen(&mut self, kind: &Name, team: u16, declared: &Capacity, usage: &Capacity) {
+        if !self.needs(kind.as_str(), team, declared).holds(usage) {
+            self.kind_mut(kind, team).add_size(declared, usage);
         }
     }
 
     /// Returns the size to expect of a task that declares `declared`.
-    pub fn needs(&self, kind: &str, declared: &Capacity) -> Capacity {
-        let Some(kind) = self.kind(kind) else {
+    pub fn needs(&self, kind: &str, team: u16, declared: &Capacity) -> Capacity {
+        let Some(kind) = self.kind(kind, team) else {
             return *declared;
         };
         Capacity {
@@ -122,8 +124,8 @@
     }
 
     /// Returns the run time to expect of a task that declares `declared`, `None` while unknown.
-    pub fn run(&self, kind: &str, declared: Millis) -> Option<Millis> {
-        let kind = self.kind(kind)?;
+    pub fn run(&self, kind: &str, team: u16, declared: Millis) -> Option<Millis> {
+        let kind = self.kind(kind, team)?;
         if declared == Millis::ZERO {
             return kind.run.quantile(RUN_QUANTILE).map(Millis);
         }
@@ -131,14 +133,17 @@
         Some(Millis(declared.times(ratio).get() / ONE))
     }
 
-    fn kind(&self, name: &str) -> Option<&Kind> {
-        let found = self.kinds.binary_search_by(|k| k.name.as_str().cmp(name));
-        found.ok().map(|i| &self.kinds[i])
+    fn position(&self, name: &str, team: u16) -> Result<usize, usize> {
+        self.kinds.binary_search_by(|k| (k.name.as_str(), k.team).cmp(&(name, team)))
     }
 
-    fn kind_mut(&mut self, name: &Name) -> &mut Kind {
-        let i = self.kinds.binary_search_by(|k| k.name.cmp(name)).unwrap_or_else(|i| {
-            self.kinds.insert(i, Kind::new(name.clone()));
+    fn kind(&self, name: &str, team: u16) -> Option<&Kind> {
+        self.position(name, team).ok().map(|i| &self.kinds[i])
+    }
+
+    fn kind_mut(&mut self, name: &Name, team: u16) -> &mut Kind {
+        let i = self.position(name.as_str(), team).unwrap_or_else(|i| {
+            self.kinds.insert(i, Kind::new(name.clone(), team));
             i
         });
         &mut self.kinds[i]
@@ -146,9 +151,10 @@
 }
 
 impl Kind {
-    fn new(name: Name) -> Self {
+    fn new(name: Name, team: u16) -> Self {
         Self {
             name,
+            team,
             cpu: Window::default(),
             memory: Window::default(),
             run_ratio: Window::default(),
--- a/crates/core/src/machine/estimate/tests.rs
+++ b/crates/core/src/machine/estimate/tests.rs
@@ -20,79 +20,91 @@
 fn the_declared_size_holds_until_enough_tasks_were_seen() {
     let mut estimates = Estimates::default();
     for _ in 1..ENOUGH {
-        estimates.completed(&kind(), &sample(1000, 2000));
-        expect_that!(estimates.needs("index", &DECLARED), eq(DECLARED));
-        expect_that!(estimates.run("index", Millis(1000)), none());
+        estimates.completed(&kind(), 0, &sample(1000, 2000));
+        expect_that!(estimates.needs("index", 0, &DECLARED), eq(DECLARED));
+        expect_that!(estimates.run("index", 0, Millis(1000)), none());
     }
-    estimates.completed(&kind(), &sample(1000, 2000));
-    expect_that!(estimates.needs("index", &DECLARED), eq(Capacity::new(1100, 2200, 2)));
-    expect_that!(estimates.run("index", Millis(1000)), some(eq(Millis(3000))));
-    expect_that!(estimates.needs("other", &DECLARED), eq(DECLARED));
+    estimates.completed(&kind(), 0, &sample(1000, 2000));
+    expect_that!(estimates.needs("index", 0, &DECLARED), eq(Capacity::new(1100, 2200, 2)));
+    expect_that!(estimates.run("index", 0, Millis(1000)), some(eq(Millis(3000))));
+    expect_that!(estimates.needs("other", 0, &DECLARED), eq(DECLARED));
 }
 
 #[gtest]
 fn a_kind_that_declares_too_little_gets_more() {
     let mut estimates = Estimates::default();
     for _ in 0..ENOUGH {
-        estimates.completed(&kind(), &sample(16_000, 8000));
+        estimates.completed(&kind(), 0, &sample(16_000, 8000));
     }
-    expect_that!(estimates.needs("index", &DECLARED), eq(Capacity::new(17_600, 8000, 2)));
+    expect_that!(estimates.needs("index", 0, &DECLARED), eq(Capacity::new(17_600, 8000, 2)));
 }
 
 #[gtest]
 fn a_true_declared_size_gets_no_margin() {
     let mut estimates = Estimates::default();
     for _ in 0..ENOUGH {
-        estimates.completed(&kind(), &sample(4000, 7900));
+        estimates.completed(&kind(), 0, &sample(4000, 7900));
     }
-    expect_that!(estimates.needs("index", &DECLARED), eq(DECLARED));
+    expect_that!(estimates.needs("index", 0, &DECLARED), eq(DECLARED));
 }
 
 #[gtest]
 fn the_greatest_of_few_samples_counts_and_old_ones_are_forgotten() {
     let mut estimates = Estimates::default();
-    estimates.completed(&kind(), &sample(8000, 8000));
+    estimates.completed(&kind(), 0, &sample(8000, 8000));
     for _ in 0..ENOUGH {
-        estimates.completed(&kind(), &sample(1000, 8000));
+        estimates.completed(&kind(), 0, &sample(1000, 8000));
     }
-    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(8800));
+    expect_that!(estimates.needs("index", 0, &DECLARED).cpu_milli, eq(8800));
     for _ in 0..SAMPLES {
-        estimates.completed(&kind(), &sample(1000, 8000));
+        estimates.completed(&kind(), 0, &sample(1000, 8000));
     }
-    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(1100));
+    expect_that!(estimates.needs("index", 0, &DECLARED).cpu_milli, eq(1100));
 }
 
 #[gtest]
 fn usage_of_running_tasks_only_raises_an_estimate() {
     let mut estimates = Estimates::default();
     for _ in 0..ENOUGH {
-        estimates.completed(&kind(), &sample(1000, 2000));
+        estimates.completed(&kind(), 0, &sample(1000, 2000));
     }
     for _ in 0..SAMPLES {
-        estimates.seen(&kind(), &DECLARED, &Capacity::new(100, 100, 0));
+        estimates.seen(&kind(), 0, &DECLARED, &Capacity::new(100, 100, 0));
     }
-    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(1100));
-    estimates.seen(&kind(), &DECLARED, &Capacity::new(5000, 2000, 0));
-    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, eq(5500));
+    expect_that!(estimates.needs("index", 0, &DECLARED).cpu_milli, eq(1100));
+    estimates.seen(&kind(), 0, &DECLARED, &Capacity::new(5000, 2000, 0));
+    expect_that!(estimates.needs("index", 0, &DECLARED).cpu_milli, eq(5500));
 }
 
 #[gtest]
 fn a_task_without_usage_teaches_nothing() {
     let mut estimates = Estimates::default();
     for _ in 0..ENOUGH {
-        estimates.completed(&kind(), &sample(0, 0));
-        estimates.completed(&kind(), &Sample { peak: Capacity::ZERO, ..sample(1, 1) });
+        estimates.completed(&kind(), 0, &sample(0, 0));
+        estimates.completed(&kind(), 0, &Sample { peak: Capacity::ZERO, ..sample(1, 1) });
     }
-    expect_that!(estimates.needs("index", &DECLARED).cpu_milli, ge(1));
-    expect_that!(estimates.needs("other", &DECLARED), eq(DECLARED));
+    expect_that!(estimates.needs("index", 0, &DECLARED).cpu_milli, ge(1));
+    expect_that!(estimates.needs("other", 0, &DECLARED), eq(DECLARED));
 }
 
 #[gtest]
 fn run_times_of_tasks_that_declare_none_are_learned_as_they_are() {
     let mut estimates = Estimates::default();
     for _ in 0..ENOUGH {
-        estimates.completed(&kind(), &Sample { declared_run: Millis::ZERO, ..sample(1, 1) });
+        estimates.completed(&kind(), 0, &Sample { declared_run: Millis::ZERO, ..sample(1, 1) });
     }
-    expect_that!(estimates.run("index", Millis::ZERO), some(eq(Millis(3000))));
-    expect_that!(estimates.run("index", Millis(1)), none());
+    expect_that!(estimates.run("index", 0, Millis::ZERO), some(eq(Millis(3000))));
+    expect_that!(estimates.run("index", 0, Millis(1)), none());
+}
+
+#[gtest]
+fn teams_that_declare_differently_are_told_apart() {
+    let mut estimates = Estimates::default();
+    for _ in 0..ENOUGH {
+        estimates.completed(&kind(), 0, &sample(1000, 2000));
+        estimates.completed(&kind(), 1, &sample(2000, 4000));
+    }
+    expect_that!(estimates.needs("index", 0, &DECLARED).cpu_milli, eq(1100));
+    expect_that!(estimates.needs("index", 1, &DECLARED).cpu_milli, eq(2200));
+    expect_that!(estimates.needs("index", 2, &DECLARED), eq(DECLARED));
 }
