--- a/crates/bench/src/contender/baseline.rs
+++ b/crates/bench/src/contender/baseline.rs
@@ -143,7 +143,12 @@
         self.queue.retain(|unit| unit.job != spec.job.id);
     }
 
-    fn answered(&mut self, _spec: &Spec, _task: u32, _answer: &Answer<'_>, _now: Millis) {}
+    fn answered(&mut self, spec: &Spec, task: u32, answer: &Answer<'_>, now: Millis) {
+        if !answer.granted {
+            self.ended(spec, task, &Ending::Stopped, Millis::ZERO, now);
+            self.push(spec, &[task]);
+        }
+    }
 
     fn ended(&mut self, spec: &Spec, task: u32, _ending: &Ending, _ran: Millis, _now: Millis) {
         let id = task::Id { job: spec.job.id.clone(), index: task };
