--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -4,13 +4,15 @@
 pub mod control;
 pub mod faults;
 pub mod flood;
+pub mod live;
 pub mod packing;
 pub mod placement;
 
 use crate::report::Report;
 
 /// Names of the experiments.
-pub const NAMES: [&str; 6] = ["placement", "packing", "flood", "faults", "control", "config"];
+pub const NAMES: [&str; 7] =
+    ["placement", "packing", "flood", "faults", "control", "config", "live"];
 
 /// Returns the experiment with the given name: a function from the seed to the report.
 pub fn find(name: &str) -> Option<fn(u64) -> Report> {
@@ -21,6 +23,7 @@
         "faults" => Some(faults::run),
         "control" => Some(control::run),
         "config" => Some(config::run),
+        "live" => Some(live::run),
         _ => None,
     }
 }
--- a/crates/core/src/contract/steward/place.rs
+++ b/crates/core/src/contract/steward/place.rs
@@ -6,16 +6,20 @@
 use super::{Effect, Steward};
 use crate::clock::Millis;
 use crate::contract::job;
-use crate::contract::kind::{Separation, Shape};
+use crate::contract::kind::Shape;
 use crate::contract::planner::{Decision, Placement};
 use crate::contract::request::Reason;
 use crate::contract::task::{self, Attempt, State};
 use crate::ledger::Offset;
+use crate::ledger::attempt::{self, Ruling};
 use crate::ledger::record::{Change, End, Record, Register};
 use crate::machine::controller::{Ending, Grant, Wish};
 use crate::machine::worker::{Ended, Epoch, Start};
 use crate::name::Name;
 
+/// Looks at all flights in the time after which an unanswered wish is repeated.
+const LOOKS_PER_REPEAT: u64 = 8;
+
 /// How far a task has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Stage {
@@ -66,14 +70,23 @@
         }
     }
 
+    /// Asks controllers for the places of a decision. It falls as a whole if one of its tasks is
+    /// placed or over by now, as when a record lands that was given up.
     fn reserve(&mut self, placements: Vec<Placement>, now: Millis) {
+        if placements.iter().any(|p| self.next_attempt(&p.task).is_none()) {
+            for placement in placements {
+                if self.next_attempt(&placement.task).is_some() {
+                    self.planner.refused(&placement, now);
+                } else {
+                    self.planner.withdraw(&placement.task, now);
+                }
+            }
+            return;
+        }
         self.numbers += 1;
         let group = if placements.len() > 1 { self.numbers } else { 0 };
         for placement in placements {
-            let Some((team, attempt)) = self.next_attempt(&placement.task) else {
-                self.planner.withdraw(&placement.task, now);
-                continue;
-            };
+            let Some((team, attempt)) = self.next_attempt(&placement.task) else { continue };
             let Placement { task, worker, needs } = placement.clone();
             let until = now + self.config.reservation;
             let reserve =
@@ -97,10 +110,13 @@
         }
     }
 
+    /// Returns the team and the number of the next attempt of a task that may be placed.
     fn next_attempt(&self, id: &task::Id) -> Option<(Name, Attempt)> {
         let entry = self.partitions.iter().find_map(|p| p.book.job(id.job.as_str()))?;
         let task = entry.tasks.get(id.index as usize)?;
-        (!task.state.is_final()).then(|| (entry.job.team.clone(), task.attempt + 1))
+        let fenced = || self.flight(id).is_ok_and(|f| self.flights[f].stage == Stage::Fenced);
+        let free = task.state == State::Waiting || (task.placement().is_some() && fenced());
+        free.then(|| (entry.job.team.clone(), task.attempt + 1))
     }
 
     fn preempt(&mut self, task: &task::Id, worker: Name) {
@@ -222,11 +238,14 @@
         }
         let flight = self.flights.remove(f);
         self.unreserve(&flight.worker, task);
-        let waits = self.partitions[i].book.task(task).is_some_and(|t| t.state == State::Waiting);
-        if waits {
-            self.planner.refused(&flight.placement, now);
-        } else {
-            self.planner.withdraw(task, now);
+        let state = self.partitions[i].book.task(task).map(|t| t.state.clone());
+        match state {
+            Some(State::Waiting) => self.planner.refused(&flight.placement, now),
+            Some(State::Placed { .. }) => {
+                self.planner.withdraw(task, now);
+                self.fly(i, task, now);
+            }
+            _ => self.planner.withdraw(task, now),
         }
     }
 
@@ -283,8 +302,12 @@
     fn withdraw_all(&mut self, i: usize, id: &job::Id, now: Millis) {
         let Some(entry) = self.partitions[i].book.job(id.as_str()) else { return };
         for (task, index) in entry.tasks.iter().zip(0..) {
+            let task_id = task::Id { job: id.clone(), index };
             if task.state == State::Cancelled {
-                self.planner.withdraw(&task::Id { job: id.clone(), index }, now);
+                self.planner.withdraw(&task_id, now);
+            } else if let Ok(f) = self.flights.binary_search_by(|f| f.task.cmp(&task_id)) {
+                self.flights[f].asked = Millis::ZERO;
+                self.urgent = true;
             }
         }
     }
@@ -309,6 +332,7 @@
         };
         self.planner.placed(&entry.job, &entry.kind, &placement, now);
         self.put_flight(flight);
+        self.urgent = true;
     }
 
     /// A recorded attempt is over.
@@ -358,7 +382,7 @@
         if let Ok(f) = self.flight(id) {
             self.flights[f].ended = Some(ending.ended.clone());
         }
-        self.append_over(i, id, *attempt, End::from(end), now);
+        self.append_over(i, id, *attempt, attempt::end(end), now);
         false
     }
 
@@ -379,8 +403,14 @@
         }
     }
 
-    /// Repeats what was not answered, and passes fences.
+    /// Repeats what was not answered, and passes fences. All flights are looked at several times
+    /// in each repetition and not at every tick, so that an idle steward costs little.
     pub(super) fn follow_up(&mut self, now: Millis) {
+        let pause = Millis(self.config.repeat.get() / LOOKS_PER_REPEAT);
+        if !self.urgent && now.since(self.followed) < pause {
+            return;
+        }
+        (self.urgent, self.followed) = (false, now);
         let due: Vec<task::Id> = self
             .flights
             .iter()
@@ -413,6 +443,7 @@
         let Flight { task, team, worker, attempt, placement, stage, .. } = self.flights[f].clone();
         let Some(i) = self.partition_of(&team) else { return };
         let Some(entry) = self.partitions[i].book.job(task.job.as_str()) else { return };
+        let placed_at = entry.tasks.get(task.index as usize).map_or(Millis::ZERO, |t| t.placed_at);
         if entry.cancelled || self.is_broken_gang(i, &task) {
             let checkpoint = !entry.cancelled;
             let stop =
@@ -422,8 +453,8 @@
             let start = Start {
                 epoch,
                 needs: placement.needs,
-                start_by: now + self.config.start_by,
-                until: now + self.config.bounds.lease_ms,
+                start_by: self.config.bounds.start_by(placed_at),
+                until: self.config.bounds.until(now),
                 team: team.clone(),
                 kind: entry.kind.name.clone(),
                 payload: entry.job.payload.clone(),
@@ -433,7 +464,25 @@
             self.flights[f].stage = Stage::Starting(epoch);
             self.effects.push(Effect::Wish(start));
         }
-        if let Some(offset) = self.passed_fence(i, &task, &worker, epoch, now) {
+        self.pass_fence(f, i, now);
+    }
+
+    /// Lets go of an attempt on a lost worker once it can't run any more: the task is placed
+    /// again, or is over if its job was cancelled.
+    fn pass_fence(&mut self, f: usize, i: usize, now: Millis) {
+        let Flight { task, worker, attempt, .. } = self.flights[f].clone();
+        let Some(entry) = self.partitions[i].book.job(task.job.as_str()) else { return };
+        let Some(placed) = entry.tasks.get(task.index as usize) else { return };
+        let view = attempt::View {
+            fleet: &self.fleet,
+            sightings: &self.sightings,
+            asked_since: self.asked_since,
+            bounds: &self.config.bounds,
+        };
+        let Ruling::Fenced(offset) = view.rule(placed, entry.kind.separation, now) else { return };
+        if entry.cancelled {
+            self.append_over(i, &task, attempt, End::Evicted, now);
+        } else {
             self.flights[f].stage = Stage::Fenced;
             self.flights[f].fence = Some(offset);
             self.planner.over(&task, &worker, None, now);
@@ -441,23 +490,6 @@
         }
     }
 
-    /// Returns the loss that covers an attempt whose next one may be recorded now.
-    fn passed_fence(
-        &self,
-        i: usize,
-        task: &task::Id,
-        worker: &Name,
-        epoch: Epoch,
-        now: Millis,
-    ) -> Option<Offset> {
-        let entry = self.partitions[i].book.job(task.job.as_str())?;
-        let loss = self.fleet.covers(worker.as_str(), epoch)?;
-        let seen = self.losses.binary_search_by(|l| l.worker.cmp(worker)).ok()?;
-        let passed = now.since(self.losses[seen].at) > self.config.bounds.fence();
-        let moves = entry.kind.separation == Separation::Move && !entry.cancelled;
-        (passed && moves).then_some(loss.offset)
-    }
-
     /// Returns whether a task of the gang waits while another is placed: the gang must run as a
     /// whole, so the rest is checkpointed and placed again together.
     fn is_broken_gang(&self, i: usize, task: &task::Id) -> bool {
@@ -490,14 +522,3 @@
         }
     }
 }
-
-impl From<&crate::machine::worker::Ending> for End {
-    fn from(ending: &crate::machine::worker::Ending) -> Self {
-        use crate::machine::worker::Ending;
-        match ending {
-            Ending::Completed(result) => Self::Completed(result.clone()),
-            Ending::Failed(reason) => Self::Failed(reason.clone()),
-            Ending::Stopped | Ending::Checkpointed | Ending::Lapsed => Self::Evicted,
-        }
-    }
-}
--- a/crates/daemon/src/duty/control.rs
+++ b/crates/daemon/src/duty/control.rs
@@ -10,7 +10,7 @@
 use pimentovalve_core::ledger::Stream;
 use pimentovalve_core::ledger::record::{Change, Register};
 use pimentovalve_core::machine::controller::{
-    Controller, Effect, Ending, Grant, Heard, Outcome, Pulse, Standing, Wish,
+    Controller, Effect, Ending, Grant, Heard, Outcome, Pulse, Standing, Tenure, Wish,
 };
 use pimentovalve_core::machine::worker::{Epoch, Inventory, Order, Reply as Answer};
 use pimentovalve_core::name::Name;
@@ -26,8 +26,11 @@
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// Time between two reports to a peer.
+/// Time between two reports of ended attempts, or of anything within this instance.
 const REPORT: Millis = Millis(100);
+/// Time between two reports of changed workers to another instance. A view that is older only
+/// costs a refused reservation.
+const REPORT_AFAR: Millis = Millis(500);
 /// Longest time for a report to be answered.
 const REPORT_TIMEOUT: Millis = Millis::from_secs(2);
 
@@ -138,7 +141,12 @@
     fn members(&mut self, members: &Members) {
         let workers: Vec<Instance> = members.of_role(Role::Worker).cloned().collect();
         let candidates: Vec<&Instance> = members.candidates.iter().collect();
-        self.duty.controller.members(&workers, &candidates, members.settled, view::now());
+        self.duty.controller.members(
+            &workers,
+            &candidates,
+            members.asked_since.is_some(),
+            view::now(),
+        );
     }
 
     fn facts(&mut self, facts: &Facts) {
@@ -179,8 +187,7 @@
 
     fn tick(&mut self) {
         self.duty.controller.tick(view::now());
-        let held: Vec<(Name, Epoch)> =
-            self.duty.controller.held().map(|(name, epoch)| (name.clone(), epoch)).collect();
+        let held: Vec<Tenure> = self.duty.controller.held().collect();
         self.duty.held.send_if_modified(|old| old.update(held));
         self.report();
     }
@@ -296,7 +303,10 @@
                 members.steward(stream).is_some_and(|s| s.name == peer.name)
             };
             let endings: Vec<Ending> = endings.iter().filter(to_peer).cloned().collect();
-            let due = !standings.is_empty() || !endings.is_empty();
+            let own = peer.name == members.own.name;
+            let every = if own { REPORT } else { REPORT_AFAR };
+            let changed = !standings.is_empty() && now.since(at) >= every;
+            let due = changed || !endings.is_empty();
             if due {
                 self.told[i] = Told { peer: peer.name.clone(), change, at: now, busy: true };
                 self.report_to(&members, peer, standings, endings, last);
--- a/crates/daemon/src/duty/gossip.rs
+++ b/crates/daemon/src/duty/gossip.rs
@@ -4,10 +4,10 @@
 use crate::duty::Duty;
 use crate::duty::ledger::Command;
 use crate::platform::{Failure, List};
-use crate::ring::{self, Latest, Publisher, Sender};
+use crate::ring::{self, Latest, Publisher, Receiver, Sender};
 use crate::view::{self, Facts, Members};
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::zone::membership::{self, Instance, Membership, Role};
+use pimentovalve_core::zone::membership::{self, Instance, Membership};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::traffic::Traffic;
@@ -26,8 +26,6 @@
     pub list: Arc<dyn List>,
     /// Time between two readings of the list.
     pub list_every: Millis,
-    /// Longest time by which the list lags.
-    pub list_lag: Millis,
     /// Time between two signs of life to each peer.
     pub ping_every: Millis,
     /// Greatest difference between clocks.
@@ -40,12 +38,14 @@
     pub ledger: Sender<Command>,
     /// Where the view goes.
     pub members: Publisher<Arc<Members>>,
+    /// Signs of life that peers sent.
+    pub pings: Receiver<Ping>,
     /// Cancelled when the instance starts to drain.
     pub drain: CancellationToken,
 }
 
 enum Event {
-    Listed(Result<Vec<Instance>, Failure>),
+    Listed { asked: Millis, result: Result<Arc<Vec<Instance>>, Failure> },
     Pong { peer: Instance, asked: Millis, pong: Option<Ping> },
     Pulled(Pulled),
 }
@@ -61,9 +61,8 @@
     duty: Gossip,
     client: Arc<Client>,
     events: Sender<Event>,
-    listed: Vec<Instance>,
+    listed: Arc<Vec<Instance>>,
     list_read: Millis,
-    first_listed: Option<Millis>,
     words: Vec<Word>,
     pinging: Vec<Instance>,
 }
@@ -84,21 +83,22 @@
                 duty: *self,
                 client,
                 events,
-                listed: Vec::new(),
+                listed: Arc::default(),
                 list_read: Millis::ZERO,
-                first_listed: None,
                 words: Vec::new(),
                 pinging: Vec::new(),
             };
             let mut draining = false;
+            let pings = state.duty.pings.clone();
             loop {
                 tokio::select! {
                     () = stop.cancelled() => break,
                     () = drain.cancelled(), if !draining => {
                         draining = true;
                         state.duty.membership.drain();
-                        state.ping();
+                        state.ping_all();
                     }
+                    Some(ping) = pings.next() => state.pinged(ping),
                     Some(event) = received.next() => state.event(event),
                     _ = list_tick.tick() => state.list(),
                     _ = ping_tick.tick() => state.ping(),
@@ -112,26 +112,54 @@
 impl State {
     fn list(&self) {
         let (list, events) = (Arc::clone(&self.duty.list), self.events.clone());
+        let asked = view::now();
         tokio::spawn(async move {
             let result = list.instances().await;
-            if events.push(Event::Listed(result)).await.is_err() {
+            if events.push(Event::Listed { asked, result }).await.is_err() {
                 tracing::debug!("the gossip duty has ended");
             }
         });
     }
 
+    /// Pings the peers whose name is greater, since one exchange tells both ends; and those that
+    /// should have pinged and did not.
     fn ping(&mut self) {
+        let now = view::now();
+        let overdue = self.duty.ping_every.times(2);
+        let own = &self.duty.membership.own().name;
+        let is_mine = |peer: &Instance| {
+            let word = self.words.binary_search_by(|w| w.peer.name.cmp(&peer.name));
+            let fresh = word.is_ok_and(|i| now.since(self.words[i].asked) <= overdue);
+            *own < peer.name || !fresh
+        };
+        let peers: Vec<Instance> =
+            self.duty.membership.peers().filter(|p| is_mine(p)).cloned().collect();
+        for peer in peers {
+            self.ping_one(peer);
+        }
+    }
+
+    fn ping_all(&mut self) {
         let peers: Vec<Instance> = self.duty.membership.peers().cloned().collect();
         for peer in peers {
-            if self.pinging.iter().any(|p| p.name == peer.name) {
-                continue;
-            }
-            self.pinging.push(peer.clone());
             self.ping_one(peer);
         }
     }
 
-    fn ping_one(&self, peer: Instance) {
+    /// Takes in a sign of life that a peer sent. What it says was true by the peer's clock then.
+    fn pinged(&mut self, ping: Ping) {
+        let peer = self.duty.membership.peers().find(|p| p.name == ping.from).cloned();
+        if let Some(peer) = peer {
+            let asked = ping.at - self.duty.skew;
+            self.pong(peer, asked, ping);
+        }
+    }
+
+    fn ping_one(&mut self, peer: Instance) {
+        if self.pinging.iter().any(|p| p.name == peer.name) {
+            return;
+        }
+        self.pinging.push(peer.clone());
         let ping = self.word();
         let (client, events) = (Arc::clone(&self.client), self.events.clone());
         let (timeout, key) = (self.duty.ping_every.times(2), self.duty.key.clone());
@@ -157,8 +185,8 @@
 
     fn event(&mut self, event: Event) {
         match event {
-            Event::Listed(Ok(instances)) => self.listed(instances),
-            Event::Listed(Err(failure)) => {
+            Event::Listed { asked, result: Ok(instances) } => self.listed(instances, asked),
+            Event::Listed { result: Err(failure), .. } => {
                 tracing::debug!(?failure, "the instance list could not be read");
             }
             Event::Pong { peer, asked, pong } => {
@@ -175,14 +203,10 @@
         }
     }
 
-    fn listed(&mut self, instances: Vec<Instance>) {
-        let now = view::now();
-        self.list_read = now;
-        let own = &self.duty.membership.own().name;
-        if self.first_listed.is_none() && instances.iter().any(|i| i.name == *own) {
-            self.first_listed = Some(now);
-        }
-        self.duty.membership.listed(&instances, now);
+    /// Takes in a reading of the list, which is as old as its question.
+    fn listed(&mut self, instances: Arc<Vec<Instance>>, asked: Millis) {
+        self.list_read = asked;
+        self.duty.membership.listed(&instances, asked);
         self.listed = instances;
     }
 
@@ -236,7 +260,7 @@
         let peers: Vec<&Instance> = membership.peers().collect();
         self.words.retain(|w| peers.iter().any(|p| p.name == w.peer.name));
         let facts = self.duty.facts.borrow().clone();
-        let list_current = view::now().since(self.list_read) <= self.duty.list_lag;
+        let list_current = membership.is_current(view::now());
         let quiet = self.words.iter().all(|w| !w.pong.loss_pending);
         if !facts.log_out || !list_current || !quiet || peers.len() != self.words.len() {
             return;
@@ -259,15 +283,14 @@
     fn publish(&self) {
         let now = view::now();
         let membership = &self.duty.membership;
-        let settled = self.first_listed.is_some_and(|first| now.since(first) >= self.duty.list_lag);
         let own = membership.own().clone();
         let draining = own.state == membership::State::Leaving;
         let members = Members {
             own,
-            listed: self.listed.iter().filter(|i| i.role != Role::Entry).cloned().collect(),
+            listed: Arc::clone(&self.listed),
             candidates: membership.candidates(now).into_iter().cloned().collect(),
             peers: membership.peers().cloned().collect(),
-            settled,
+            asked_since: membership.asked_since(now),
             draining,
         };
         self.duty.members.send_if_modified(|old| {
