--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -35,6 +35,7 @@
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::keys::Keys;
 use pimentovalve_wire::http::traffic::Traffic;
+use pimentovalve_wire::peer::Ping;
 use snafu::{ResultExt, Snafu};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -100,24 +101,31 @@
 pub struct Daemon {
     name: Name,
     addresses: Addresses,
-    /// Ends the fronts for callers and operators before everything else.
-    front: Tokens,
-    back: Tokens,
     drain: CancellationToken,
-    fronts: Vec<JoinHandle<()>>,
-    backs: Vec<JoinHandle<()>>,
+    /// In the order in which they end in a planned stop.
+    stages: [Stage; 4],
     held: Latest<Held>,
     members: Latest<Arc<Members>>,
     telemetry: Telemetry,
     drain_time: Duration,
 }
 
+/// Duties that end together in a planned stop.
+///
+/// What a duty needs to finish its requests ends in a later stage: the fronts for callers and
+/// operators, then the one for peers, then the dispatch duty, then everything else.
+struct Stage {
+    tokens: Tokens,
+    threads: Vec<JoinHandle<()>>,
+}
+
 /// What duties publish, and the rings between them.
 struct Wiring {
     facts: (Publisher<Facts>, Latest<Facts>),
     members: (Publisher<Arc<Members>>, Latest<Arc<Members>>),
     held: (Publisher<Held>, Latest<Held>),
     figures: (Publisher<Figures>, Latest<Figures>),
+    gossip: (Sender<Ping>, Receiver<Ping>),
     ledger: (Sender<duty::ledger::Command>, Receiver<duty::ledger::Command>),
     steward: (Sender<duty::steward::Event>, Receiver<duty::steward::Event>),
     control: (Sender<duty::control::Event>, Receiver<duty::control::Event>),
@@ -165,34 +173,33 @@
         let (telemetry, writer) = Telemetry::new(process, duty, settings.ring, sink);
         let own = own_instance(settings, addresses.peers);
         let wiring = Wiring::new(settings.ring, &own);
-        let (front, back) = (Tokens::default(), Tokens::default());
         let drain = CancellationToken::new();
-        let duties = back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
+        let Backs { dispatch, others } =
+            back_duties(settings, planner, &wiring, own, &telemetry, &drain)?;
         let (held, members) = (wiring.held.1.clone(), wiring.members.1.clone());
         let fronts = fronts(settings, listeners, &wiring, &telemetry)?;
         let mut daemon = Self {
             name,
             addresses,
-            front,
-            back,
             drain,
-            fronts: Vec::new(),
-            backs: Vec::new(),
+            stages: Stage::all(),
             held,
             members,
             telemetry,
             drain_time: Duration::from(settings.timing.drain_ms),
         };
         daemon.telemetry.note(What::ProcessStarted);
-        daemon.backs.push(duty::start(Box::new(writer), &daemon.back)?);
-        for duty in duties {
-            daemon.backs.push(duty::start(duty, &daemon.back)?);
+        let [front, peer, requests, back] = &mut daemon.stages;
+        back.start(Box::new(writer))?;
+        for duty in others {
+            back.start(duty)?;
         }
+        requests.start(dispatch)?;
         let [callers, operators, peers, monitors] = fronts;
-        daemon.backs.push(duty::start(peers, &daemon.back)?);
-        daemon.backs.push(duty::start(monitors, &daemon.back)?);
-        daemon.fronts.push(duty::start(callers, &daemon.front)?);
-        daemon.fronts.push(duty::start(operators, &daemon.front)?);
+        back.start(monitors)?;
+        peer.start(peers)?;
+        front.start(callers)?;
+        front.start(operators)?;
         Ok(daemon)
     }
 
@@ -208,7 +215,7 @@
 
     /// Returns whether a duty has ended by itself, so that the daemon must be replaced.
     pub fn has_failed(&self) -> bool {
-        self.back.kill.is_cancelled() || self.front.kill.is_cancelled()
+        self.stages.iter().any(|stage| stage.tokens.kill.is_cancelled())
     }
 
     /// Stops as planned: hands over what it owns, answers every request in flight, then ends.
@@ -220,11 +227,12 @@
         while self.hands_over() && started.elapsed() < HAND_OVER {
             std::thread::sleep(HAND_OVER_PAUSE);
         }
-        self.front.stop.cancel();
-        join(&mut self.fronts);
+        let [front, peer, requests, back] = &mut self.stages;
+        for stage in [front, peer, requests] {
+            stage.stop();
+        }
         self.telemetry.note(What::Drained);
-        self.back.stop.cancel();
-        join(&mut self.backs);
+        back.stop();
     }
 
     /// Returns whether this instance still owns workers that another one could take.
@@ -232,12 +240,40 @@
         !self.held.borrow().workers.is_empty() && !self.members.borrow().candidates.is_empty()
     }
 
+    /// Holds or releases all threads, as if the process were paused.
+    pub fn freeze(&self, on: bool) {
+        self.stages[0].tokens.freeze.set(on);
+    }
+
     /// Ends at once, as if the process had died.
     pub fn kill(mut self) {
-        self.front.kill.cancel();
-        self.back.kill.cancel();
-        join(&mut self.fronts);
-        join(&mut self.backs);
+        self.freeze(false);
+        for stage in &mut self.stages {
+            stage.tokens.kill.cancel();
+            join(&mut stage.threads);
+        }
+    }
+}
+
+impl Stage {
+    /// Returns stages that are killed and frozen together.
+    fn all() -> [Self; 4] {
+        let shared = Tokens::default();
+        [(); 4].map(|()| {
+            let tokens = Tokens { stop: CancellationToken::new(), ..shared.clone() };
+            Self { tokens, threads: Vec::new() }
+        })
+    }
+
+    fn start(&mut self, duty: Box<dyn Duty>) -> Result<(), duty::Error> {
+        self.threads.push(duty::start(duty, &self.tokens)?);
+        Ok(())
+    }
+
+    /// Lets the duties finish what is in flight, and waits for it.
+    fn stop(&mut self) {
+        self.tokens.stop.cancel();
+        join(&mut self.threads);
     }
 }
 
@@ -272,6 +308,7 @@
             members: ring::latest(Arc::new(Members::alone(own.clone()))),
             held: ring::latest(Held::default()),
             figures: ring::latest(Figures::default()),
+            gossip: ring::ring(places),
             ledger: ring::ring(places),
             steward: ring::ring(places),
             control: ring::ring(places),
@@ -294,6 +331,7 @@
             held: self.held.1.clone(),
             figures: self.figures.1.clone(),
             rings: vec![
+                ("gossip", Box::new(self.gossip.0.clone())),
                 ("ledger", Box::new(self.ledger.0.clone())),
                 ("steward", Box::new(self.steward.0.clone())),
                 ("control", Box::new(self.control.0.clone())),
@@ -346,6 +384,12 @@
     Ok((keys, bearer))
 }
 
+/// The duties behind the fronts.
+struct Backs {
+    dispatch: Box<dyn Duty>,
+    others: Vec<Box<dyn Duty>>,
+}
+
 fn back_duties(
     settings: &Settings,
     planner: Box<dyn Planner>,
@@ -353,7 +397,7 @@
     own: Instance,
     telemetry: &Telemetry,
     drain: &CancellationToken,
-) -> Result<Vec<Box<dyn Duty>>, Error> {
+) -> Result<Backs, Error> {
     let (_, key) = peer_keys(settings)?;
     let timing = &settings.timing;
     let platform = &settings.platform;
@@ -363,22 +407,27 @@
     };
     let gossip = Gossip {
         traffic: wiring.traffic("peers"),
-        membership: Membership::new(own, platform.list_lag_ms, timing.suspicion_ms),
+        membership: Membership::new(
+            own,
+            platform.list_lag_ms + timing.list_ms + timing.log_ms,
+            timing.suspicion_ms,
+        ),
         list: service(),
         list_every: timing.list_ms,
-        list_lag: platform.list_lag_ms,
         ping_every: timing.ping_ms,
         skew: settings.bounds.skew_ms,
         key: key.clone(),
         facts: wiring.facts.1.clone(),
         ledger: wiring.ledger.0.clone(),
         members: wiring.members.0.clone(),
+        pings: wiring.gossip.1.clone(),
         drain: drain.clone(),
     };
     let ledger = Ledger {
         writer: writer_name(&settings.name, "ledger"),
         log: service(),
         partitions: settings.partitions,
+        retention: platform.retention_ms,
         read_wait: Millis(settings.bounds.currency_ms.get() / READS_PER_CURRENCY),
         commands: wiring.ledger.1.clone(),
         steward: wiring.steward.0.clone(),
@@ -389,7 +438,7 @@
     let control = control_duty(settings, wiring, telemetry, key.clone());
     let dispatch = Dispatch {
         traffic: wiring.traffic("peers"),
-        dispatcher: Dispatcher::new(settings.place.clone(), dispatcher::Config::default()),
+        dispatcher: Dispatcher::new(settings.place.clone(), dispatcher_config(settings)),
         runner: Arc::new(Observed::new(
             Arc::new(Machine::new(timing.log_ms, wiring.traffic("machines"))),
             telemetry.of(&plain_name("dispatch")),
@@ -407,14 +456,21 @@
         facts: wiring.facts.1.clone(),
         telemetry: telemetry.of(&plain_name("watch")),
     };
-    Ok(vec![
+    let others: Vec<Box<dyn Duty>> = vec![
         Box::new(watch),
         Box::new(gossip),
         Box::new(ledger),
         Box::new(steward),
         Box::new(control),
-        Box::new(dispatch),
-    ])
+    ];
+    Ok(Backs { dispatch: Box::new(dispatch), others })
+}
+
+/// A controller spends slots until its worker counts as silent.
+fn dispatcher_config(settings: &Settings) -> dispatcher::Config {
+    let term = settings.timing.heartbeat_ms + settings.timing.suspicion_ms;
+    let settle = term + settings.bounds.skew_ms;
+    dispatcher::Config { term, settle, ..dispatcher::Config::default() }
 }
 
 fn steward_duty(
@@ -515,6 +571,7 @@
     let peer = Peer {
         keys,
         route: wiring.route(settings, key),
+        gossip: wiring.gossip.0.clone(),
         control: wiring.control.0.clone(),
         dispatch: wiring.dispatch.0.clone(),
         members: wiring.members.1.clone(),
--- a/crates/daemon/src/duty/ledger.rs
+++ b/crates/daemon/src/duty/ledger.rs
@@ -1,4 +1,8 @@
-//! The ledger duty: tails the streams, groups appends, replays what everybody reads.
+//! The ledger duty: tails the streams, groups appends, replays what everybody reads, and writes
+//! snapshots of the streams that this instance is the steward of.
+
+mod snapshots;
+mod tail;
 
 use crate::duty::Duty;
 use crate::duty::steward;
@@ -7,9 +11,11 @@
 use crate::view::{self, Facts, Members};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::steward::Landing;
+use pimentovalve_core::ledger::book::Book;
 use pimentovalve_core::ledger::fleet::Fleet;
 use pimentovalve_core::ledger::history::History;
 use pimentovalve_core::ledger::record::{self, Change, Record, Register};
+use pimentovalve_core::ledger::snapshot::{self, Schedule};
 use pimentovalve_core::ledger::{Offset, Stream, Verdict};
 use pimentovalve_core::name::Name;
 use pimentovalve_wire::codec;
@@ -17,13 +23,13 @@
 use pimentovalve_wire::log::Chunk;
 use pimentovalve_wire::peer::Pulled;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tail::{Tail, decode, rows};
 use tokio_util::sync::CancellationToken;
 
 /// Most entries that one read returns.
 const READ_MAX: u32 = 1024;
-/// Pause after a read that failed.
-const READ_PAUSE: Duration = Duration::from_millis(300);
 /// Most entries of one append.
 const APPEND_MAX: usize = 256;
 /// Most records that wait for an append of one stream; more are refused.
@@ -54,6 +60,13 @@
         /// The record.
         record: Record,
     },
+    /// Append a snapshot of a partition.
+    Save {
+        /// The partition.
+        index: u16,
+        /// Its book.
+        book: Book,
+    },
     /// Append a record to a stream that everybody reads, and judge it.
     Publish {
         /// The register, which tells the stream.
@@ -90,8 +103,30 @@
 
 /// What calls of the log come back with.
 enum Event {
-    Read { stream: Stream, asked: Millis, from: Offset, result: Result<Chunk, Failure> },
-    Appended { stream: Stream, ids: Vec<record::Id>, result: Result<Offset, Failure> },
+    Read {
+        stream: Stream,
+        asked: Millis,
+        from: Offset,
+        result: Result<Chunk, Failure>,
+    },
+    /// The state from which the reading of a stream goes on; none at the start of the stream.
+    Restored {
+        stream: Stream,
+        state: Option<snapshot::State>,
+    },
+    /// The log could not be read.
+    Out,
+    /// A snapshot that was begun at `at` was appended.
+    Saved {
+        stream: Stream,
+        next: Offset,
+        at: Millis,
+    },
+    Appended {
+        stream: Stream,
+        ids: Vec<record::Id>,
+        result: Result<Offset, Failure>,
+    },
 }
 
 /// An append whose answer was lost.
@@ -103,6 +138,7 @@
 
 struct Waiter {
     id: record::Id,
+    since: Millis,
     reply: Reply<Published>,
 }
 
@@ -114,11 +150,14 @@
 }
 
 /// One stream that is tailed.
-struct Tail {
+struct Open {
     stream: Stream,
     stop: CancellationToken,
     queue: Vec<Record>,
     appending: bool,
+    /// What this instance has of it.
+    known: Arc<AtomicU64>,
+    snapshots: Schedule,
 }
 
 /// The ledger duty.
@@ -129,6 +168,8 @@
     pub log: Arc<dyn Log>,
     /// Partitions of the ledger.
     pub partitions: u16,
+    /// Time for which the log keeps records.
+    pub retention: Millis,
     /// How long a read at the end of a stream waits for the next entry. What is known is as old
     /// as the last read, so it must be well below the currency that renewals rest on.
     pub read_wait: Millis,
@@ -149,7 +190,7 @@
     history: History,
     fleet: Fleet,
     facts: Facts,
-    tails: Vec<Tail>,
+    tails: Vec<Open>,
     waiters: Vec<Waiter>,
     lost: Vec<Lost>,
     unsettled: Vec<Unsettled>,
@@ -192,7 +233,10 @@
                         let seen = Arc::clone(&members.borrow_and_update());
                         state.members(&seen).await;
                     }
-                    _ = tick.tick() => state.expire().await,
+                    _ = tick.tick() => {
+                        state.expire().await;
+                        state.snapshots().await;
+                    }
                 }
             }
         })
@@ -203,6 +247,9 @@
     async fn command(&mut self, command: Command) {
         match command {
             Command::Append { stream, record } => self.append(stream, record).await,
+            Command::Save { index, book } => {
+                self.save(Stream::Partition(index), &snapshot::State::Book(book));
+            }
             Command::Publish { register, expect, change, reply } => {
                 self.publish(register, expect, change, reply).await;
             }
@@ -246,7 +293,8 @@
             _ => Stream::Configuration,
         };
         self.publish_facts();
-        self.waiters.push(Waiter { id: id.clone(), reply });
+        let since = view::now();
+        self.waiters.push(Waiter { id: id.clone(), since, reply });
         self.append(stream, Record { id, at: view::now(), register, expect, change }).await;
     }
 
@@ -254,8 +302,15 @@
         if let Some(history) = pulled.history {
             self.history.merge(&history);
         }
-        if let Some(fleet) = pulled.fleet.filter(|f| f.next > self.fleet.next) {
-            self.fleet = fleet;
+        if let Some(fleet) = pulled.fleet {
+            self.fleet.merge(&fleet);
+        }
+        for (stream, next) in
+            [(Stream::Configuration, self.history.next), (Stream::Fleet, self.fleet.next)]
+        {
+            if let Some(i) = self.position(stream) {
+                self.tails[i].known.fetch_max(next, Ordering::Relaxed);
+            }
         }
         if pulled.history_next <= self.history.next {
             self.facts.history_as_of = self.facts.history_as_of.max(pulled.history_as_of);
@@ -272,10 +327,7 @@
             let stream = Stream::Partition(index);
             let mine = members.steward(stream).is_some_and(|s| s.name == members.own.name);
             match (mine, self.position(stream)) {
-                (true, None) => {
-                    self.tell(steward::Event::Take { index }).await;
-                    self.open(stream);
-                }
+                (true, None) => self.open(stream),
                 (false, Some(i)) => {
                     let tail = self.tails.remove(i);
                     tail.stop.cancel();
@@ -295,14 +347,26 @@
 
     fn open(&mut self, stream: Stream) {
         let stop = self.stop.child_token();
-        let tail = Tail { stream, stop: stop.clone(), queue: Vec::new(), appending: false };
-        self.tails.push(tail);
-        let (log, events) = (Arc::clone(&self.duty.log), self.events.clone());
-        let wait = self.duty.read_wait;
+        let known = Arc::<AtomicU64>::default();
+        let tail = Tail {
+            stream,
+            log: Arc::clone(&self.duty.log),
+            wait: self.duty.read_wait,
+            events: self.events.clone(),
+            known: Arc::clone(&known),
+        };
+        self.tails.push(Open {
+            stream,
+            stop: stop.clone(),
+            queue: Vec::new(),
+            appending: false,
+            known,
+            snapshots: Schedule::new(self.duty.retention),
+        });
         tokio::spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = follow(stream, log, wait, events) => {}
+                () = tail.run() => {}
             }
         });
     }
@@ -340,6 +404,16 @@
     async fn event(&mut self, event: Event) {
         match event {
             Event::Appended { stream, ids, result } => self.appended(stream, ids, result).await,
+            Event::Restored { stream, state } => self.restored(stream, state).await,
+            Event::Out => {
+                self.facts.log_out = true;
+                self.publish_facts();
+            }
+            Event::Saved { stream, next, at } => {
+                if let Some(i) = self.position(stream) {
+                    self.tails[i].snapshots.written(next, at);
+                }
+            }
             Event::Read { stream, asked, from, result } => match result {
                 Ok(chunk) => {
                     self.facts.log_out = false;
@@ -387,28 +461,39 @@
     async fn read(&mut self, stream: Stream, asked: Millis, from: Offset, chunk: &Chunk) {
         let rows = decode(from, chunk);
         let at_end = from + chunk.entries.len() as u64 >= chunk.end;
+        let mut judged = Vec::new();
         for (offset, record) in &rows {
             self.lost.retain(|l| l.id != record.id);
             match stream {
-                Stream::Configuration if *offset >= self.history.next => {
-                    let verdict = self.history.apply(*offset, record);
-                    self.judged(&record.id, verdict);
+                Stream::Configuration => {
+                    judged.push((record.id.clone(), self.history.take_in(*offset, record)));
                 }
-                Stream::Fleet if *offset >= self.fleet.next => {
-                    let verdict = self.fleet.apply(*offset, record);
-                    self.judged(&record.id, verdict);
+                Stream::Fleet => {
+                    judged.push((record.id.clone(), self.fleet.take_in(*offset, record)));
                 }
-                _ => {}
+                Stream::Partition(_) => {}
             }
         }
+        let facts = &mut self.facts;
         match stream {
-            Stream::Configuration if at_end => self.facts.history_as_of = asked,
-            Stream::Fleet if at_end => self.facts.fleet_as_of = asked,
+            Stream::Configuration if at_end => {
+                facts.history_as_of = facts.history_as_of.max(asked);
+            }
+            Stream::Fleet if at_end => facts.fleet_as_of = facts.fleet_as_of.max(asked),
             Stream::Partition(index) => {
                 self.tell(steward::Event::Rows { index, rows, at_end }).await;
             }
             _ => {}
         }
+        if let Some(i) = self.position(stream) {
+            let next = from + chunk.entries.len() as u64;
+            self.tails[i].known.fetch_max(next, Ordering::Relaxed);
+        }
+        // Whoever hears a verdict must find what it rests on in the facts.
+        self.publish_facts();
+        for (id, verdict) in judged {
+            self.answer(&id, Published::Judged(verdict));
+        }
         if at_end {
             self.read_back(stream, asked).await;
         }
@@ -432,6 +517,11 @@
         for Lost { stream, id, .. } in late {
             self.landed(stream, id, Landing::Unknown).await;
         }
+        // A record whose row was passed over, because a snapshot or a peer came first.
+        let late = self.waiters.iter().filter(|w| now.since(w.since) > READ_BACK.times(2));
+        for id in late.map(|w| w.id.clone()).collect::<Vec<_>>() {
+            self.answer(&id, Published::Unknown);
+        }
     }
 
     async fn landed(&mut self, stream: Stream, id: record::Id, landing: Landing) {
@@ -447,10 +537,6 @@
         self.answer(&id, published);
     }
 
-    fn judged(&mut self, id: &record::Id, verdict: Verdict) {
-        self.answer(id, Published::Judged(verdict));
-    }
-
     fn answer(&mut self, id: &record::Id, published: Published) {
         if published != Published::Unknown {
             self.unsettled.retain(|u| u.id != *id);
@@ -485,49 +571,3 @@
         self.duty.facts.send_replace(self.facts.clone());
     }
 }
-
-/// Reads rows from an offset on, or from the first that the log still keeps.
-async fn rows(
-    log: &dyn Log,
-    stream: Stream,
-    from: Offset,
-) -> Result<Vec<(Offset, Record)>, Failure> {
-    let name = stream.to_string();
-    match log.read(&name, from, READ_MAX, Millis::ZERO).await {
-        Ok(chunk) => Ok(decode(from, &chunk)),
-        Err(Failure::Gone { horizon }) => {
-            let chunk = log.read(&name, horizon, READ_MAX, Millis::ZERO).await?;
-            Ok(decode(horizon, &chunk))
-        }
-        Err(failure) => Err(failure),
-    }
-}
-
-/// Reads a stream for as long as it is wanted.
-async fn follow(stream: Stream, log: Arc<dyn Log>, wait: Millis, events: Sender<Event>) {
-    let name = stream.to_string();
-    let mut from = 0;
-    loop {
-        let asked = view::now();
-        let result = log.read(&name, from, READ_MAX, wait).await;
-        let failed = result.is_err();
-        let next = match &result {
-            Ok(chunk) => from + chunk.entries.len() as u64,
-            Err(Failure::Gone { horizon }) => *horizon,
-            Err(_) => from,
-        };
-        if events.push(Event::Read { stream, asked, from, result }).await.is_err() {
-            return;
-        }
-        from = next;
-        if failed {
-            tokio::time::sleep(READ_PAUSE).await;
-        }
-    }
-}
-
-/// Decodes the entries of a chunk. An entry that is not a record is skipped by every reader.
-fn decode(from: Offset, chunk: &Chunk) -> Vec<(Offset, Record)> {
-    let numbered = (from..).zip(&chunk.entries);
-    numbered.filter_map(|(offset, entry)| Some((offset, codec::unpack(entry).ok()?))).collect()
-}
--- a/crates/daemon/src/duty/watch.rs
+++ b/crates/daemon/src/duty/watch.rs
@@ -11,7 +11,7 @@
 use pimentovalve_core::contract::configuration::Version;
 use pimentovalve_core::name::Name;
 use pimentovalve_core::timeline::What;
-use pimentovalve_core::zone::membership::State;
+use pimentovalve_core::zone::membership::{Role, State};
 use pimentovalve_wire::http::Pending;
 use std::sync::Arc;
 use std::time::Duration;
@@ -104,7 +104,8 @@
         let found = missing(&heard, &self.heard).map(|peer| What::PeerHeard { peer });
         let mut changes: Vec<What> = lost.chain(found).collect();
         self.heard = heard;
-        let gone = members.listed.iter().filter(|i| i.state == State::Leaving);
+        let gone =
+            members.listed.iter().filter(|i| i.role != Role::Entry && i.state == State::Leaving);
         let mut leaving: Vec<Name> = gone.map(|i| i.name.clone()).collect();
         leaving.sort();
         changes.extend(
--- a/crates/daemon/src/duty/watch/tests.rs
+++ b/crates/daemon/src/duty/watch/tests.rs
@@ -6,6 +6,7 @@
 use pimentovalve_core::timeline::What;
 use pimentovalve_core::zone::Place;
 use pimentovalve_core::zone::membership::{Instance, Role, State};
+use std::sync::Arc;
 
 const TERM: Millis = Millis(100);
 
@@ -54,7 +55,7 @@
     let mut seen = Seen::default();
     let mut members = Members::alone(own.clone());
     members.candidates = vec![own, peer];
-    members.listed = vec![runner];
+    members.listed = Arc::new(vec![runner]);
     let first = vec![
         What::PeerHeard { peer: name("entry-2") },
         What::LeavingSeen { instance: name("runner-1") },
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -7,8 +7,7 @@
 use pimentovalve_core::ledger::fleet::Fleet;
 use pimentovalve_core::ledger::history::History;
 use pimentovalve_core::machine::capacity::Capacity;
-use pimentovalve_core::machine::worker::Epoch;
-use pimentovalve_core::name::Name;
+use pimentovalve_core::machine::controller::Tenure;
 use pimentovalve_core::zone::membership::{Instance, Role, State};
 use pimentovalve_core::zone::stewardship;
 use pimentovalve_wire::peer::Ping;
@@ -20,26 +19,27 @@
     /// This instance.
     pub own: Instance,
     /// All listed instances.
-    pub listed: Vec<Instance>,
+    pub listed: Arc<Vec<Instance>>,
     /// Entry instances that may own something, sorted by name.
     pub candidates: Vec<Instance>,
     /// Entry instances that must be told, listed now or within the list's lag.
     pub peers: Vec<Instance>,
-    /// Whether this instance has been listed for the list's longest lag.
-    pub settled: bool,
+    /// Since when every instance that relies on its list must ask this one, if that can be shown.
+    /// Only then may it record a loss or rest on one.
+    pub asked_since: Option<Millis>,
     /// Whether this instance drains.
     pub draining: bool,
 }
 
 impl Members {
     /// Returns a view that knows only this instance.
-    pub const fn alone(own: Instance) -> Self {
+    pub fn alone(own: Instance) -> Self {
         Self {
             own,
-            listed: Vec::new(),
+            listed: Arc::default(),
             candidates: Vec::new(),
             peers: Vec::new(),
-            settled: false,
+            asked_since: None,
             draining: false,
         }
     }
@@ -86,6 +86,7 @@
     pub fn word(&self, own: &Instance) -> Ping {
         Ping {
             from: own.name.clone(),
+            at: now(),
             draining: own.state == State::Leaving,
             version: self.history.configuration().version,
             history_next: self.history.next,
@@ -115,8 +116,8 @@
 /// The workers that the control duty controls.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Held {
-    /// Workers with the epochs of this instance, sorted by name.
-    pub workers: Arc<Vec<(Name, Epoch)>>,
+    /// The workers, sorted by name.
+    pub workers: Arc<Vec<Tenure>>,
     /// Adoptions since the start.
     pub adopted: u64,
     /// Workers that were handed over, lost or taken since the start.
@@ -125,12 +126,14 @@
 
 impl Held {
     /// Takes in the workers that are controlled now. Returns whether something changed.
-    pub fn update(&mut self, workers: Vec<(Name, Epoch)>) -> bool {
+    pub fn update(&mut self, workers: Vec<Tenure>) -> bool {
         if *self.workers == workers {
             return false;
         }
-        let lacks =
-            |list: &[(Name, Epoch)], item: &(Name, Epoch)| list.binary_search(item).is_err();
+        let lacks = |list: &[Tenure], item: &Tenure| {
+            let found = list.binary_search_by(|t| t.worker.cmp(&item.worker));
+            found.map_or(true, |i| list[i].epoch != item.epoch)
+        };
         self.adopted += workers.iter().filter(|w| lacks(&self.workers, w)).count() as u64;
         self.given_up += self.workers.iter().filter(|w| lacks(&workers, w)).count() as u64;
         self.workers = Arc::new(workers);
