--- a/tests/recovery_outage.rs
+++ b/tests/recovery_outage.rs
@@ -129,6 +129,9 @@
         let id = format!("in-hand-{round}");
         trial.submit_at((round + 1) % 3, &batch(&id, 6, "run_ms=400 result=done"));
         trial.cell.freeze(round, true);
+        if round == 0 {
+            expect_that!(trial.version(round), none(), "a paused daemon answers nothing");
+        }
         wait(past_leases(&trial.cell.bounds()));
         trial.cell.freeze(round, false);
         trial.await_ended(&id);
