--- a/crates/core/src/contract/scheduler.rs
+++ b/crates/core/src/contract/scheduler.rs
@@ -24,12 +24,12 @@
 use crate::contract::kind::Kind;
 use crate::contract::measure::Counters;
 use crate::contract::queue::{ALL_TASKS, Queue, Unit};
-use crate::contract::share::{Fleet, Totals, Usage};
+use crate::contract::share::{Account, Fleet, Totals, Usage};
 use crate::contract::table::{self, Claim, Entry, Number, Place as TaskPlace, Table};
 use crate::contract::{policy, task};
 use crate::machine::capacity::Capacity;
 use crate::machine::estimate::{Estimates, Sample};
-use crate::machine::health::Health;
+use crate::machine::health::{Failure, Health, PROOF, State};
 use crate::machine::placement::Handle;
 use crate::machine::view::{Report, View};
 use crate::machine::worker::Ending;
@@ -40,6 +40,9 @@
 /// Cancelled units that are left in the queue before it is compacted.
 const STALE_UNITS: usize = 1024;
 
+/// Failures that are kept for the peers at most.
+const NEWS: usize = 256;
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -64,22 +67,13 @@
     },
 }
 
-/// A team with what it uses and waits for.
+/// A team with what it uses.
 #[derive(Clone, Debug)]
 struct Team {
     name: Name,
     weight: u32,
     quota: Capacity,
     used: Capacity,
-    /// Waiting tasks, by class.
-    waiting: [Waiting; Class::ALL.len()],
-}
-
-/// What a team waits for in one class.
-#[derive(Clone, Copy, Debug, Default)]
-struct Waiting {
-    tasks: u32,
-    work: u64,
 }
 
 /// Queues the work of a steward's teams and decides its placement.
@@ -113,6 +107,8 @@
     /// Units in the queue whose task waits no more.
     stale: usize,
     group: u64,
+    /// Failures that the peers were not told yet.
+    news: Vec<Failure>,
     counters: Counters,
     /// Whether something happened since the last pass that decided nothing.
     changed: bool,
@@ -146,6 +142,7 @@
             relieved_at: Millis::ZERO,
             stale: 0,
             group: 0,
+            news: Vec::new(),
             counters: Counters::default(),
             changed: true,
             settled_at: Millis::ZERO,
@@ -165,9 +162,17 @@
             let number = self.team_or_insert(&team.name);
             let known = &mut self.teams[usize::from(number)];
             (known.weight, known.quota) = (team.weight, team.quota);
+            self.usage.weigh(number, team.weight);
         }
     }
 
+    /// Sets a number that differs between stewards, such as the hash of the instance's name. Of
+    /// workers that suit about equally well, stewards with different numbers prefer different
+    /// ones, and so refuse each other less often.
+    pub const fn salt(&mut self, salt: u64) {
+        self.view.salt(salt);
+    }
+
     /// Takes in a controller's report of a worker.
     pub fn worker(&mut self, report: &Report<'_>) {
         let known = self.view.handle(report.worker.name.as_str()).is_some();
@@ -194,6 +199,19 @@
         self.usage.gossip(peer, totals, now);
     }
 
+    /// Returns the failures since the last call, to be sent to the peers soon.
+    pub fn take_news(&mut self) -> Vec<Failure> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Takes in a failure that a peer saw.
+    pub fn peer_failed(&mut self, failure: &Failure, now: Millis) {
+        if let Some(handle) = self.view.handle(failure.worker.as_str()) {
+            self.health.strike(handle, failure.job, now);
+            self.refresh(handle, now);
+        }
+    }
+
     /// Returns what this steward's teams use and wait for, to be sent to the peers.
     pub const fn totals(&self) -> &Totals {
         self.usage.totals()
@@ -203,7 +221,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why not: all findings when it could never run, else a time to come back.
+    /// Returns why not: all findings when it could never run, else a time to come back, which
+    /// differs from job to job, so that refused callers don't all come back at once.
     pub fn admit(
         &self,
         job: &Job,
@@ -213,8 +232,11 @@
         admission::check(job, configuration, &self.view)?;
         let kind = configuration.kind(job.kind.as_str());
         let class = job.class.or(kind.map(|k| k.class)).unwrap_or_default();
-        let known = self.team(&job.team).map(|team| self.backlog(team, class, job, now));
-        known.unwrap_or(Backlog { idle: true, ..Backlog::default() }).verdict(class)
+        let known = self.team(&job.team).map(|team| self.backlog(team, class, job));
+        let backlog = known.unwrap_or(Backlog { idle: true, ..Backlog::default() });
+        backlog
+            .verdict(class)
+            .map_err(|refusal| refusal.jittered(table::hash(job.id.as_str()), now))
     }
 
     /// Queues tasks of an accepted job. `since` is when they began to wait: tasks that waited
@@ -235,16 +257,13 @@
                 units.push(Unit { job: number, index, since });
             }
         }
-        let count = units.len() as u64;
+        let count = u32::try_from(units.len()).unwrap_or(u32::MAX);
         if entry.policy.is_together() && count > 0 {
             units.truncate(1);
             units[0].index = ALL_TASKS;
         }
         entry.units += u32::try_from(units.len()).unwrap_or(u32::MAX);
-        let waiting = &mut self.teams[usize::from(team)].waiting[class.index()];
-        waiting.tasks += u32::try_from(count).unwrap_or(u32::MAX);
-        waiting.work = waiting.work.saturating_add(work.saturating_mul(count));
-        self.usage.wait(class, &needs.times(count));
+        self.usage.wait(class, team, &needs, work, count);
         let first = self.queue.unit(class, team, 0);
         let front = first.is_some_and(|first| since < first.since);
         for unit in units {
@@ -258,7 +277,7 @@
         let Some(number) = self.table.number(job) else { return };
         self.drop_reservations(|r| r.job == number);
         let Some(entry) = self.table.get_mut(number) else { return };
-        let count = u64::from(std::mem::take(&mut entry.waiting));
+        let count = std::mem::take(&mut entry.waiting);
         for place in &mut entry.tasks {
             if matches!(place, TaskPlace::Waiting(_)) {
                 *place = TaskPlace::Idle;
@@ -266,7 +285,7 @@
         }
         self.stale += entry.units as usize;
         let (class, team, needs, work) = (entry.class, entry.team, entry.needs, entry.work);
-        self.unwait(class, team, &needs, work, count);
+        self.usage.unwait(class, team, &needs, work, count);
         self.remove_if_over(number);
         self.compact();
     }
@@ -283,7 +302,7 @@
         entry.waiting -= 1;
         self.stale += 1;
         let (class, team, needs, work) = (entry.class, entry.team, entry.needs, entry.work);
-        self.unwait(class, team, &needs, work, 1);
+        self.usage.unwait(class, team, &needs, work, 1);
         self.remove_if_over(number);
         self.compact();
     }
@@ -306,6 +325,7 @@
         });
         for (index, claim) in placed {
             self.unplace(number, index, &claim, Millis::ZERO);
+            self.view.release(claim.worker, &claim.needs);
         }
         self.remove_if_over(number);
     }
@@ -339,7 +359,7 @@
             } else {
                 self.view.release(claim.worker, &claim.needs);
             }
-            self.health.withdrawn(claim.worker, now);
+            self.health.withdrawn(claim.worker, now, now);
             self.refresh(claim.worker, now);
         }
         self.withdraw(number, &group, now);
@@ -363,14 +383,18 @@
         match ending {
             Ending::Completed(_) => {
                 self.estimates.completed(&kind, &sample);
-                self.health.succeeded(handle, hash);
+                self.health.succeeded(handle, hash, now - ran, now);
             }
             Ending::Failed(_) => {
-                self.health.failed(handle, hash, now);
+                self.health.failed(handle, hash, now - ran, now);
+                if self.news.len() < NEWS {
+                    let worker = self.view.worker(handle).name.clone();
+                    self.news.push(Failure { worker, job: hash });
+                }
             }
             Ending::Stopped | Ending::Checkpointed | Ending::Lapsed => {
                 self.estimates.seen(&kind, &sample.declared, peak);
-                self.health.withdrawn(handle, now);
+                self.health.withdrawn(handle, now - ran, now);
             }
         }
         self.unplace(number, task.index, &claim, ran);
@@ -428,6 +452,11 @@
         &self.counters
     }
 
+    /// Returns the number of workers that are quarantined or probed.
+    pub fn quarantined(&self) -> usize {
+        self.health.quarantined()
+    }
+
     /// Returns the view of the fleet's free capacity.
     pub const fn view(&self) -> &View {
         &self.view
@@ -435,12 +464,13 @@
 
     /// Returns the number of waiting tasks in a class.
     pub fn waiting(&self, class: Class) -> u64 {
-        self.teams.iter().map(|t| u64::from(t.waiting[class.index()].tasks)).sum()
+        let teams = self.teams_by_name.iter();
+        teams.map(|&team| u64::from(self.usage.account(class, team).tasks)).sum()
     }
 
     /// Returns what a team's tasks use.
     pub fn used(&self, team: &Name) -> Capacity {
-        self.team(team).map_or(Capacity::ZERO, |t| t.used)
+        self.team(team).map_or(Capacity::ZERO, |number| self.teams[usize::from(number)].used)
     }
 
     fn fleet(&self) -> Fleet {
@@ -452,10 +482,10 @@
         }
     }
 
-    fn team(&self, name: &Name) -> Option<&Team> {
+    fn team(&self, name: &Name) -> Option<u16> {
         let position = |&n: &u16| self.teams[usize::from(n)].name.cmp(name);
         let found = self.teams_by_name.binary_search_by(position);
-        found.ok().map(|i| &self.teams[usize::from(self.teams_by_name[i])])
+        found.ok().map(|i| self.teams_by_name[i])
     }
 
     fn team_or_insert(&mut self, name: &Name) -> u16 {
@@ -469,31 +499,23 @@
                     weight: 1,
                     quota: Capacity::ZERO,
                     used: Capacity::ZERO,
-                    waiting: [Waiting::default(); Class::ALL.len()],
                 });
+                self.usage.weigh(number, 1);
                 self.teams_by_name.insert(i, number);
                 number
             }
         }
     }
 
-    /// Returns what waits before further work of a team, and how fast it is served.
-    fn backlog(&self, team: &Team, class: Class, job: &Job, _now: Millis) -> Backlog {
+    /// Returns what waits before a job of a team, and how fast it is served.
+    fn backlog(&self, team: u16, class: Class, job: &Job) -> Backlog {
         let fleet = self.fleet();
-        let waiting = team.waiting[class.index()];
-        let share = u64::from(self.shares.of(class)) * 10_000;
-        let used = self.usage.used(class).dominant(&fleet.total);
-        let weights: u64 = self
-            .teams
-            .iter()
-            .filter(|t| t.waiting[class.index()].tasks > 0 || t.name == team.name)
-            .map(|t| u64::from(t.weight))
-            .sum();
-        let rate = share.max(used).max(1) * u64::from(team.weight) / weights.max(1);
-        let queued = self.usage.totals().waiting[class.index()];
+        let Account { tasks, work, .. } = *self.usage.account(class, team);
+        let rate = self.usage.rate(class, team, &fleet);
+        let queued = self.usage.totals().needy[class.index()];
         let ahead = queued.plus(&job.needs.times(u64::from(job.tasks)));
-        let idle = self.usage.allows(class, &ahead, true, &fleet) && fleet.free.holds(&ahead);
-        Backlog { tasks: waiting.tasks, work: waiting.work, rate, idle }
+        let idle = tasks == 0 && self.usage.allows(class, team, &ahead, true, &fleet);
+        Backlog { tasks, work, rate, idle }
     }
 
     fn insert(&mut self, job: &Job, kind: &Kind) -> Number {
@@ -542,41 +564,16 @@
 
     /// Brings the view of a worker in line with its health.
     fn refresh(&mut self, handle: Handle, now: Millis) {
-        self.view.quarantine(handle, self.health.is_paused(handle, now));
-        if let crate::machine::health::State::Quarantined(until) = self.health.state(handle) {
+        let paused = self.health.is_paused(handle, now);
+        self.view.quarantine(handle, paused);
+        if paused {
+            self.checks.push_back((now + PROOF, handle));
+        }
+        if let State::Quarantined(until) | State::Probed(until) = self.health.state(handle) {
             self.quarantines.retain(|&(_, h)| h != handle);
             self.quarantines.push((until, handle));
         }
     }
-
-    fn remove_if_over(&mut self, number: Number) {
-        let over = |e: &Entry| e.units == 0 && e.waiting == 0 && e.placed == 0;
-        if self.table.get(number).is_some_and(over) {
-            self.table.remove(number);
-        }
-    }
-
-    /// Drops the queue units of cancelled tasks once there are more of them than of others.
-    fn compact(&mut self) {
-        let waiting: u64 = Class::ALL.iter().map(|&class| self.waiting(class)).sum();
-        if self.stale <= STALE_UNITS || (self.stale as u64) < waiting {
-            return;
-        }
-        let (table, mut over) = (&mut self.table, Vec::new());
-        self.queue.retain(|unit| {
-            let Some(entry) = table.get_mut(unit.job) else { return false };
-            let keep = entry.waiting > 0;
-            if !keep {
-                entry.units = entry.units.saturating_sub(1);
-                over.push(unit.job);
-            }
-            keep
-        });
-        self.stale = 0;
-        for number in over {
-            self.remove_if_over(number);
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/daemon/src/duty/gossip.rs
+++ b/crates/daemon/src/duty/gossip.rs
@@ -4,10 +4,10 @@
 use crate::duty::Duty;
 use crate::duty::ledger::Command;
 use crate::platform::{Failure, List};
-use crate::ring::{self, Latest, Publisher, Sender};
+use crate::ring::{self, Latest, Publisher, Receiver, Sender};
 use crate::view::{self, Facts, Members};
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::zone::membership::{self, Instance, Membership, Role};
+use pimentovalve_core::zone::membership::{self, Instance, Membership};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::traffic::Traffic;
@@ -38,12 +38,14 @@
     pub ledger: Sender<Command>,
     /// Where the view goes.
     pub members: Publisher<Arc<Members>>,
+    /// Signs of life that peers sent.
+    pub pings: Receiver<Ping>,
     /// Cancelled when the instance starts to drain.
     pub drain: CancellationToken,
 }
 
 enum Event {
-    Listed { asked: Millis, result: Result<Vec<Instance>, Failure> },
+    Listed { asked: Millis, result: Result<Arc<Vec<Instance>>, Failure> },
     Pong { peer: Instance, asked: Millis, pong: Option<Ping> },
     Pulled(Pulled),
 }
@@ -59,7 +61,7 @@
     duty: Gossip,
     client: Arc<Client>,
     events: Sender<Event>,
-    listed: Vec<Instance>,
+    listed: Arc<Vec<Instance>>,
     list_read: Millis,
     words: Vec<Word>,
     pinging: Vec<Instance>,
@@ -81,20 +83,22 @@
                 duty: *self,
                 client,
                 events,
-                listed: Vec::new(),
+                listed: Arc::default(),
                 list_read: Millis::ZERO,
                 words: Vec::new(),
                 pinging: Vec::new(),
             };
             let mut draining = false;
+            let pings = state.duty.pings.clone();
             loop {
                 tokio::select! {
                     () = stop.cancelled() => break,
                     () = drain.cancelled(), if !draining => {
                         draining = true;
                         state.duty.membership.drain();
-                        state.ping();
+                        state.ping_all();
                     }
+                    Some(ping) = pings.next() => state.pinged(ping),
                     Some(event) = received.next() => state.event(event),
                     _ = list_tick.tick() => state.list(),
                     _ = ping_tick.tick() => state.ping(),
@@ -117,18 +121,45 @@
         });
     }
 
+    /// Pings the peers whose name is greater, since one exchange tells both ends; and those that
+    /// should have pinged and did not.
     fn ping(&mut self) {
+        let now = view::now();
+        let overdue = self.duty.ping_every.times(2);
+        let own = &self.duty.membership.own().name;
+        let is_mine = |peer: &Instance| {
+            let word = self.words.binary_search_by(|w| w.peer.name.cmp(&peer.name));
+            let fresh = word.is_ok_and(|i| now.since(self.words[i].asked) <= overdue);
+            *own < peer.name || !fresh
+        };
+        let peers: Vec<Instance> =
+            self.duty.membership.peers().filter(|p| is_mine(p)).cloned().collect();
+        for peer in peers {
+            self.ping_one(peer);
+        }
+    }
+
+    fn ping_all(&mut self) {
         let peers: Vec<Instance> = self.duty.membership.peers().cloned().collect();
         for peer in peers {
-            if self.pinging.iter().any(|p| p.name == peer.name) {
-                continue;
-            }
-            self.pinging.push(peer.clone());
             self.ping_one(peer);
         }
     }
 
-    fn ping_one(&self, peer: Instance) {
+    /// Takes in a sign of life that a peer sent. What it says was true by the peer's clock then.
+    fn pinged(&mut self, ping: Ping) {
+        let peer = self.duty.membership.peers().find(|p| p.name == ping.from).cloned();
+        if let Some(peer) = peer {
+            let asked = ping.at - self.duty.skew;
+            self.pong(peer, asked, ping);
+        }
+    }
+
+    fn ping_one(&mut self, peer: Instance) {
+        if self.pinging.iter().any(|p| p.name == peer.name) {
+            return;
+        }
+        self.pinging.push(peer.clone());
         let ping = self.word();
         let (client, events) = (Arc::clone(&self.client), self.events.clone());
         let (timeout, key) = (self.duty.ping_every.times(2), self.duty.key.clone());
@@ -173,7 +204,7 @@
     }
 
     /// Takes in a reading of the list, which is as old as its question.
-    fn listed(&mut self, instances: Vec<Instance>, asked: Millis) {
+    fn listed(&mut self, instances: Arc<Vec<Instance>>, asked: Millis) {
         self.list_read = asked;
         self.duty.membership.listed(&instances, asked);
         self.listed = instances;
@@ -256,7 +287,7 @@
         let draining = own.state == membership::State::Leaving;
         let members = Members {
             own,
-            listed: self.listed.iter().filter(|i| i.role != Role::Entry).cloned().collect(),
+            listed: Arc::clone(&self.listed),
             candidates: membership.candidates(now).into_iter().cloned().collect(),
             peers: membership.peers().cloned().collect(),
             asked_since: membership.asked_since(now),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -17,6 +17,8 @@
 pub struct Ping {
     /// The sender.
     pub from: Name,
+    /// When it says this, by its clock.
+    pub at: Millis,
     /// Whether the sender is draining and owns nothing new.
     pub draining: bool,
     /// Configuration in force at the sender.
@@ -115,6 +117,11 @@
     },
     /// The request did not run here, and may be tried elsewhere.
     NotRun,
+    /// As [`Self::NotRun`]: all runners here are in use.
+    Busy {
+        /// When there may be room.
+        retry_after_ms: Millis,
+    },
     /// The request may have run.
     Unknown,
 }
