--- a/tests/attack.rs
+++ b/tests/attack.rs
@@ -69,7 +69,7 @@
             jobs += 1;
         }
         world.step();
-        if passed > 20_000 && passed % 1000 == 0 && world.open_jobs().is_empty() {
+        if passed > 20_000 && passed.is_multiple_of(1000) && world.open_jobs().is_empty() {
             break;
         }
     }
--- a/tests/attack/world.rs
+++ b/tests/attack/world.rs
@@ -1,22 +1,24 @@
 //! Stewards, controllers and arbiters as they are, joined by a log and links in memory, on virtual
 //! time. Everything that happens follows from the seed.
 
+mod effects;
+
 use super::fault::{Draw, Fault};
 use pimentovalve::core::clock::Millis;
 use pimentovalve::core::contract::configuration::{Configuration, Patch};
 use pimentovalve::core::contract::job::Job;
 use pimentovalve::core::contract::planner::weighted::Weighted;
 use pimentovalve::core::contract::request::Reason;
-use pimentovalve::core::contract::steward::{self, Ask, Landing, Steward, Told};
+use pimentovalve::core::contract::steward::{self, Ask, Landing, Steward};
 use pimentovalve::core::contract::task;
 use pimentovalve::core::ledger::book::Book;
 use pimentovalve::core::ledger::fleet::Fleet;
-use pimentovalve::core::ledger::record::{self, Change, Record, Register};
+use pimentovalve::core::ledger::record::{self, Record};
 use pimentovalve::core::ledger::{Offset, Stream, Verdict};
 use pimentovalve::core::machine::arbiter::Arbiter;
 use pimentovalve::core::machine::capacity::Capacity;
 use pimentovalve::core::machine::controller::{
-    self, Controller, Ending, Grant, Heard, Outcome, Pulse, Standing, Wish,
+    self, Controller, Ending, Grant, Heard, Pulse, Standing, Wish,
 };
 use pimentovalve::core::machine::lease::Bounds;
 use pimentovalve::core::machine::worker::{self, Epoch, Inventory, Order, Reply};
@@ -408,30 +410,6 @@
         self.now + Millis(self.daemons[daemon].skew)
     }
 
-    fn answered(&mut self, d: usize, call: u64, answer: Option<Answer>) {
-        let now = self.time_at(d);
-        let daemon = &mut self.daemons[d];
-        let Some(i) = daemon.calls.iter().position(|(number, _)| *number == call) else { return };
-        let controller = &mut daemon.controller;
-        match (daemon.calls.remove(i).1, answer) {
-            (Call::Adopt(worker), Some(Answer::Adopted(inventory))) => {
-                controller.adopted(worker.as_str(), Outcome::Answered(inventory), now);
-            }
-            (Call::Adopt(worker), _) => controller.adopted(worker.as_str(), Outcome::Silent, now),
-            (Call::Beat(worker), Some(Answer::Beaten(heard))) => {
-                controller.beaten(worker.as_str(), Outcome::Answered(heard), now);
-            }
-            (Call::Beat(worker), _) => controller.beaten(worker.as_str(), Outcome::Silent, now),
-            (Call::Orders(worker, epoch, orders), Some(Answer::Ordered(replies))) => {
-                let outcome = Outcome::Answered(replies);
-                controller.ordered(worker.as_str(), epoch, &orders, outcome, now);
-            }
-            (Call::Orders(worker, epoch, orders), _) => {
-                controller.ordered(worker.as_str(), epoch, &orders, Outcome::Silent, now);
-            }
-        }
-    }
-
     fn beat(&mut self, w: usize, pulse: &Pulse) -> Heard {
         let machine = &mut self.machines[w];
         let now = self.now + Millis(machine.skew);
@@ -494,7 +472,7 @@
     /// Reads the list and hears the peers.
     fn look_around(&mut self, d: usize) {
         let now = self.time_at(d);
-        if self.now.get() % LIST_EVERY == 0 {
+        if self.now.get().is_multiple_of(LIST_EVERY) {
             let listed = self.listed.clone();
             let heard: Vec<Name> = self
                 .daemons
@@ -591,116 +569,6 @@
         }
     }
 
-    fn carry_out_steward(&mut self, d: usize) {
-        let mut wishes: Vec<(Name, Vec<Wish>)> = Vec::new();
-        for effect in self.daemons[d].steward.effects() {
-            match effect {
-                steward::Effect::Append { stream, record } => self.append(d, stream, record),
-                steward::Effect::Wish(wish) => {
-                    let reporters = &self.daemons[d].reporters;
-                    let found = reporters.binary_search_by(|(w, _)| w.cmp(wish.worker()));
-                    let Ok(i) = found else { continue };
-                    let controller = reporters[i].1.clone();
-                    match wishes.iter_mut().find(|(c, _)| *c == controller) {
-                        Some((_, list)) => list.push(wish),
-                        None => wishes.push((controller, vec![wish])),
-                    }
-                }
-                steward::Effect::Tell { ticket, told: Told::Job(_) } => {
-                    if let Some((_, accepted)) = self.jobs.get_mut(ticket as usize) {
-                        *accepted = true;
-                    }
-                }
-                steward::Effect::Tell { .. } | steward::Effect::Note { .. } => {}
-            }
-        }
-        for (controller, wishes) in wishes {
-            if let Some(to) = self.daemons.iter().position(|p| p.name == controller) {
-                self.send(Message::Wishes { from: d, to, wishes });
-            }
-        }
-    }
-
-    fn append(&mut self, d: usize, stream: Stream, record: Record) {
-        let id = record.id.clone();
-        let landing = if self.log_out_until > self.now {
-            Landing::Refused
-        } else if self.late_until > self.now && self.draw.below(2) == 0 {
-            let late = Millis(self.draw.below(5000));
-            self.send_after(late, Message::Append { stream, record });
-            Landing::Unknown
-        } else {
-            let lost = self.lost_until > self.now && self.draw.below(2) == 0;
-            self.send(Message::Append { stream, record });
-            if lost { Landing::Unknown } else { Landing::Landed }
-        };
-        self.send_after(Millis(400), Message::Landed { to: d, id, landing });
-    }
-
-    fn carry_out_controller(&mut self, d: usize) {
-        for effect in self.daemons[d].controller.effects() {
-            self.number += 1;
-            let (from, call) = (d, self.number);
-            let machine = |name: &Name| self.machines.iter().position(|m| m.name == *name);
-            let (about, message) = match effect {
-                controller::Effect::Adopt { worker, expected, .. } => {
-                    let Some(w) = machine(&worker) else { continue };
-                    (Call::Adopt(worker), Message::Adopt { from, call, worker: w, expected })
-                }
-                controller::Effect::Beat { worker, pulse, .. } => {
-                    let Some(w) = machine(&worker) else { continue };
-                    (Call::Beat(worker), Message::Beat { from, call, worker: w, pulse })
-                }
-                controller::Effect::Order { worker, epoch, orders, .. } => {
-                    let Some(w) = machine(&worker) else { continue };
-                    let sent = orders.clone();
-                    (
-                        Call::Orders(worker, epoch, orders),
-                        Message::Orders { from, call, worker: w, epoch, orders: sent },
-                    )
-                }
-                controller::Effect::Lose { worker, epoch, expect } => {
-                    self.lose(d, worker, epoch, expect);
-                    continue;
-                }
-            };
-            self.daemons[d].calls.push((call, about));
-            self.send(message);
-            self.send_after(TIMEOUT, Message::TimedOut { to: d, call });
-        }
-    }
-
-    fn lose(&mut self, d: usize, worker: Name, epoch: Epoch, expect: u64) {
-        let now = self.now;
-        let daemon = &mut self.daemons[d];
-        daemon.losing.retain(|(_, at)| now.since(*at) < Millis(2000));
-        if daemon.losing.iter().any(|(w, _)| *w == worker) {
-            return;
-        }
-        daemon.losing.push((worker.clone(), now));
-        daemon.numbers += 1;
-        let writer = name(&format!("{}.ledger", daemon.name));
-        let id = record::Id { writer, number: daemon.numbers };
-        let at = now + Millis(daemon.skew);
-        let (register, change) = (Register::Worker(worker), Change::Lost { epoch });
-        self.append(d, Stream::Fleet, Record { id, at, register, expect, change });
-    }
-
-    fn report(&mut self, d: usize) {
-        if self.now.get() % LIST_EVERY != 0 {
-            return;
-        }
-        let daemon = &mut self.daemons[d];
-        // Everything, always: a peer that was dead or frozen must hear it too.
-        let (standings, last) = daemon.controller.standings(0);
-        daemon.change = last;
-        let (endings, from) = (daemon.controller.endings(), daemon.name.clone());
-        for to in 0..self.daemons.len() {
-            let (standings, endings) = (standings.clone(), endings.clone());
-            self.send(Message::Report { to, from: from.clone(), standings, endings });
-        }
-    }
-
     /// Notes what must never be.
     fn check(&mut self) {
         let mut running: Vec<(&task::Id, &Name)> = Vec::new();
