Carry out all effects in the embedding example

Cause: the example dropped effects that came up while it carried others out, so its job never ended. Change: it goes on until there are none; the bench reads metrics on a new connection. Conclusion: the example shows the loop that a front end needs.

--- a/crates/bench/src/experiment/live.rs
+++ b/crates/bench/src/experiment/live.rs
@@ -92,7 +92,7 @@
         let memory = b.resident_bytes as f64 / 1e6;
         let mut rates = [0.0; 3];
         for (i, rate) in rates.iter_mut().enumerate() {
-            *rate = (b.bytes[i] - a.bytes[i]) as f64 / seconds / 1e3;
+            *rate = (b.bytes[i] as f64 - a.bytes[i] as f64) / seconds / 1e3;
         }
         Use { cpu, memory, wire: rates }
     };
--- a/crates/bench/src/node.rs
+++ b/crates/bench/src/node.rs
@@ -79,12 +79,12 @@
         }
     }
 
-    /// Reads the daemon's metrics, empty when it doesn't answer.
+    /// Reads the daemon's metrics on a new connection, empty when it doesn't answer.
     pub fn metrics(&self, runtime: &Runtime, client: &Client) -> String {
         let address = self.addresses[3].to_string();
-        let call = client.call(Call::get(&address, "/metrics", METRICS_TIMEOUT));
+        let call = Call { fresh: true, ..Call::get(&address, "/metrics", METRICS_TIMEOUT) };
         runtime
-            .block_on(call)
+            .block_on(client.call(call))
             .map_or_else(|_| String::new(), |r| String::from_utf8_lossy(&r.body).into_owned())
     }
 }
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -12,7 +12,7 @@
 use pimentovalve::core::contract::job::{Job, Raw};
 use pimentovalve::core::contract::kind::{Kind, Separation, Shape};
 use pimentovalve::core::contract::planner::weighted::Weighted;
-use pimentovalve::core::contract::steward::{self, Ask, Effect, Landing, Steward, Told};
+use pimentovalve::core::contract::steward::{self, Ask, Effect, Landing, Steward, Ticket, Told};
 use pimentovalve::core::contract::team::Team;
 use pimentovalve::core::finding::List;
 use pimentovalve::core::ledger::book::Book;
@@ -27,6 +27,10 @@
 
 /// Time between two rounds of the loop.
 const ROUND: Millis = Millis(50);
+/// Question by which the job is submitted.
+const SUBMIT: Ticket = 1;
+/// Question for the job's state.
+const STATUS: Ticket = 2;
 /// Rounds after which a job that has not ended counts as stuck.
 const MAX_ROUNDS: u32 = 1000;
 
@@ -43,7 +47,7 @@
         payload: "deeds 1 to 3".into(),
     };
     cell.report();
-    cell.steward.ask(1, Ask::Submit(Job::try_from(raw)?), cell.now);
+    cell.steward.ask(SUBMIT, Ask::Submit(Job::try_from(raw)?), cell.now);
     for round in 0..MAX_ROUNDS {
         if cell.round() {
             println!("the job ended after {round} rounds and {} records", cell.log.len());
@@ -88,22 +92,35 @@
         self.now = self.now + ROUND;
         self.report();
         self.steward.tick(self.now);
-        for effect in self.steward.effects() {
-            match effect {
-                Effect::Append { record, .. } => self.append(record),
-                Effect::Wish(wish) => {
-                    let grant = self.carry_out(&wish);
-                    self.steward.granted(&wish, grant, self.now);
-                }
-                Effect::Tell { told, .. } => println!("told: {told:?}"),
-                Effect::Note { stream, offset, verdict, .. } => {
-                    println!("{stream} {offset}: {verdict:?}");
-                }
+        self.steward.ask(STATUS, Ask::Status { team: team_name(), job: job_name() }, self.now);
+        let mut ended = false;
+        // Carrying an effect out brings up further ones.
+        loop {
+            let effects = self.steward.effects();
+            if effects.is_empty() {
+                return ended;
+            }
+            for effect in effects {
+                ended |= self.carry(effect);
+            }
+        }
+    }
+
+    /// Carries an effect out. Returns whether it tells that the job has ended.
+    fn carry(&mut self, effect: Effect) -> bool {
+        match effect {
+            Effect::Append { record, .. } => self.append(record),
+            Effect::Wish(wish) => {
+                let grant = self.carry_out(&wish);
+                self.steward.granted(&wish, grant, self.now);
+            }
+            Effect::Tell { ticket: STATUS, told: Told::Job(job) } => return job.ended,
+            Effect::Tell { told, .. } => println!("told: {told:?}"),
+            Effect::Note { stream, offset, verdict, .. } => {
+                println!("{stream} {offset}: {verdict:?}");
             }
         }
-        self.steward.ask(2, Ask::Status { team: team_name(), job: job_name() }, self.now);
-        let told = self.steward.effects();
-        told.iter().any(|e| matches!(e, Effect::Tell { told: Told::Job(job), .. } if job.ended))
+        false
     }
 
     fn append(&mut self, record: Record) {
