Name the lag of reports in words

Cause: the documentation linked to a private constant, which rustdoc refuses. Change: the lag in milliseconds.

--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -2,7 +2,7 @@
 //!
 //! A decision reserves at once, if the worker has room, and the task starts [`START`] later, the
 //! time for the reservation's round trip, the group append to the log and the start order. Every
-//! worker reports each second, and the reports arrive [`LAG`] later.
+//! worker reports each second, and the reports arrive 50 ms later.
 
 mod tally;
 
