--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,12 +1,14 @@
 //! One daemon: its duties, wired by rings.
 
+mod stage;
+
 use crate::duty::control::Control;
 use crate::duty::dispatch::Dispatch;
 use crate::duty::gossip::Gossip;
 use crate::duty::ledger::Ledger;
 use crate::duty::steward::Stewardship;
 use crate::duty::watch::Watch;
-use crate::duty::{self, Duty, Tokens};
+use crate::duty::{self, Duty};
 use crate::front::Front;
 use crate::front::caller::Caller;
 use crate::front::monitor::Monitor;
@@ -37,9 +39,9 @@
 use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::peer::Ping;
 use snafu::{ResultExt, Snafu};
+use stage::Stage;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -110,15 +112,6 @@
     drain_time: Duration,
 }
 
-/// Duties that end together in a planned stop.
-///
-/// What a duty needs to finish its requests ends in a later stage: the fronts for callers and
-/// operators, then the one for peers, then the dispatch duty, then everything else.
-struct Stage {
-    tokens: Tokens,
-    threads: Vec<JoinHandle<()>>,
-}
-
 /// What duties publish, and the rings between them.
 struct Wiring {
     facts: (Publisher<Facts>, Latest<Facts>),
@@ -254,37 +247,7 @@
         }
         self.freeze(false);
         for stage in &mut self.stages {
-            join(&mut stage.threads);
-        }
-    }
-}
-
-impl Stage {
-    /// Returns stages that are killed and held together.
-    fn all() -> [Self; 4] {
-        let shared = Tokens::default();
-        [(); 4].map(|()| {
-            let tokens = Tokens { stop: CancellationToken::new(), ..shared.clone() };
-            Self { tokens, threads: Vec::new() }
-        })
-    }
-
-    fn start(&mut self, duty: Box<dyn Duty>) -> Result<(), duty::Error> {
-        self.threads.push(duty::start(duty, &self.tokens)?);
-        Ok(())
-    }
-
-    /// Lets the duties finish what is in flight, and waits for it.
-    fn stop(&mut self) {
-        self.tokens.stop.cancel();
-        join(&mut self.threads);
-    }
-}
-
-fn join(threads: &mut Vec<JoinHandle<()>>) {
-    for thread in threads.drain(..) {
-        if thread.join().is_err() {
-            tracing::error!("the thread of a duty panicked");
+            stage.join();
         }
     }
 }
