--- a/crates/core/src/ledger/book/tests.rs
+++ b/crates/core/src/ledger/book/tests.rs
@@ -1,3 +1,5 @@
+mod replay;
+
 use super::Book;
 use crate::clock::Millis;
 use crate::contract::class::Class;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -242,21 +242,25 @@
 
     /// Holds or releases all threads, as if the process were paused.
     pub fn freeze(&self, on: bool) {
-        self.stages[0].tokens.freeze.set(on);
+        for stage in &self.stages {
+            stage.tokens.freeze.set(on);
+        }
     }
 
     /// Ends at once, as if the process had died.
     pub fn kill(mut self) {
+        for stage in &self.stages {
+            stage.tokens.kill.cancel();
+        }
         self.freeze(false);
         for stage in &mut self.stages {
-            stage.tokens.kill.cancel();
             join(&mut stage.threads);
         }
     }
 }
 
 impl Stage {
-    /// Returns stages that are killed and frozen together.
+    /// Returns stages that are killed and held together.
     fn all() -> [Self; 4] {
         let shared = Tokens::default();
         [(); 4].map(|()| {
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -18,10 +18,10 @@
 
 /// Status of a service that is out, and did nothing.
 const OUT: u16 = 503;
-/// Status of a content that the asker has already.
-const UNCHANGED: u16 = 304;
 /// Time beyond a request's budget within which the runner says that it gave the request up.
 const GIVE_UP_TIME: Millis = Millis(50);
+/// Status of a content that the asker has already.
+const UNCHANGED: u16 = 304;
 /// Status of an offset that is no longer kept.
 const GONE: u16 = 410;
 
