Tell other stewards totals and failures with signs of life

Cause: the policy's parts of a class hold across stewards only when each hears what the others' teams use; failing workers took each steward its own strikes; stewards chose the same workers. The daemon passed none of it on. Change: signs of life carry totals when they changed or every 6 s, and recent failures with rising numbers, each taken in once; the policy is salted with the instance's name.

--- a/crates/core/src/contract/planner.rs
+++ b/crates/core/src/contract/planner.rs
@@ -8,10 +8,12 @@
 use crate::contract::job::Job;
 use crate::contract::kind::Kind;
 use crate::contract::measure::Counters;
+use crate::contract::share::Totals;
 use crate::contract::status::Refusal;
 use crate::contract::task;
 use crate::machine::capacity::Capacity;
 use crate::machine::controller::Standing;
+use crate::machine::health::Failure;
 use crate::machine::worker::Ended;
 use crate::name::Name;
 
@@ -85,6 +87,18 @@
     /// Decides at most `limit` placements.
     fn decide(&mut self, now: Millis, limit: usize) -> Vec<Decision>;
 
+    /// Returns what this instance's teams use and wait for, to be told to peers.
+    fn totals(&self) -> Totals;
+
+    /// Returns the failures since the last call, to be told to peers soon.
+    fn take_news(&mut self) -> Vec<Failure>;
+
+    /// Takes in what a peer's teams use and wait for.
+    fn hear_totals(&mut self, peer: &Name, totals: &Totals, now: Millis);
+
+    /// Takes in a failure that a peer saw.
+    fn hear_failure(&mut self, failure: &Failure, now: Millis);
+
     /// Returns what was counted since the start.
     fn counters(&self) -> Counters;
 
--- a/crates/core/src/contract/planner/weighted.rs
+++ b/crates/core/src/contract/planner/weighted.rs
@@ -8,14 +8,16 @@
 use crate::contract::kind::Kind;
 use crate::contract::measure::Counters;
 use crate::contract::scheduler::{self, Scheduler};
+use crate::contract::share::Totals;
 use crate::contract::status::Refusal;
 use crate::contract::task;
 use crate::machine::capacity::Capacity;
 use crate::machine::controller::Standing;
+use crate::machine::health::Failure;
 use crate::machine::view::Report;
 use crate::machine::worker::{Ended, Ending};
 use crate::name::Name;
-use crate::zone::Place;
+use crate::zone::{Place, stewardship};
 
 /// A task that is recorded as placed on a worker that no controller has reported yet.
 #[derive(Clone, Debug)]
@@ -33,9 +35,10 @@
 }
 
 impl Weighted {
-    /// Returns a planner without work and workers, for a steward at `home`.
-    pub fn new(home: Place) -> Self {
-        let scheduler = Scheduler::new(Some(home), &Configuration::default());
+    /// Returns a planner without work and workers, for the steward `own` at `home`.
+    pub fn new(own: &Name, home: Place) -> Self {
+        let mut scheduler = Scheduler::new(Some(home), &Configuration::default());
+        scheduler.salt(stewardship::hash(&["salt", own.as_str()]));
         Self { scheduler, unseen: Vec::new() }
     }
 
@@ -137,6 +140,22 @@
         decisions
     }
 
+    fn totals(&self) -> Totals {
+        *self.scheduler.totals()
+    }
+
+    fn take_news(&mut self) -> Vec<Failure> {
+        self.scheduler.take_news()
+    }
+
+    fn hear_totals(&mut self, peer: &Name, totals: &Totals, now: Millis) {
+        self.scheduler.gossip(peer, totals, now);
+    }
+
+    fn hear_failure(&mut self, failure: &Failure, now: Millis) {
+        self.scheduler.peer_failed(failure, now);
+    }
+
     fn counters(&self) -> Counters {
         *self.scheduler.counters()
     }
--- a/crates/core/src/contract/steward.rs
+++ b/crates/core/src/contract/steward.rs
@@ -306,6 +306,11 @@
         &*self.planner
     }
 
+    /// Returns the policy, for what peers tell it and it tells them.
+    pub fn planner_mut(&mut self) -> &mut (dyn Planner + 'static) {
+        &mut *self.planner
+    }
+
     /// Returns the partitions of which this is the steward.
     pub fn partitions(&self) -> impl Iterator<Item = u16> + '_ {
         self.partitions.iter().map(|p| p.index)
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -142,7 +142,7 @@
     ///
     /// As [`Self::start_with`].
     pub fn start(settings: &Settings, sink: Arc<dyn Sink>) -> Result<Self, Error> {
-        let planner = Weighted::new(settings.place.clone());
+        let planner = Weighted::new(&settings.name, settings.place.clone());
         Self::start_with(settings, Box::new(planner), sink)
     }
 
@@ -388,6 +388,8 @@
         ledger: wiring.ledger.0.clone(),
         members: wiring.members.0.clone(),
         pings: wiring.gossip.1.clone(),
+        figures: wiring.figures.1.clone(),
+        steward: wiring.steward.0.clone(),
         drain: drain.clone(),
     };
     let ledger = Ledger {
@@ -539,6 +541,7 @@
         keys,
         route: wiring.route(settings, key),
         gossip: wiring.gossip.0.clone(),
+        figures: wiring.figures.1.clone(),
         control: wiring.control.0.clone(),
         dispatch: wiring.dispatch.0.clone(),
         members: wiring.members.1.clone(),
--- a/crates/daemon/src/duty/gossip.rs
+++ b/crates/daemon/src/duty/gossip.rs
@@ -3,19 +3,24 @@
 
 use crate::duty::Duty;
 use crate::duty::ledger::Command;
+use crate::duty::steward;
 use crate::platform::{Failure, List};
 use crate::ring::{self, Latest, Publisher, Receiver, Sender};
-use crate::view::{self, Facts, Members};
+use crate::view::{self, Facts, Figures, Members};
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::share::Totals;
 use pimentovalve_core::zone::membership::{self, Instance, Membership};
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::traffic::Traffic;
-use pimentovalve_wire::peer::{Ping, Pull, Pulled};
+use pimentovalve_wire::peer::{Ping, Pull, Pulled, Tidings};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
+/// Time after which peers are told totals that did not change.
+const TOTALS_EVERY: Millis = Millis::from_secs(6);
+
 /// The gossip duty.
 pub struct Gossip {
     /// Counts the bytes of calls to peers.
@@ -40,6 +45,10 @@
     pub members: Publisher<Arc<Members>>,
     /// Signs of life that peers sent.
     pub pings: Receiver<Ping>,
+    /// What the steward duty measures.
+    pub figures: Latest<Figures>,
+    /// The steward duty.
+    pub steward: Sender<steward::Event>,
     /// Cancelled when the instance starts to drain.
     pub drain: CancellationToken,
 }
@@ -65,6 +74,8 @@
     list_read: Millis,
     words: Vec<Word>,
     pinging: Vec<Instance>,
+    /// The totals that peers were last told, and when.
+    told: (Totals, Millis),
 }
 
 impl Duty for Gossip {
@@ -87,6 +98,7 @@
                 list_read: Millis::ZERO,
                 words: Vec::new(),
                 pinging: Vec::new(),
+                told: (Totals::default(), Millis::ZERO),
             };
             let mut draining = false;
             let pings = state.duty.pings.clone();
@@ -125,6 +137,7 @@
     /// should have pinged and did not.
     fn ping(&mut self) {
         let now = view::now();
+        let with_totals = self.totals_are_due(now);
         let overdue = self.duty.ping_every.times(2);
         let own = &self.duty.membership.own().name;
         let is_mine = |peer: &Instance| {
@@ -135,14 +148,24 @@
         let peers: Vec<Instance> =
             self.duty.membership.peers().filter(|p| is_mine(p)).cloned().collect();
         for peer in peers {
-            self.ping_one(peer);
+            self.ping_one(peer, with_totals);
         }
     }
 
+    /// Returns whether peers are told the totals now: they changed, or are about to be forgotten.
+    fn totals_are_due(&mut self, now: Millis) -> bool {
+        let totals = self.duty.figures.borrow().totals;
+        let due = totals != self.told.0 || now.since(self.told.1) >= TOTALS_EVERY;
+        if due {
+            self.told = (totals, now);
+        }
+        due
+    }
+
     fn ping_all(&mut self) {
         let peers: Vec<Instance> = self.duty.membership.peers().cloned().collect();
         for peer in peers {
-            self.ping_one(peer);
+            self.ping_one(peer, false);
         }
     }
 
@@ -155,12 +178,12 @@
         }
     }
 
-    fn ping_one(&mut self, peer: Instance) {
+    fn ping_one(&mut self, peer: Instance, with_totals: bool) {
         if self.pinging.iter().any(|p| p.name == peer.name) {
             return;
         }
         self.pinging.push(peer.clone());
-        let ping = self.word();
+        let ping = self.word(with_totals);
         let (client, events) = (Arc::clone(&self.client), self.events.clone());
         let (timeout, key) = (self.duty.ping_every.times(2), self.duty.key.clone());
         let asked = view::now();
@@ -179,8 +202,9 @@
         });
     }
 
-    fn word(&self) -> Ping {
-        self.duty.facts.borrow().word(self.duty.membership.own())
+    fn word(&self, with_totals: bool) -> Ping {
+        let tidings = self.duty.figures.borrow().tidings(with_totals);
+        Ping { tidings, ..self.duty.facts.borrow().word(self.duty.membership.own()) }
     }
 
     fn event(&mut self, event: Event) {
@@ -212,6 +236,11 @@
 
     fn pong(&mut self, peer: Instance, asked: Millis, pong: Ping) {
         self.duty.membership.heard(peer.name.as_str(), pong.draining, view::now());
+        let (peer_name, tidings) = (peer.name.clone(), pong.tidings.clone());
+        let hear = steward::Event::Hear { peer: peer_name, tidings };
+        if pong.tidings != Tidings::default() && self.duty.steward.offer(hear).is_err() {
+            tracing::debug!("the steward duty is behind; a peer's totals are dropped");
+        }
         let newer = {
             let facts = self.duty.facts.borrow();
             pong.history_next > facts.history.next
--- a/crates/daemon/src/duty/steward.rs
+++ b/crates/daemon/src/duty/steward.rs
@@ -18,7 +18,7 @@
 use pimentovalve_wire::http::Pending;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::traffic::Traffic;
-use pimentovalve_wire::peer::{Grants, Standings, Wishes};
+use pimentovalve_wire::peer::{Grants, News, Standings, Tidings, Wishes};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
@@ -27,6 +27,10 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Longest time for wishes to be answered.
 const WISH_TIMEOUT: Millis = Millis::from_secs(2);
+/// Time for which a failure is told to peers; at least two signs of life.
+const NEWS_LIFE: Millis = Millis::from_secs(5);
+/// Most failures that one sign of life tells.
+const MAX_NEWS: usize = 16;
 /// Most questions whose asker waits; more are refused.
 const MAX_TICKETS: usize = 4096;
 /// When to come back when too many wait.
@@ -75,6 +79,13 @@
         /// Where the answer goes.
         reply: Reply<Told>,
     },
+    /// What a peer's policy tells.
+    Hear {
+        /// The peer.
+        peer: Name,
+        /// What it tells.
+        tidings: Tidings,
+    },
     /// A controller's report.
     Report {
         /// The report.
@@ -124,6 +135,12 @@
     next_ticket: Ticket,
     /// Which instance reported each worker. Sorted by worker.
     reporters: Vec<(Name, Name)>,
+    /// Failures of the last [`NEWS_LIFE`], with when they were seen.
+    news: Vec<(Millis, News)>,
+    /// Number of the last own failure. It starts with the time, to rise over restarts.
+    last_news: u64,
+    /// Number of the last failure that was heard of each peer. Sorted by peer.
+    heard: Vec<(Name, u64)>,
 }
 
 impl Duty for Stewardship {
@@ -145,6 +162,9 @@
                 tickets: Vec::new(),
                 next_ticket: 0,
                 reporters: Vec::new(),
+                news: Vec::new(),
+                last_news: view::now().get(),
+                heard: Vec::new(),
             };
             let mut tick = tokio::time::interval(TICK);
             loop {
@@ -182,9 +202,47 @@
         };
         self.duty.steward.open(open);
         self.duty.steward.tick(now);
-        let planner = self.duty.steward.planner();
+        self.publish(now);
+    }
+
+    fn publish(&mut self, now: Millis) {
+        let planner = self.duty.steward.planner_mut();
+        for failure in planner.take_news() {
+            self.last_news += 1;
+            self.news.push((now, News { number: self.last_news, failure }));
+        }
+        self.news.retain(|(at, _)| now.since(*at) < NEWS_LIFE);
+        let excess = self.news.len().saturating_sub(MAX_NEWS);
+        self.news.drain(..excess);
         let (total, free) = planner.packing();
-        self.duty.figures.send_replace(Figures { counters: planner.counters(), total, free });
+        self.duty.figures.send_replace(Figures {
+            counters: planner.counters(),
+            total,
+            free,
+            totals: planner.totals(),
+            news: self.news.iter().map(|(_, news)| news.clone()).collect(),
+        });
+    }
+
+    /// Takes in what a peer's policy tells, each failure once.
+    fn hear(&mut self, peer: &Name, tidings: &Tidings, now: Millis) {
+        let i = match self.heard.binary_search_by(|(p, _)| p.cmp(peer)) {
+            Ok(i) => i,
+            Err(i) => {
+                self.heard.insert(i, (peer.clone(), 0));
+                i
+            }
+        };
+        let planner = self.duty.steward.planner_mut();
+        if let Some(totals) = &tidings.totals {
+            planner.hear_totals(peer, totals, now);
+        }
+        for News { number, failure } in &tidings.news {
+            if *number > self.heard[i].1 {
+                self.heard[i].1 = *number;
+                planner.hear_failure(failure, now);
+            }
+        }
     }
 
     /// Forgets workers that have left the list.
@@ -213,6 +271,7 @@
             Event::Rows { index, rows, at_end } => steward.rows(index, &rows, at_end, now),
             Event::Landed { id, landing } => steward.landed(&id, landing),
             Event::Ask { ask, reply } => self.ask(ask, reply, now),
+            Event::Hear { peer, tidings } => self.hear(&peer, &tidings, now),
             Event::Report { report, reply } => {
                 for standing in &report.standings {
                     self.note_reporter(&standing.worker.name, &report.from);
--- a/crates/daemon/src/front/peer.rs
+++ b/crates/daemon/src/front/peer.rs
@@ -3,7 +3,7 @@
 use crate::duty::{control, dispatch, steward};
 use crate::ring::{self, Latest, Sender, Unanswered};
 use crate::route::{Failure, Route};
-use crate::view::{Facts, Members};
+use crate::view::{Facts, Figures, Members};
 use pimentovalve_core::finding::List;
 use pimentovalve_wire::codec;
 use pimentovalve_wire::http::keys::Keys;
@@ -22,6 +22,8 @@
     pub route: Route,
     /// The gossip duty.
     pub gossip: Sender<Ping>,
+    /// What the steward duty measures.
+    pub figures: Latest<Figures>,
     /// The control duty.
     pub control: Sender<control::Event>,
     /// The dispatch duty.
@@ -55,11 +57,13 @@
 
 impl Peer {
     fn pong(&self, ping: Ping) -> Response {
+        let with_totals = ping.tidings.totals.is_some();
         if self.gossip.offer(ping).is_err() {
             tracing::warn!("the gossip duty is behind; a sign of life is dropped");
         }
-        let members = self.members.borrow();
-        Response::pack(200, &self.facts.borrow().word(&members.own))
+        let tidings = self.figures.borrow().tidings(with_totals);
+        let word = self.facts.borrow().word(&self.members.borrow().own);
+        Response::pack(200, &Ping { tidings, ..word })
     }
 
     fn pulled(&self, pull: Pull) -> Response {
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -3,6 +3,7 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::measure::Counters;
 use pimentovalve_core::contract::request::Reason;
+use pimentovalve_core::contract::share::Totals;
 use pimentovalve_core::ledger::Stream;
 use pimentovalve_core::ledger::fleet::Fleet;
 use pimentovalve_core::ledger::history::History;
@@ -10,7 +11,7 @@
 use pimentovalve_core::machine::controller::Tenure;
 use pimentovalve_core::zone::membership::{Instance, Role, State};
 use pimentovalve_core::zone::stewardship;
-use pimentovalve_wire::peer::Ping;
+use pimentovalve_wire::peer::{News, Ping, Tidings};
 use std::sync::Arc;
 
 /// The instances that exist, as the gossip duty sees them.
@@ -94,6 +95,7 @@
             fleet_as_of: self.fleet_as_of,
             history_as_of: self.history_as_of,
             loss_pending: self.loss_pending,
+            tidings: Tidings::default(),
         }
     }
 
@@ -142,7 +144,7 @@
 }
 
 /// What the steward duty measures.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Figures {
     /// Counters of the scheduler.
     pub counters: Counters,
@@ -150,6 +152,17 @@
     pub total: Capacity,
     /// Capacity that is free in view.
     pub free: Capacity,
+    /// What this instance's teams use and wait for.
+    pub totals: Totals,
+    /// Failures that this instance saw lately, oldest first.
+    pub news: Vec<News>,
+}
+
+impl Figures {
+    /// Returns what peers are told, with the totals or without.
+    pub fn tidings(&self, with_totals: bool) -> Tidings {
+        Tidings { totals: with_totals.then(|| Box::new(self.totals)), news: self.news.clone() }
+    }
 }
 
 /// Returns the present time of this process.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,9 +3,11 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::configuration::Version;
 use pimentovalve_core::contract::request::Request;
+use pimentovalve_core::contract::share::Totals;
 use pimentovalve_core::ledger::Offset;
 use pimentovalve_core::ledger::fleet::Fleet;
 use pimentovalve_core::ledger::history::History;
+use pimentovalve_core::machine::health::Failure;
 use pimentovalve_core::name::Name;
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +35,26 @@
     pub history_as_of: Millis,
     /// Whether an append of a loss by the sender may still land.
     pub loss_pending: bool,
+    /// What the sender's policy tells other policies.
+    pub tidings: Tidings,
+}
+
+/// What the policy of one instance tells those of the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tidings {
+    /// What the sender's teams use and wait for, when it changed or was not told lately.
+    pub totals: Option<Box<Totals>>,
+    /// Failures that the sender saw lately.
+    pub news: Vec<News>,
+}
+
+/// A failure that an instance saw.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Number that rises with each failure that the instance saw, over its restarts too.
+    pub number: u64,
+    /// The failure.
+    pub failure: Failure,
 }
 
 /// A wish for what a peer has of the streams that everybody reads.
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -72,7 +72,7 @@
         let place = Place { region: name("lima")?, domain: name("lima-a")?, rack: name("r1")? };
         let now = Millis::from_secs(1);
         let config = steward::Config { partitions: 1, ..steward::Config::default() };
-        let planner = Box::new(Weighted::new(place.clone()));
+        let planner = Box::new(Weighted::new(&name("front-end")?, place.clone()));
         let mut steward = Steward::new(name("front-end")?, config, planner);
         steward.configure(&configuration()?);
         steward.open(Ok(()));
--- a/tests/attack/world.rs
+++ b/tests/attack/world.rs
@@ -194,7 +194,7 @@
             bounds: BOUNDS,
             ..steward::Config::default()
         };
-        let planner = Box::new(Weighted::new(own.place.clone()));
+        let planner = Box::new(Weighted::new(&own.name, own.place.clone()));
         let mut steward = Steward::new(name(&format!("entry-{i}.steward")), config, planner);
         steward.configure(&self.configuration);
         let config = controller::Config {
