--- a/crates/bench/src/experiment/live.rs
+++ b/crates/bench/src/experiment/live.rs
@@ -78,6 +78,8 @@
     memory: f64,
     /// Control with platform, machines, peers, in KB a second.
     wire: [f64; 3],
+    /// Percent of a core by duty.
+    duties: Vec<(String, f64)>,
 }
 
 fn window(cell: &Cell, load: impl FnOnce(&Cell)) -> Vec<Use> {
@@ -94,7 +96,13 @@
         for (i, rate) in rates.iter_mut().enumerate() {
             *rate = (b.bytes[i] as f64 - a.bytes[i] as f64) / seconds / 1e3;
         }
-        Use { cpu, memory, wire: rates }
+        let share = |(duty, ms): &(String, u64)| {
+            let found = a.duties.binary_search_by(|(d, _)| d.cmp(duty));
+            let before = found.map_or(0, |i| a.duties[i].1);
+            (duty.clone(), ms.saturating_sub(before) as f64 / seconds / 10.0)
+        };
+        let duties = b.duties.iter().map(share).collect();
+        Use { cpu, memory, wire: rates, duties }
     };
     before.iter().zip(&after).map(used).collect()
 }
@@ -117,4 +125,9 @@
     for (i, with) in ["platform", "machines", "peers"].into_iter().enumerate() {
         report.row(format!("{phase}: wire with {with}, KB/s"), mean(&|d| d.wire[i]), None, None);
     }
+    let Some(first) = used.first() else { return };
+    for (i, (duty, _)) in first.duties.iter().enumerate() {
+        let of = |d: &Use| d.duties.get(i).map_or(0.0, |(_, share)| *share);
+        report.row(format!("{phase}: cpu of {duty}, % of a core"), mean(&of), None, None);
+    }
 }
--- a/crates/bench/src/node.rs
+++ b/crates/bench/src/node.rs
@@ -29,6 +29,8 @@
     pub resident_bytes: u64,
     /// Bytes of control sent and received, in the order platform, machines, peers.
     pub bytes: [u64; 3],
+    /// Processor time of each duty's thread, in ms, sorted by name.
+    pub duties: Vec<(String, u64)>,
 }
 
 /// A running daemon. Dropping it kills it.
@@ -76,6 +78,7 @@
             cpu_seconds: cpu_seconds(&process),
             resident_bytes: resident_bytes(&process),
             bytes: CONTROL.map(|with| control_bytes(&metrics, with)),
+            duties: duties(&metrics),
         }
     }
 
@@ -104,6 +107,20 @@
     line.rsplit_once(' ')?.1.parse().ok()
 }
 
+/// Returns the processor time of each duty, in ms, sorted by name.
+fn duties(metrics: &str) -> Vec<(String, u64)> {
+    let lines = metrics.lines().filter(|l| l.starts_with("pimentovalve_thread_cpu_ms_total{"));
+    let read = |line: &str| {
+        let (_, rest) = line.split_once("duty=\"")?;
+        let (duty, _) = rest.split_once('"')?;
+        let (_, value) = line.rsplit_once(' ')?;
+        Some((duty.to_string(), value.parse().ok()?))
+    };
+    let mut found: Vec<(String, u64)> = lines.filter_map(read).collect();
+    found.sort();
+    found
+}
+
 fn control_bytes(metrics: &str, with: &str) -> u64 {
     let label = format!("with=\"{with}\"");
     let read = |name| metric(metrics, name, &label).unwrap_or(0);
--- a/crates/daemon/src/duty/control.rs
+++ b/crates/daemon/src/duty/control.rs
@@ -25,7 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Time between two looks at what is due.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 /// Time between two reports of ended attempts, or of anything within this instance.
 const REPORT: Millis = Millis(100);
 /// Time between two reports of changed workers to another instance. A view that is older only
