Let a claimer know its own claim

Change: a claim carries a number of its submission, unique over instances and starts; asked again, the steward tells the claimer that the key is its own; a question that ends as unknown because the partition moved is asked again at the new steward.

--- a/crates/core/src/audit/tests/scene.rs
+++ b/crates/core/src/audit/tests/scene.rs
@@ -204,7 +204,7 @@
 
     pub(super) fn claim(&mut self, request: &str, at: u64) {
         let register = Register::Key(name(request));
-        self.append(PARTITION, register, 0, Change::Claim { digest: 1 }, at);
+        self.append(PARTITION, register, 0, Change::Claim { digest: 1, sender: 1 }, at);
     }
 
     pub(super) fn settle(&mut self, request: &str, answer: Answer, at: u64) {
--- a/crates/core/src/contract/steward.rs
+++ b/crates/core/src/contract/steward.rs
@@ -61,6 +61,9 @@
     Claim {
         /// The request.
         request: Request,
+        /// Number of the submission, unique over all instances and starts. Asked again with the
+        /// same number, the steward knows whose claim it is.
+        sender: u64,
     },
     /// Record the answer to a claimed request.
     Settle {
@@ -89,7 +92,7 @@
     pub const fn team(&self) -> &Name {
         match self {
             Self::Submit(job) => &job.team,
-            Self::Claim { request } => &request.team,
+            Self::Claim { request, .. } => &request.team,
             Self::Status { team, .. }
             | Self::Cancel { team, .. }
             | Self::Answered { team, .. }
--- a/crates/core/src/contract/steward/ask.rs
+++ b/crates/core/src/contract/steward/ask.rs
@@ -40,7 +40,7 @@
                 let told = key.map_or(Told::Nothing, |key| Told::Answer(known(key)));
                 self.tell(ticket, told);
             }
-            Ask::Claim { request } => self.claim(i, ticket, &request, now),
+            Ask::Claim { request, sender } => self.claim(i, ticket, &request, sender, now),
             Ask::Settle { request, answer, .. } => self.settle(i, ticket, request, answer, now),
             Ask::Release { task, attempt, operator, .. } => {
                 self.release(i, ticket, task, attempt, operator, now);
@@ -106,10 +106,10 @@
         self.append(partition, register, expect, Change::Cancel, Some(ticket), now);
     }
 
-    fn claim(&mut self, i: usize, ticket: Ticket, request: &Request, now: Millis) {
+    fn claim(&mut self, i: usize, ticket: Ticket, request: &Request, sender: u64, now: Millis) {
         let digest = digest(request);
         if let Some(key) = self.partitions[i].book.key(request.id.as_str()) {
-            let told = same_request(key, digest);
+            let told = same_request(key, digest, sender);
             self.tell(ticket, told);
             return;
         }
@@ -119,7 +119,7 @@
             return;
         }
         let partition = self.partitions[i].index;
-        self.append(partition, register, 0, Change::Claim { digest }, Some(ticket), now);
+        self.append(partition, register, 0, Change::Claim { digest, sender }, Some(ticket), now);
     }
 
     fn settle(
@@ -199,8 +199,9 @@
                 .map_or_else(expired, |entry| same_job(entry.job == *job, entry.into())),
             (Register::Job(id), _) => self.job(i, id).map_or(Told::Nothing, Told::Job),
             (Register::Key(_), Change::Claim { .. }) if accepted => Told::Claimed,
-            (Register::Key(id), Change::Claim { digest }) => {
-                book.key(id.as_str()).map_or_else(expired, |key| same_request(key, *digest))
+            (Register::Key(id), Change::Claim { digest, sender }) => {
+                let key = book.key(id.as_str());
+                key.map_or_else(expired, |key| same_request(key, *digest, *sender))
             }
             (Register::Key(_), _) => Told::Settled,
             _ if accepted => Told::Settled,
@@ -221,11 +222,15 @@
     }
 }
 
-fn same_request(key: &Key, digest: u64) -> Told {
-    if key.digest == digest {
-        Told::Answer(known(key))
-    } else {
+/// Returns what a submission is told of a key that is claimed. The claimer itself may have lost
+/// the answer to its claim; it has not sent the request before it hears of it.
+fn same_request(key: &Key, digest: u64, sender: u64) -> Told {
+    if key.digest != digest {
         Told::Refused(Refusal::not_run(Reason::Mismatch, Millis::ZERO))
+    } else if key.sender == sender && key.answer.is_none() {
+        Told::Claimed
+    } else {
+        Told::Answer(known(key))
     }
 }
 
--- a/crates/core/src/ledger/append/tests.rs
+++ b/crates/core/src/ledger/append/tests.rs
@@ -12,7 +12,13 @@
 
 fn record(number: u64) -> Record {
     let register = Register::Key(Name::try_from("key").unwrap());
-    Record { id: id(number), at: NOW, register, expect: 0, change: Change::Claim { digest: 1 } }
+    Record {
+        id: id(number),
+        at: NOW,
+        register,
+        expect: 0,
+        change: Change::Claim { digest: 1, sender: 1 },
+    }
 }
 
 fn writer(records: u64) -> Writer {
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -67,6 +67,8 @@
     pub claimant: Name,
     /// Hash of the request's content.
     pub digest: u64,
+    /// Number of the submission that may send it.
+    pub sender: u64,
     /// When it was claimed.
     pub at: Millis,
     /// The answer, once it is known.
@@ -254,12 +256,13 @@
         let verdict = judge(record.expect, version, legal);
         if verdict == Verdict::Accepted {
             match (&record.change, found) {
-                (Change::Claim { digest }, Err(i)) => {
+                (Change::Claim { digest, sender }, Err(i)) => {
                     let key = Key {
                         version: 1,
                         request: id.clone(),
                         claimant: record.id.writer.clone(),
                         digest: *digest,
+                        sender: *sender,
                         at: record.at,
                         answer: None,
                     };
--- a/crates/core/src/ledger/book/tests.rs
+++ b/crates/core/src/ledger/book/tests.rs
@@ -42,7 +42,7 @@
 }
 
 fn claim(id: &str, at: u64) -> Record {
-    record(Register::Key(name(id)), 0, Change::Claim { digest: 1 }, at)
+    record(Register::Key(name(id)), 0, Change::Claim { digest: 1, sender: 1 }, at)
 }
 
 #[gtest]
--- a/crates/core/src/ledger/book/tests/replay.rs
+++ b/crates/core/src/ledger/book/tests/replay.rs
@@ -53,7 +53,7 @@
 }
 
 fn claim(at: u64, id: &str) -> Record {
-    record(at, Register::Key(name(id)), 0, Change::Claim { digest: 1 })
+    record(at, Register::Key(name(id)), 0, Change::Claim { digest: 1, sender: 1 })
 }
 
 fn attempt(at: u64, id: &str, expect: u64, attempt: u32, fence: Option<Offset>) -> Record {
--- a/crates/core/src/ledger/record.rs
+++ b/crates/core/src/ledger/record.rs
@@ -94,6 +94,8 @@
     Claim {
         /// Hash of the request's content, so that another content under the same id is told.
         digest: u64,
+        /// Number of the submission that may send it, unique over all instances and starts.
+        sender: u64,
     },
     /// A non-idempotent request was answered, or is known not to have run.
     Answer(request::Answer),
--- a/crates/core/tests/interleavings/world.rs
+++ b/crates/core/tests/interleavings/world.rs
@@ -456,7 +456,7 @@
     /// An instance claims the key of the one non-idempotent request.
     pub fn claim(&mut self, i: usize) {
         if self.nodes[i].book.key("key").is_none() {
-            self.append(i, Register::Key(name("key")), 0, Change::Claim { digest: 1 });
+            self.append(i, Register::Key(name("key")), 0, Change::Claim { digest: 1, sender: 1 });
             let id = Id { writer: self.nodes[i].name.clone(), number: self.nodes[i].numbers };
             self.nodes[i].claims.push(id);
         }
--- a/crates/daemon/src/duty/dispatch.rs
+++ b/crates/daemon/src/duty/dispatch.rs
@@ -132,6 +132,8 @@
     facts: Latest<Facts>,
     telemetry: Telemetry,
     tries: AtomicU64,
+    /// When the duty started.
+    started: Millis,
     tracker: TaskTracker,
     /// Wakes the duty's loop when something has begun to wait.
     wake: Notify,
@@ -187,6 +189,7 @@
             facts: self.facts,
             telemetry: self.telemetry,
             tries: AtomicU64::new(0),
+            started: view::now(),
             tracker: TaskTracker::new(),
             wake: Notify::new(),
         };
--- a/crates/daemon/src/duty/dispatch/request.rs
+++ b/crates/daemon/src/duty/dispatch/request.rs
@@ -11,6 +11,7 @@
 use pimentovalve_core::zone::stewardship;
 use pimentovalve_wire::peer::{Ask, Forward, Forwarded, Told};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -56,7 +57,8 @@
         if request.idempotent {
             return self.try_all(request, deadline).await;
         }
-        let ask = Ask::Claim { request: (*request).clone() };
+        let sender = self.name_submission();
+        let ask = Ask::Claim { request: (*request).clone(), sender };
         let claim = tokio::time::timeout_at(instant(deadline - RETURN_TIME), self.route.ask(&ask));
         match claim.await {
             Ok(Ok(Told::Claimed)) => self.claimed(request, deadline).await,
@@ -71,6 +73,13 @@
         }
     }
 
+    /// Numbers a submission uniquely, over the restarts of this instance too.
+    fn name_submission(&self) -> u64 {
+        let number = self.tries.fetch_add(1, Ordering::Relaxed).to_string();
+        let own = self.members.borrow().own.name.clone();
+        stewardship::hash(&[own.as_str(), &self.started.to_string(), &number])
+    }
+
     /// Sends a request whose key this instance has claimed, and records the answer.
     async fn claimed(self: &Arc<Self>, request: Arc<Request>, deadline: Millis) -> Answer {
         let answer = self.try_all(Arc::clone(&request), deadline).await;
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -59,6 +59,8 @@
                 Ok(Told::Refused(refusal)) if refusal.not_run && failure == Failure::Unknown => {
                     return Err(failure);
                 }
+                // Another instance has become the steward meanwhile, or will; it can tell.
+                Ok(Told::Refused(refusal)) if !refusal.not_run => failure = Failure::Unknown,
                 Ok(told) => return Ok(told),
                 Err(Failure::Unknown) => failure = Failure::Unknown,
             }
