Test the steward and the controller by themselves

Cause: faults that whole-path trials found in claims, late records, stops and lost epochs had no unit tests of their own.

--- a/crates/core/src/contract/steward.rs
+++ b/crates/core/src/contract/steward.rs
@@ -7,6 +7,8 @@
 
 mod ask;
 mod place;
+#[cfg(test)]
+mod tests;
 
 use crate::clock::Millis;
 use crate::contract::configuration::Configuration;
--- a/crates/core/src/machine/controller.rs
+++ b/crates/core/src/machine/controller.rs
@@ -6,6 +6,8 @@
 
 mod hold;
 mod tenure;
+#[cfg(test)]
+mod tests;
 mod wish;
 
 pub use tenure::Tenure;
