--- a/src/cell.rs
+++ b/src/cell.rs
@@ -4,8 +4,10 @@
 //! production, with threads and sockets of their own; a kill drops their threads and connections
 //! at once.
 
+use crate::core::audit::{Report, Row, Scope, audit};
 use crate::core::clock::Millis;
 use crate::core::finding::List;
+use crate::core::ledger::{Offset, Stream};
 use crate::core::machine::lease::Bounds;
 use crate::core::name::Name;
 use crate::core::timeline::Event;
@@ -15,6 +17,8 @@
 use crate::daemon::settings::{Listen, Platform, Settings, Timing};
 use crate::daemon::{self, Daemon};
 use crate::standin::fleet::{self, Fleet, Plan};
+use crate::wire::codec;
+use serde_bytes::ByteBuf;
 use snafu::{ResultExt, Snafu};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -190,6 +194,28 @@
         self.nodes.iter().flat_map(|node| node.timeline.events()).collect()
     }
 
+    /// Reads the whole ledger from the stand-in of the log. An entry that is not a record is left
+    /// out, as every reader leaves it out.
+    pub fn rows(&self) -> Vec<Row> {
+        let partitions = (0..self.settings.partitions).map(Stream::Partition);
+        let streams = [Stream::Configuration, Stream::Fleet].into_iter().chain(partitions);
+        streams.flat_map(|stream| self.stream_rows(stream)).collect()
+    }
+
+    fn stream_rows(&self, stream: Stream) -> Vec<Row> {
+        let Ok(name) = Name::try_from(stream.to_string()) else { return Vec::new() };
+        let (horizon, entries) = self.fleet.log.entries(&name);
+        let row = |(offset, entry): (Offset, &ByteBuf)| {
+            codec::unpack(entry).ok().map(|record| Row { stream, offset, record })
+        };
+        (horizon..).zip(&entries).filter_map(row).collect()
+    }
+
+    /// Audits everything that happened so far.
+    pub fn audit(&self) -> Report {
+        audit(&self.rows(), &self.events(), &self.bounds(), &Scope::All)
+    }
+
     /// Returns the fencing bounds of the daemons.
     pub const fn bounds(&self) -> Bounds {
         self.settings.bounds
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -4,8 +4,10 @@
 //! batch, an all-at-once job, idempotent lookups and non-idempotent requests, kills one daemon
 //! half-way, and counts from the stand-ins' own observations whether every promise was kept.
 
+use super::audit::write_report;
 use super::{Error, Run};
 use crate::cell::{Cell, OPERATOR_KEY};
+use crate::core::audit::{self, Standing};
 use crate::core::clock::Millis;
 use crate::core::contract::request::Answer;
 use crate::core::contract::{status, task};
@@ -74,7 +76,7 @@
             .map_err(|e| Error::failed(e.to_string()))?;
         let plan = Plan::andino(MACHINES, MACHINES).map_err(|e| Error::failed(e.to_string()))?;
         let cell = Cell::start(&plan, DAEMONS, |_| {}).map_err(|e| Error::failed(e.to_string()))?;
-        let mut demo = Demo { cell, client: Client::new(), report: Report::default() };
+        let mut demo = Demo { cell, client: Client::new(), report: Report::default(), audit: None };
         runtime.block_on(demo.run())?;
         if !self.json {
             demo.print(out)?;
@@ -93,6 +95,8 @@
     cell: Cell,
     client: Client,
     report: Report,
+    /// What the audit states, once the run has ended.
+    audit: Option<audit::Report>,
 }
 
 impl Demo {
@@ -101,9 +105,9 @@
         for (id, kind, tasks, payload) in JOBS {
             self.submit(id, kind, tasks, payload).await?;
         }
-        self.requests("before", &mut Vec::new()).await;
-        self.cell.kill(0);
         let mut refused = Vec::new();
+        self.requests("before", &mut refused).await;
+        self.cell.kill(0);
         self.requests("after", &mut refused).await;
         self.await_jobs().await;
         self.cancel("certificate-service").await?;
@@ -112,6 +116,10 @@
         for index in self.cell.running() {
             self.cell.stop(index);
         }
+        let audit = self.cell.audit();
+        let broken = audit.claims.iter().filter(|c| c.standing == Standing::Broken).count();
+        self.report.promises_broken += broken;
+        self.audit = Some(audit);
         Ok(())
     }
 
@@ -281,6 +289,9 @@
                 serde_json::to_string(line.event).map_err(|e| Error::failed(e.to_string()))?;
             writeln!(out, "{line}")?;
         }
+        if let Some(audit) = &self.audit {
+            write_report(out, audit)?;
+        }
         Ok(())
     }
 }
--- a/tests/inspection.rs
+++ b/tests/inspection.rs
@@ -4,36 +4,14 @@
 mod support;
 
 use googletest::prelude::*;
-use pimentovalve::core::audit::{Promise, Report, Row, Scope, Standing, audit};
+use pimentovalve::core::audit::{Promise, Report, Standing};
 use pimentovalve::core::clock::Millis;
-use pimentovalve::core::ledger::Stream;
-use pimentovalve::core::name::Name;
 use pimentovalve::core::zone::membership::Role;
 use pimentovalve::standin::fault::Fault;
-use pimentovalve::wire::codec;
 use std::thread;
 use std::time::Duration;
 use support::{Trial, batch, dispatch, job, lookup};
 
-/// Partitions of a cell.
-const PARTITIONS: u16 = 8;
-
-/// Reads the whole ledger from the stand-in of the log.
-fn rows(trial: &Trial) -> Vec<Row> {
-    let streams = (0..PARTITIONS).map(Stream::Partition);
-    let streams = [Stream::Configuration, Stream::Fleet].into_iter().chain(streams);
-    streams.flat_map(|stream| stream_rows(trial, stream)).collect()
-}
-
-fn stream_rows(trial: &Trial, stream: Stream) -> Vec<Row> {
-    let name = Name::try_from(stream.to_string()).unwrap();
-    let (horizon, entries) = trial.cell.fleet.log.entries(&name);
-    let row = |(offset, entry): (u64, &[u8])| {
-        codec::unpack(entry).ok().map(|record| Row { stream, offset, record })
-    };
-    (horizon..).zip(entries.iter().map(|e| e.as_slice())).filter_map(row).collect()
-}
-
 /// Ends the run and audits it.
 fn inspect(mut trial: Trial) -> Report {
     for index in trial.cell.running() {
@@ -42,7 +20,7 @@
     let observer = &trial.cell.fleet.observer;
     expect_that!(observer.double_runs(), is_empty());
     expect_that!(observer.over_capacity(), is_empty());
-    audit(&rows(&trial), &trial.cell.events(), &trial.cell.bounds(), &Scope::All)
+    trial.cell.audit()
 }
 
 /// Asserts that nothing is stated as broken, and that the given promises were put to the test.
