Tell an operator of a version only once a second instance has it

Cause: the model of configurations requires it: a version that only one instance read is lost to an instance that starts in an outage of the log after that one died, and so goes back. Change: peers are told of a new version at once; a patch is answered when one of them has it, else as unknown after 4 s; a test with a frozen peer. Conclusion: accepted means that it outlives one death.

--- a/crates/daemon/src/duty/gossip.rs
+++ b/crates/daemon/src/duty/gossip.rs
@@ -102,6 +102,8 @@
             };
             let mut draining = false;
             let pings = state.duty.pings.clone();
+            let mut facts = state.duty.facts.clone();
+            let mut version = 0;
             loop {
                 tokio::select! {
                     () = stop.cancelled() => break,
@@ -111,6 +113,14 @@
                         state.ping_all();
                     }
                     Some(ping) = pings.next() => state.pinged(ping),
+                    Ok(()) = facts.changed() => {
+                        // Peers hear of a new version at once, and fetch it if the log is slow.
+                        let now = facts.borrow_and_update().history.configuration().version;
+                        if now > version {
+                            version = now;
+                            state.ping_all();
+                        }
+                    }
                     Some(event) = received.next() => state.event(event),
                     _ = list_tick.tick() => state.list(),
                     _ = ping_tick.tick() => state.ping(),
@@ -327,6 +337,7 @@
             peers: membership.peers().cloned().collect(),
             asked_since: membership.asked_since(now),
             draining,
+            informed: self.words.iter().map(|w| w.pong.version).max().unwrap_or(0),
         };
         self.duty.members.send_if_modified(|old| {
             let changed = **old != members;
--- a/crates/daemon/src/front/operator.rs
+++ b/crates/daemon/src/front/operator.rs
@@ -22,10 +22,14 @@
 use pimentovalve_wire::peer::{Ask, Told};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// When to come back when the log is out.
 const RETRY_AFTER: Millis = Millis::from_secs(2);
 
+/// Longest time for a second instance to have a version.
+const CONFIRM_TIME: Duration = Duration::from_secs(4);
+
 /// Answers operators.
 pub struct Operator {
     /// Keys of operators; nobody is let in without one.
@@ -95,7 +99,7 @@
             reply,
         });
         match published.await {
-            Ok(Published::Judged(Verdict::Accepted)) => Response::json(200, &next),
+            Ok(Published::Judged(Verdict::Accepted)) => self.confirmed(&next).await,
             Ok(Published::Judged(_)) => outdated(base, &Arc::clone(&self.facts.borrow().history)),
             Ok(Published::Refused) | Err(Unanswered::Refused) => {
                 refused(&Refusal::not_run(Reason::Ledger, RETRY_AFTER))
@@ -104,6 +108,18 @@
         }
     }
 
+    /// Answers once a second instance has the version: an instance that starts in an outage of the
+    /// log takes its state from peers, and must not get an older one than an operator was told.
+    /// Model: `specs/configuration.tla`.
+    async fn confirmed(&self, next: &Configuration) -> Response {
+        let mut members = self.route.members.clone();
+        let known = members.wait_for(|m| m.peers.is_empty() || m.informed >= next.version);
+        match tokio::time::timeout(CONFIRM_TIME, known).await {
+            Ok(Ok(_)) => Response::json(200, next),
+            Ok(Err(_)) | Err(_) => refused(&Refusal::unknown()),
+        }
+    }
+
     fn configuration(&self, request: Request<'_>) -> Response {
         let history = Arc::clone(&self.facts.borrow().history);
         let Some(wanted) = request.parameter("version") else {
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -1,6 +1,7 @@
 //! What duties publish to each other: the newest value replaces the older one.
 
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::configuration::Version;
 use pimentovalve_core::contract::measure::Counters;
 use pimentovalve_core::contract::request::Reason;
 use pimentovalve_core::contract::share::Totals;
@@ -30,6 +31,8 @@
     pub asked_since: Option<Millis>,
     /// Whether this instance drains.
     pub draining: bool,
+    /// Greatest version of the configuration that a peer said to have in force.
+    pub informed: Version,
 }
 
 impl Members {
@@ -42,6 +45,7 @@
             peers: Vec::new(),
             asked_since: None,
             draining: false,
+            informed: 0,
         }
     }
 
--- a/tests/recovery_configuration.rs
+++ b/tests/recovery_configuration.rs
@@ -113,3 +113,18 @@
     trial.until("a patch is accepted", || trial.patch(new, 6, &patch(7)).0 == 200);
     until_all_have(&trial, 7);
 }
+
+#[gtest]
+fn a_version_that_no_second_instance_has_is_not_told_as_accepted() {
+    let trial = Trial::start(2, |_| {});
+    trial.cell.freeze(1, true);
+    // Each thread of the daemon halts at its next step.
+    std::thread::sleep(Duration::from_millis(500));
+    let patch = "[weights]\npacking = 10\nwaiting = 20\nspread = 30\nlocality = 40\n";
+    let (status, _) = trial.patch(0, 1, patch);
+    expect_that!(status, eq(504));
+    trial.cell.freeze(1, false);
+    trial.until("both have it", || (0..2).all(|i| trial.version(i) == Some(2)));
+    let (status, _) = trial.patch(0, 2, &patch.replace("10", "11"));
+    expect_that!(status, eq(200));
+}
