--- a/tests/monitor.rs
+++ b/tests/monitor.rs
@@ -28,17 +28,16 @@
     trial.await_ended("seal-1");
     let (status, text) = read(&trial, "/metrics");
     expect_that!(status, eq(200));
-    for line in [
-        "pimentovalve_configuration_version{",
-        "pimentovalve_log_lag_ms{",
-        "pimentovalve_workers{",
-        "pimentovalve_ring_depth{",
-        "pimentovalve_bytes_sent_total{",
-        "pimentovalve_thread_cpu_ms_total{",
-        "pimentovalve_memory_bytes{",
-        "pimentovalve_capacity_free{",
-    ] {
-        expect_that!(text, contains_substring(line));
+    let page = include_str!("../docs/OPERATING.md");
+    let named = page.lines().filter_map(|l| l.strip_prefix("| `pimentovalve_")?.split('`').next());
+    let named: Vec<String> = named.map(|name| format!("pimentovalve_{name}{{")).collect();
+    expect_that!(named, not(is_empty()));
+    for name in &named {
+        expect_that!(text, contains_substring(name.as_str()));
+    }
+    let types = text.lines().filter_map(|l| l.strip_prefix("# TYPE ")?.split(' ').next());
+    for name in types.filter(|name| *name != "target_info") {
+        expect_that!(named, contains(eq(&format!("{name}{{"))));
     }
     let waits = |l: &&str| l.starts_with("pimentovalve_wait_count") && l.contains("deferrable");
     let placed = text.lines().find(waits);
