Draw the steady lookups of two experiments from one place

Cause: flood and faults wrote out the same base stream. Change: Stream::lookups serves both. Conclusion: the loads are as before.

--- a/crates/bench/src/experiment/faults.rs
+++ b/crates/bench/src/experiment/faults.rs
@@ -230,20 +230,7 @@
 }
 
 fn base() -> Stream {
-    Stream {
-        kind: "lookup",
-        prefix: "l",
-        teams: (0, TEAMS),
-        rate: 100.0,
-        span: (Millis::ZERO, END),
-        tasks: (1, 1),
-        cpu_milli: (500, 1500),
-        memory_per_core: (1000, 1800),
-        accelerators: 0,
-        run: Millis::from_secs(2),
-        error: (1.0, 1.0),
-        noise: 1.0,
-    }
+    Stream::lookups(TEAMS, END)
 }
 
 /// Draws steady work, half of what the fleet can take.
--- a/crates/bench/src/experiment/flood.rs
+++ b/crates/bench/src/experiment/flood.rs
@@ -138,20 +138,7 @@
 /// Draws the steady work, half of what the fleet can take, and the flood.
 fn specs(seed: u64, flood: Flood) -> Vec<Spec> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let base = Stream {
-        kind: "lookup",
-        prefix: "l",
-        teams: (0, TEAMS),
-        rate: 100.0,
-        span: (Millis::ZERO, END),
-        tasks: (1, 1),
-        cpu_milli: (500, 1500),
-        memory_per_core: (1000, 1800),
-        accelerators: 0,
-        run: Millis::from_secs(2),
-        error: (1.0, 1.0),
-        noise: 1.0,
-    };
+    let base = Stream::lookups(TEAMS, END);
     let streams = [
         base.clone(),
         Stream {
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -165,6 +165,25 @@
 }
 
 impl Stream {
+    /// Returns lookups of the first `teams` teams until `end`: small, short and of true size. Other
+    /// steady streams are made from it.
+    pub const fn lookups(teams: usize, end: Millis) -> Self {
+        Self {
+            kind: "lookup",
+            prefix: "l",
+            teams: (0, teams),
+            rate: 100.0,
+            span: (Millis::ZERO, end),
+            tasks: (1, 1),
+            cpu_milli: (500, 1500),
+            memory_per_core: (1000, 1800),
+            accelerators: 0,
+            run: Millis::from_secs(2),
+            error: (1.0, 1.0),
+            noise: 1.0,
+        }
+    }
+
     /// Returns the jobs of the stream in order of time.
     pub fn draw(&self, rng: &mut impl Rng) -> Vec<Spec> {
         let kind = kinds().into_iter().find(|k| k.name.as_str() == self.kind);
