--- a/crates/core/src/contract.rs
+++ b/crates/core/src/contract.rs
@@ -1,12 +1,14 @@
 //! Contracts: what callers and operators are promised.
 
 pub mod admission;
+pub mod catalog;
 pub mod class;
 pub mod configuration;
 pub mod gang;
 pub mod job;
 pub mod kind;
 pub mod measure;
+pub mod owner;
 pub mod planner;
 pub mod policy;
 pub mod queue;
@@ -18,3 +20,4 @@
 pub mod table;
 pub mod task;
 pub mod team;
+pub mod work;
--- /dev/null
+++ b/crates/core/src/contract/owner.rs
@@ -0,0 +1,528 @@
+//! The owner of a shard: places the tasks of all its jobs on all its workers.
+//!
+//! One daemon owns a shard at a time, under an epoch that the log fences. The owner takes in what
+//! it read and what its calls were answered, and returns [`Effect`]s. Invariants:
+//!
+//! - A run is ordered only after its start is recorded.
+//! - A start without an answer is not over until the worker took a stop for it: then it is either
+//!   listed as ended or can't begin any more.
+//! - A worker is told to forget an end only after that end is recorded.
+//! - What a run needs counts as used until its end is listed, its worker has a new life, or the
+//!   last lease that could reach it has run out.
+
+pub mod advice;
+mod answer;
+mod look;
+mod place;
+#[cfg(test)]
+mod tests;
+
+use crate::clock::Millis;
+use crate::contract::work::{Id, Job, Outcome, Stage};
+use crate::ledger::shard::book::{Book, Change};
+use crate::ledger::shard::{Entry, Life, Run};
+use crate::machine::capacity::Capacity;
+use crate::machine::host::{Host, Listed};
+use advice::Desk;
+use std::sync::Arc;
+
+pub use answer::{StartAnswer, StopAnswer};
+pub use look::{Report, Working};
+
+/// Figures that the owner's decisions rest on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Lease of what runs.
+    pub lease: Millis,
+    /// Longest time for which an owner renews leases without word from the store. A later owner
+    /// waits for so long, and for a lease, before it gives up a worker that never answers.
+    pub alone: Millis,
+    /// Longest time a look waits for an end.
+    pub look_wait: Millis,
+    /// Pause between a look that found ends and the next one, so that ends are taken in groups.
+    pub look_pause: Millis,
+    /// Time between two tries of an order without answer.
+    pub retry: Millis,
+}
+
+/// Where a run is on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Its start is being recorded.
+    Recording,
+    /// It was ordered and not answered yet.
+    Ordered,
+    /// Its worker took it, or an earlier owner recorded it. Looks that begin after `since` must
+    /// list it.
+    Working {
+        /// Number of the last look before.
+        since: u64,
+    },
+    /// It must stop: the next try is due at a time, `None` while one is in flight.
+    Stopping {
+        /// When to try (again).
+        next: Option<Millis>,
+    },
+    /// The worker took the stop.
+    Stopped {
+        /// Number of the last look before.
+        since: u64,
+    },
+    /// Its end or loss is being recorded.
+    Ending,
+}
+
+/// A run that is not over.
+#[derive(Clone, Debug)]
+struct Running {
+    run: Run,
+    on: Arc<Life>,
+    needs: Capacity,
+    phase: Phase,
+    ticket: Option<Box<str>>,
+    /// When the ticket is no longer valid.
+    valid_until: Millis,
+    /// Whether it must stop as soon as it can be.
+    doomed: bool,
+    /// Share of the work that is done, in hundredths, and when it last rose.
+    progress: (u64, Millis),
+}
+
+/// An order to start a run.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The worker.
+    pub on: Arc<Life>,
+    /// Where it takes orders.
+    pub address: Box<str>,
+    /// The run.
+    pub run: Run,
+    /// Its job.
+    pub job: Arc<Job>,
+    /// When the lease ends on the worker's clock.
+    pub lease_end: Option<u64>,
+    /// Progress to resume from, empty when there is none.
+    pub saved: Box<str>,
+    /// The advisor's ticket.
+    pub ticket: Option<Box<str>>,
+}
+
+/// What the caller of the owner must do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Append entries, in order; then call [`Owner::recorded`].
+    Record(Entry),
+    /// Order a start; then call [`Owner::start_answered`].
+    Start(Box<Start>),
+    /// Order a stop; then call [`Owner::stop_answered`].
+    Stop {
+        /// The worker.
+        on: Arc<Life>,
+        /// Where it takes orders.
+        address: Box<str>,
+        /// The run.
+        run: Run,
+    },
+    /// Renew the lease of a worker and look at it; then call [`Owner::looked`].
+    Look {
+        /// The worker.
+        on: Arc<Life>,
+        /// Where it takes orders.
+        address: Box<str>,
+        /// Number of the look.
+        number: u64,
+        /// The last end that the worker may forget.
+        noted: u64,
+        /// When the lease ends on the worker's clock.
+        lease_end: Option<u64>,
+        /// Longest time to wait for an end.
+        wait: Millis,
+    },
+    /// Ask the advisor through one of the daemons; then call [`Owner::advised`].
+    Ask(advice::Question),
+}
+
+/// The owner.
+#[derive(Debug)]
+pub struct Owner {
+    limits: Limits,
+    /// Sorted by the worker's name.
+    hosts: Vec<Host>,
+    /// Sorted by run.
+    runs: Vec<Running>,
+    desk: Desk,
+    /// Number of the last look.
+    looks: u64,
+    /// When the epoch began.
+    since: Millis,
+    effects: Vec<Effect>,
+    /// Whether something changed since the last placement.
+    is_dirty: bool,
+}
+
+impl Owner {
+    /// Returns the owner whose claim is the last entry of the log that `book` has.
+    pub fn new(limits: Limits, book: &Book, now: Millis) -> Self {
+        let mut owner = Self {
+            limits,
+            hosts: Vec::new(),
+            runs: Vec::new(),
+            desk: Desk::default(),
+            looks: 0,
+            since: now,
+            effects: Vec::new(),
+            is_dirty: true,
+        };
+        for (run, on) in book.placed() {
+            let needs = needs_of(book, &run);
+            owner.insert(Running::adopted(run, on, needs, now));
+        }
+        owner
+    }
+
+    /// Takes the present list of workers in.
+    pub fn listed(&mut self, list: &[Listed], book: &Book, now: Millis) {
+        for host in &mut self.hosts {
+            host.is_listed = false;
+        }
+        for listed in list {
+            match self.host_index(&listed.life.worker) {
+                Ok(i) if self.hosts[i].life.born == listed.life.born => {
+                    let host = &mut self.hosts[i];
+                    host.is_listed = true;
+                    self.is_dirty |= host.listed.draining != listed.draining;
+                    host.listed = listed.clone();
+                }
+                Ok(i) if self.hosts[i].life.born < listed.life.born => {
+                    self.renew_host(i, listed.clone(), book, now);
+                }
+                Ok(_) => {}
+                Err(i) => {
+                    let host = self.host_of(listed.clone(), book, now);
+                    self.hosts.insert(i, host);
+                    self.settle_lives(&listed.life);
+                    self.is_dirty = true;
+                }
+            }
+        }
+        self.hosts.retain(|h| h.is_listed || h.runs > 0);
+    }
+
+    /// Takes in that an own entry is recorded and that `book` has it.
+    pub fn recorded(&mut self, entry: &Entry, book: &Book, now: Millis) {
+        match entry {
+            Entry::Started { runs, .. } => runs.iter().for_each(|run| self.order(*run, book, now)),
+            Entry::Ended { on, ends } => {
+                for end in ends {
+                    self.remove(&end.run, on);
+                    self.react(&end.run, end.outcome, on, book, now);
+                }
+                self.noted(on, ends.last().map_or(0, |e| e.number), now);
+            }
+            Entry::Lost(runs) => {
+                for run in runs {
+                    if let Ok(i) = self.run_index(run) {
+                        self.drop_run(i);
+                    }
+                }
+            }
+            _ => {}
+        }
+        self.is_dirty = true;
+    }
+
+    /// Takes in what an entry changed, of whoever appended it.
+    pub fn changed(&mut self, change: Change, now: Millis) {
+        match change {
+            Change::Over(id) => self.stop_job(id, now),
+            Change::Accepted(_) | Change::Progress => self.is_dirty = true,
+            Change::Claimed | Change::Nothing => {}
+        }
+    }
+
+    /// Decides what is to be done at `now`. `heard` is when the store last answered, `wall` the
+    /// time of day.
+    pub fn tick(&mut self, book: &Book, now: Millis, heard: Millis, wall: Millis) -> Vec<Effect> {
+        if now.since(heard) < self.limits.alone {
+            self.retry_stops(now);
+            self.look(book, now);
+        }
+        self.settle_orphans(now);
+        self.record_due(book, wall);
+        if self.is_dirty || self.desk.is_due(now) {
+            self.is_dirty = false;
+            self.place(book, now);
+        }
+        self.desk.forget_closed(book.open());
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the effects of what was taken in since the last call.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the advisors' desk.
+    pub const fn desk_mut(&mut self) -> &mut Desk {
+        &mut self.desk
+    }
+
+    /// Returns the workers, by name.
+    pub fn hosts(&self) -> &[Host] {
+        &self.hosts
+    }
+
+    /// Returns how many runs are not over.
+    pub const fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    fn record_due(&mut self, book: &Book, wall: Millis) {
+        for state in book.jobs() {
+            let Some(schedule) = state.job.schedule else { continue };
+            let next = u32::try_from(state.passes.len()).unwrap_or(u32::MAX);
+            let due = schedule.first + schedule.interval.times(next.into());
+            if !state.is_over() && next < schedule.count && wall >= due {
+                let entry = Entry::Due { job: state.job.id, occurrence: next };
+                self.effects.push(Effect::Record(entry));
+            }
+        }
+    }
+
+    fn host_of(&self, listed: Listed, book: &Book, now: Millis) -> Host {
+        // An earlier owner may have granted leases until it gave up renewing.
+        let lapse_at = self.since + self.limits.alone + self.limits.lease.times(2);
+        let mut host = Host::new(listed, 0, now, lapse_at);
+        host.noted = book.noted(&host.life);
+        host.noting = host.noted;
+        let life = Arc::clone(&host.life);
+        self.runs.iter().filter(|r| r.on == life).for_each(|r| host.add(&r.needs));
+        host
+    }
+
+    /// The worker has a new life: nothing of the old one runs any more.
+    fn renew_host(&mut self, i: usize, listed: Listed, book: &Book, now: Millis) {
+        let life = listed.life.clone();
+        self.forget_tickets(&life);
+        self.hosts[i] = self.host_of(listed, book, now);
+        self.settle_lives(&life);
+        self.is_dirty = true;
+    }
+
+    /// Records the runs of earlier lives of a worker as lost.
+    fn settle_lives(&mut self, life: &Life) {
+        let is_old = |r: &Running| r.on.worker == life.worker && r.on.born < life.born;
+        let lost: Vec<Run> = self.runs.iter().filter(|r| is_old(r)).map(|r| r.run).collect();
+        self.lose(&lost);
+    }
+
+    /// Records runs on workers that never came back as lost, once no lease can hold any more.
+    fn settle_orphans(&mut self, now: Millis) {
+        if now < self.since + self.limits.alone + self.limits.lease.times(2) {
+            return;
+        }
+        let is_orphan = |r: &&Running| self.host(&r.on).is_none();
+        let lost: Vec<Run> = self.runs.iter().filter(is_orphan).map(|r| r.run).collect();
+        self.lose(&lost);
+    }
+
+    /// Records runs as lost; their room is free at once.
+    fn lose(&mut self, lost: &[Run]) {
+        let mut recorded = Vec::new();
+        for run in lost {
+            let Ok(i) = self.run_index(run) else { continue };
+            if self.runs[i].phase == Phase::Ending {
+                continue;
+            }
+            self.free(i);
+            self.runs[i].phase = Phase::Ending;
+            recorded.push(*run);
+        }
+        if !recorded.is_empty() {
+            self.effects.push(Effect::Record(Entry::Lost(recorded)));
+        }
+    }
+
+    fn order(&mut self, run: Run, book: &Book, now: Millis) {
+        let Ok(i) = self.run_index(&run) else { return };
+        if self.runs[i].phase != Phase::Recording {
+            return;
+        }
+        let over = book.job(run.task.stage.job).is_none_or(|j| j.is_over());
+        let expired = self.runs[i].ticket.is_some() && now >= self.runs[i].valid_until;
+        if over || expired || self.runs[i].doomed {
+            return self.refuse(run, book, now);
+        }
+        let lease = self.limits.lease;
+        let Some(host) = self.host_mut(&self.runs[i].on.clone()) else {
+            return self.refuse(run, book, now);
+        };
+        let address = host.listed.address.clone();
+        let lease_end = host.grant(lease, now);
+        host.next_look = host.next_look.min(now + lease);
+        let Some(state) = book.job(run.task.stage.job) else { return };
+        let saved = state.task(&run.task).map(|t| t.saved.clone()).unwrap_or_default();
+        let running = &mut self.runs[i];
+        running.phase = Phase::Ordered;
+        let (on, ticket) = (Arc::clone(&running.on), running.ticket.clone());
+        let job = Arc::clone(&state.job);
+        let start = Start { on, address, run, job, lease_end, saved, ticket };
+        self.effects.push(Effect::Start(Box::new(start)));
+    }
+
+    /// The run has certainly not begun and will not: it is lost, and with it its gang.
+    fn refuse(&mut self, run: Run, book: &Book, now: Millis) {
+        self.lose(&[run]);
+        self.break_gang(&run, book, now);
+    }
+
+    /// Stops the other members of a gang, one of which has ended or can't run.
+    fn break_gang(&mut self, run: &Run, book: &Book, now: Millis) {
+        if step_of(book, &run.task.stage).is_none_or(|s| !s.gang) {
+            return;
+        }
+        let members: Vec<Run> = self
+            .runs
+            .iter()
+            .filter(|r| r.run.task.stage == run.task.stage && r.run.number == run.number)
+            .map(|r| r.run)
+            .collect();
+        members.iter().for_each(|m| self.stop(m, now));
+    }
+
+    fn react(&mut self, run: &Run, outcome: Outcome, on: &Life, book: &Book, now: Millis) {
+        if let Some(host) = self.host_mut(on) {
+            match outcome {
+                Outcome::Failed => host.strike(now),
+                Outcome::Done => host.clear_strikes(),
+                _ => {}
+            }
+        }
+        if outcome != Outcome::Done {
+            self.break_gang(run, book, now);
+        }
+        if book.job(run.task.stage.job).is_none_or(|j| j.is_over()) {
+            self.stop_job(run.task.stage.job, now);
+        }
+    }
+
+    fn stop_job(&mut self, id: Id, now: Millis) {
+        let runs = self.runs.iter().filter(|r| r.run.task.stage.job == id);
+        let runs: Vec<Run> = runs.map(|r| r.run).collect();
+        runs.iter().for_each(|r| self.stop(r, now));
+    }
+
+    /// Stops a run as soon as that can be done.
+    fn stop(&mut self, run: &Run, now: Millis) {
+        let Ok(i) = self.run_index(run) else { return };
+        match self.runs[i].phase {
+            Phase::Recording | Phase::Ordered => self.runs[i].doomed = true,
+            Phase::Working { .. } => {
+                self.runs[i].phase = Phase::Stopping { next: Some(now) };
+                self.try_stop(i);
+            }
+            Phase::Stopping { .. } | Phase::Stopped { .. } | Phase::Ending => {}
+        }
+    }
+
+    fn retry_stops(&mut self, now: Millis) {
+        for i in 0..self.runs.len() {
+            if matches!(self.runs[i].phase, Phase::Stopping { next: Some(at) } if now >= at) {
+                self.try_stop(i);
+            }
+        }
+    }
+
+    fn try_stop(&mut self, i: usize) {
+        let running = &self.runs[i];
+        let (on, run) = (Arc::clone(&running.on), running.run);
+        let Some(host) = self.host(&on) else { return };
+        let address = host.listed.address.clone();
+        self.runs[i].phase = Phase::Stopping { next: None };
+        self.effects.push(Effect::Stop { on, address, run });
+    }
+
+    fn host_index(&self, worker: &str) -> Result<usize, usize> {
+        self.hosts.binary_search_by(|h| (*h.life.worker).cmp(worker))
+    }
+
+    /// Returns a worker, if it is still in that life.
+    fn host(&self, life: &Life) -> Option<&Host> {
+        let i = self.host_index(&life.worker).ok()?;
+        Some(&self.hosts[i]).filter(|h| h.life.born == life.born)
+    }
+
+    fn host_mut(&mut self, life: &Life) -> Option<&mut Host> {
+        let i = self.host_index(&life.worker).ok()?;
+        Some(&mut self.hosts[i]).filter(|h| h.life.born == life.born)
+    }
+
+    fn run_index(&self, run: &Run) -> Result<usize, usize> {
+        self.runs.binary_search_by(|r| r.run.cmp(run))
+    }
+
+    /// Returns whether a run of the task is not over.
+    fn is_running(&self, task: &crate::contract::work::Task) -> bool {
+        let i = self.runs.partition_point(|r| r.run.task < *task);
+        self.runs.get(i).is_some_and(|r| r.run.task == *task)
+    }
+
+    fn insert(&mut self, running: Running) {
+        if let Err(i) = self.run_index(&running.run) {
+            if let Some(host) = self.host_mut(&running.on.clone()) {
+                host.add(&running.needs);
+            }
+            self.runs.insert(i, running);
+        }
+    }
+
+    /// Gives back what a run uses.
+    fn free(&mut self, i: usize) {
+        let needs = std::mem::take(&mut self.runs[i].needs);
+        let on = Arc::clone(&self.runs[i].on);
+        if let Some(host) = self.host_mut(&on) {
+            host.used = host.used.saturating_sub(&needs);
+        }
+        self.is_dirty = true;
+    }
+
+    fn drop_run(&mut self, i: usize) {
+        self.free(i);
+        let running = self.runs.remove(i);
+        if let Some(host) = self.host_mut(&running.on) {
+            host.remove(&Capacity::ZERO);
+        }
+    }
+
+    fn remove(&mut self, run: &Run, on: &Life) {
+        if let Ok(i) = self.run_index(run)
+            && *self.runs[i].on == *on
+        {
+            self.drop_run(i);
+        }
+    }
+}
+
+impl Running {
+    fn adopted(run: Run, on: Arc<Life>, needs: Capacity, now: Millis) -> Self {
+        Self {
+            run,
+            on,
+            needs,
+            phase: Phase::Working { since: 0 },
+            ticket: None,
+            valid_until: Millis::MAX,
+            doomed: false,
+            progress: (0, now),
+        }
+    }
+}
+
+fn step_of<'a>(book: &'a Book, stage: &Stage) -> Option<&'a crate::contract::work::Step> {
+    book.job(stage.job)?.job.steps.get(usize::from(stage.step))
+}
+
+/// Returns what counts as used by a run.
+fn needs_of(book: &Book, run: &Run) -> Capacity {
+    step_of(book, &run.task.stage).map(place::counted).unwrap_or_default()
+}
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod history;
 pub mod record;
+pub mod shard;
 pub mod snapshot;
 
 use crate::name::Name;
--- /dev/null
+++ b/crates/core/src/ledger/shard/book.rs
@@ -0,0 +1,248 @@
+//! The fold of the shard's log: every daemon that has read the same entries has the same book.
+
+#[cfg(test)]
+mod tests;
+
+use super::state::{JobState, Pass};
+use super::{End, Entry, Life, Run};
+use crate::clock::Millis;
+use crate::contract::work::{Id, Job, Stage, Status, Task};
+use std::sync::Arc;
+
+/// How long an ended job is remembered.
+pub const REMEMBER_ENDED: Millis = Millis::from_secs(600);
+
+/// The claim that is in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Claim {
+    /// Epoch of the owner, 0 before the first claim.
+    pub epoch: u64,
+    /// Name of the owner.
+    pub owner: Box<str>,
+    /// Number that the owner drew at its start.
+    pub nonce: u64,
+}
+
+/// What an entry changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A job was accepted.
+    Accepted(Id),
+    /// A job is over; its runs must stop.
+    Over(Id),
+    /// Another owner has claimed the shard.
+    Claimed,
+    /// The entry changed what is known of runs.
+    Progress,
+    /// The entry changed nothing: a repeat.
+    Nothing,
+}
+
+/// What the log says.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    /// Sorted by id.
+    jobs: Vec<JobState>,
+    /// Steps whose tasks may start or are at work, sorted.
+    open: Vec<Stage>,
+    /// The last end that was recorded of each life, sorted.
+    noted: Vec<(Life, u64)>,
+    claim: Claim,
+}
+
+impl Book {
+    /// Returns the claim that is in force.
+    pub const fn claim(&self) -> &Claim {
+        &self.claim
+    }
+
+    /// Returns a job.
+    pub fn job(&self, id: Id) -> Option<&JobState> {
+        self.find(id).ok().map(|i| &self.jobs[i])
+    }
+
+    /// Returns all jobs, by id.
+    pub fn jobs(&self) -> &[JobState] {
+        &self.jobs
+    }
+
+    /// Returns the steps whose tasks may start or are at work.
+    pub fn open(&self) -> &[Stage] {
+        &self.open
+    }
+
+    /// Returns the number of the last end that was recorded of a worker's life.
+    pub fn noted(&self, life: &Life) -> u64 {
+        self.noted.binary_search_by(|(l, _)| l.cmp(life)).map_or(0, |i| self.noted[i].1)
+    }
+
+    /// Returns how many jobs of a queue have not started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let waits = |j: &&JobState| j.status() == Status::Queued && &*j.job.policy.queue == queue;
+        self.jobs.iter().filter(waits).count()
+    }
+
+    /// Returns the runs that may be at work, with the life on which each was started.
+    pub fn placed(&self) -> Vec<(Run, Arc<Life>)> {
+        let mut runs = Vec::new();
+        for state in &self.jobs {
+            for (occurrence, pass) in (0..).zip(&state.passes) {
+                for (step, tasks) in (0..).zip(&pass.steps) {
+                    let stage = Stage { job: state.job.id, occurrence, step };
+                    for (index, task) in (0..).zip(&tasks.tasks) {
+                        if let Some(placed) = &task.placed {
+                            let run = Run { task: Task { stage, index }, number: placed.number };
+                            runs.push((run, Arc::clone(&placed.on)));
+                        }
+                    }
+                }
+            }
+        }
+        runs
+    }
+
+    /// Takes the next entry of the log in.
+    pub fn apply(&mut self, entry: Entry, now: Millis) -> Change {
+        match entry {
+            Entry::Submitted(job) => self.submit(*job, now),
+            Entry::Cancelled(id) => self.cancel(id, now),
+            Entry::Claimed { epoch, owner, nonce } if epoch > self.claim.epoch => {
+                self.claim = Claim { epoch, owner, nonce };
+                Change::Claimed
+            }
+            Entry::Released { epoch } if epoch == self.claim.epoch => {
+                self.claim.owner = Box::default();
+                self.claim.nonce = 0;
+                Change::Claimed
+            }
+            Entry::Claimed { .. } | Entry::Released { .. } | Entry::Alive { .. } => Change::Nothing,
+            Entry::Due { job, occurrence } => self.due(job, occurrence),
+            Entry::Started { on, runs } => {
+                let on = Arc::new(on);
+                runs.iter().for_each(|run| self.start(*run, &on));
+                Change::Progress
+            }
+            Entry::Ended { on, ends } => self.end(&on, &ends, now),
+            Entry::Lost(runs) => {
+                for run in runs {
+                    if let Some(step) = self.job_mut(run.task.stage.job).and_then(|j| j.step_mut(&run.task)) {
+                        step.lose(run);
+                    }
+                }
+                Change::Progress
+            }
+        }
+    }
+
+    /// Forgets jobs that ended long ago.
+    pub fn expire(&mut self, now: Millis) {
+        self.jobs.retain(|j| j.ended.is_none_or(|at| now.since(at) < REMEMBER_ENDED));
+    }
+
+    fn find(&self, id: Id) -> Result<usize, usize> {
+        self.jobs.binary_search_by_key(&id, |j| j.job.id)
+    }
+
+    fn job_mut(&mut self, id: Id) -> Option<&mut JobState> {
+        self.find(id).ok().map(|i| &mut self.jobs[i])
+    }
+
+    fn submit(&mut self, job: Job, now: Millis) -> Change {
+        let id = job.id;
+        let Err(i) = self.find(id) else { return Change::Nothing };
+        self.jobs.insert(i, JobState::new(job, now));
+        self.reopen(id, now);
+        Change::Accepted(id)
+    }
+
+    fn cancel(&mut self, id: Id, now: Millis) -> Change {
+        match self.job_mut(id) {
+            Some(job) if !job.is_over() => {
+                job.cancelled = true;
+                job.ended = Some(now);
+                self.close(id);
+                Change::Over(id)
+            }
+            _ => Change::Nothing,
+        }
+    }
+
+    fn due(&mut self, id: Id, occurrence: u32) -> Change {
+        let Some(state) = self.job_mut(id) else { return Change::Nothing };
+        if state.is_over() || usize::try_from(occurrence).ok() != Some(state.passes.len()) {
+            return Change::Nothing;
+        }
+        let pass = Pass::new(&state.job);
+        state.passes.push(pass);
+        self.reopen(id, Millis::ZERO);
+        Change::Progress
+    }
+
+    fn start(&mut self, run: Run, on: &Arc<Life>) {
+        if let Some(state) = self.job_mut(run.task.stage.job) {
+            state.started = true;
+            if let Some(step) = state.step_mut(&run.task) {
+                step.start(run, on);
+            }
+        }
+    }
+
+    fn end(&mut self, on: &Life, ends: &[End], now: Millis) -> Change {
+        self.note(on, ends.iter().map(|e| e.number).max().unwrap_or_default());
+        let mut change = Change::Progress;
+        for end in ends {
+            let id = end.run.task.stage.job;
+            let Some(state) = self.job_mut(id) else { continue };
+            let job = Arc::clone(&state.job);
+            let Some(step) = job.steps.get(usize::from(end.run.task.stage.step)) else { continue };
+            let Some(of) = state.step_mut(&end.run.task) else { continue };
+            let is_spent = of.end(step, job.policy.attempts, end);
+            let is_done = of.is_done();
+            if is_spent && !state.is_over() {
+                state.failed = true;
+                state.ended = Some(now);
+                self.close(id);
+                change = Change::Over(id);
+            } else if is_done {
+                self.reopen(id, now);
+            }
+        }
+        change
+    }
+
+    fn note(&mut self, life: &Life, number: u64) {
+        match self.noted.binary_search_by(|(l, _)| l.cmp(life)) {
+            Ok(i) => self.noted[i].1 = self.noted[i].1.max(number),
+            Err(i) => self.noted.insert(i, (life.clone(), number)),
+        }
+    }
+
+    fn close(&mut self, id: Id) {
+        self.open.retain(|s| s.job != id);
+    }
+
+    /// Recomputes which steps of a job are open, and whether it is completed.
+    fn reopen(&mut self, id: Id, now: Millis) {
+        self.close(id);
+        let Some(state) = self.job_mut(id) else { return };
+        if state.is_over() {
+            return;
+        }
+        if state.is_done() {
+            state.ended = Some(now);
+            return;
+        }
+        let mut open = Vec::new();
+        for (occurrence, pass) in (0..).zip(&state.passes) {
+            for step in 0..pass.steps.len() {
+                if let Ok(at) = u16::try_from(step)
+                    && pass.is_open(&state.job, step)
+                {
+                    open.push(Stage { job: id, occurrence, step: at });
+                }
+            }
+        }
+        let at = self.open.partition_point(|s| s.job < id);
+        self.open.splice(at..at, open);
+    }
+}
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -6,6 +6,7 @@
 pub mod controller;
 pub mod estimate;
 pub mod health;
+pub mod host;
 pub mod lease;
 pub mod placement;
 pub mod runner;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,6 @@
 //! One daemon: its duties, wired by rings.
 
-mod stage;
+pub(crate) mod stage;
 
 use crate::duty::control::Control;
 use crate::duty::dispatch::Dispatch;
--- a/crates/daemon/src/daemon/stage.rs
+++ b/crates/daemon/src/daemon/stage.rs
@@ -8,7 +8,7 @@
 ///
 /// What a duty needs to finish its requests ends in a later stage: the fronts for callers and
 /// operators, then the one for peers, then the dispatch duty, then everything else.
-pub(super) struct Stage {
+pub(crate) struct Stage {
     pub tokens: Tokens,
     threads: Vec<JoinHandle<()>>,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ring;
 pub mod route;
 pub mod settings;
+pub mod shard;
 pub mod telemetry;
 pub mod view;
 
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -4,6 +4,7 @@
 //! line goes to a file of its own, or to standard output, one [`Event`] a line, and is always
 //! written whole. Neither holds secrets.
 
+pub mod lines;
 #[cfg(test)]
 mod tests;
 
@@ -67,6 +68,18 @@
     }
 }
 
+/// Sets up the log of this process alone, once, with lines that never hold up a duty.
+///
+/// # Errors
+///
+/// Returns an error when logs are set up already.
+pub fn start_lines(level: &str, lines: lines::Lines) -> Result<(), Error> {
+    let level: LevelFilter = level.parse().unwrap_or(LevelFilter::INFO);
+    let own = Targets::new().with_default(level.min(LevelFilter::WARN)).with_target(OWN, level);
+    let log = tracing_subscriber::fmt::layer().json().flatten_event(true).with_writer(lines);
+    tracing_subscriber::registry().with(log.with_filter(own)).try_init().context(AgainSnafu)
+}
+
 fn start_with<W>(level: &str, timeline: W) -> Result<(), Error>
 where
     W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
--- a/crates/daemon/src/ring.rs
+++ b/crates/daemon/src/ring.rs
@@ -57,6 +57,18 @@
         })
     }
 
+    /// As [`Self::offer`], but gives the item back.
+    ///
+    /// # Errors
+    ///
+    /// Returns the item when there is no place.
+    pub fn offer_back(&self, item: T) -> Result<(), T> {
+        self.sender.try_send(item).map_err(|error| {
+            self.refusals.fetch_add(1, Ordering::Relaxed);
+            error.into_inner()
+        })
+    }
+
     /// Puts an item in the ring, waiting for a place.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/daemon/src/shard/front.rs
@@ -0,0 +1,158 @@
+//! Answers callers. Decoding is the adapter's; what is answered is decided here.
+
+use super::border::{Answer, Callers, Command};
+use super::ledger::{Intake, Stored};
+use super::steward::Event;
+use super::view::{self, Facts};
+use crate::ring::{self, Latest, Sender, Unanswered};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::catalog::Catalog;
+use pimentovalve_core::contract::work::{Id, Job, Status};
+use pimentovalve_core::ledger::shard::Entry;
+use pimentovalve_wire::http::{Handler, Pending, Request, Response};
+use std::sync::Arc;
+
+/// When a caller should come back whose request was not run.
+const COME_BACK: Millis = Millis::from_secs(1);
+/// Longest time for which storing a request is tried. Callers that say how long they wait get an
+/// answer while they can still use it.
+const MAX_PATIENCE: Millis = Millis(2500);
+/// Part of a caller's patience, in tenths, that storing may use.
+const PATIENCE_TENTHS: u64 = 7;
+/// A book that was not brought up to date for so long can't tell that a job does not exist. Half
+/// of the time in which an accepted job must be visible.
+const STALE: Millis = Millis(1500);
+/// Time after which a read of the log covers what was acknowledged before: a reader that is not
+/// the owner reads every 200 ms.
+const SETTLE: Millis = Millis(600);
+
+/// Answers callers.
+pub struct Front {
+    /// The callers' protocol.
+    pub callers: Arc<dyn Callers>,
+    /// The configuration in force.
+    pub catalog: Latest<Option<Arc<Catalog>>>,
+    /// What is stored.
+    pub intake: Sender<Intake>,
+    /// Who knows the state of jobs.
+    pub steward: Sender<Event>,
+    /// What the steward publishes.
+    pub facts: Latest<Facts>,
+}
+
+impl Handler for Front {
+    fn handle<'a>(&'a self, request: Request<'a>) -> Pending<'a, Response> {
+        Box::pin(async move { self.callers.encode(&self.answer(&request).await) })
+    }
+}
+
+impl Front {
+    async fn answer(&self, request: &Request<'_>) -> Answer {
+        let Some(catalog) = self.catalog.borrow().clone() else {
+            tracing::info!("request refused: no configuration was read yet");
+            return Answer::NotDone(COME_BACK);
+        };
+        let patience = self.callers.patience(request).unwrap_or(MAX_PATIENCE);
+        let patience = MAX_PATIENCE.min(Millis(patience.get() * PATIENCE_TENTHS / 10));
+        let until = view::now() + patience;
+        match self.callers.decode(request, &catalog) {
+            Ok(Command::Submit(job)) => self.submit(job, catalog.version, until).await,
+            Ok(Command::Status(id)) => self.status(id).await,
+            Ok(Command::Cancel(id)) => self.cancel(id, until).await,
+            Ok(Command::Count(queue)) => self.count(queue).await,
+            Err(answer) => {
+                let (method, path, version) = (request.method, request.path, catalog.version);
+                tracing::info!(method, path, version, ?answer, "request refused");
+                answer
+            }
+        }
+    }
+
+    async fn submit(&self, job: Box<Job>, version: u64, until: Millis) -> Answer {
+        let id = job.id;
+        if matches!(self.look_up(id).await, Ok(Some(_))) {
+            tracing::info!(job = %id, version, "job known already");
+            return Answer::Accepted;
+        }
+        let queue = job.policy.queue.clone();
+        let stored = self.store(Entry::Submitted(job), until).await;
+        tracing::info!(job = %id, %queue, version, outcome = ?stored, "job handed in");
+        match stored {
+            Stored::Yes => Answer::Accepted,
+            Stored::No => Answer::NotDone(COME_BACK),
+            Stored::Unknown => Answer::Undecided,
+        }
+    }
+
+    async fn cancel(&self, id: Id, until: Millis) -> Answer {
+        match self.exists(id).await {
+            Ok(true) => {}
+            Ok(false) => return Answer::NoJob,
+            Err(answer) => return answer,
+        }
+        let stored = self.store(Entry::Cancelled(id), until).await;
+        tracing::info!(job = %id, outcome = ?stored, "job cancelled");
+        match stored {
+            Stored::Yes => Answer::Accepted,
+            Stored::No => Answer::NotDone(COME_BACK),
+            Stored::Unknown => Answer::Undecided,
+        }
+    }
+
+    async fn status(&self, id: Id) -> Answer {
+        match self.exists(id).await {
+            Ok(true) => {}
+            Ok(false) => return Answer::NoJob,
+            Err(answer) => return answer,
+        }
+        match self.look_up(id).await {
+            Ok(Some(status)) => Answer::State(status),
+            Ok(None) => Answer::NoJob,
+            Err(_) => Answer::NotDone(COME_BACK),
+        }
+    }
+
+    /// Returns whether a job exists. That it doesn't is said only once the log was read again.
+    async fn exists(&self, id: Id) -> Result<bool, Answer> {
+        let asked = view::now();
+        loop {
+            match self.look_up(id).await {
+                Ok(Some(_)) => return Ok(true),
+                Ok(None) => {}
+                Err(_) => return Err(Answer::NotDone(COME_BACK)),
+            }
+            let heard = self.facts.borrow().heard;
+            if heard > asked {
+                return Ok(false);
+            }
+            let mut facts = self.facts.clone();
+            let newer = facts.wait_for(|f| f.heard > asked);
+            if tokio::time::timeout(SETTLE.into(), newer).await.is_err()
+                && view::now().since(heard) > STALE
+            {
+                tracing::info!(job = %id, "state unknown: the log can't be read");
+                return Err(Answer::NotDone(COME_BACK));
+            }
+        }
+    }
+
+    async fn count(&self, queue: Box<str>) -> Answer {
+        match ring::ask(&self.steward, |reply| Event::Count(queue, reply)).await {
+            Ok(count) => Answer::Waiting(count),
+            Err(_) => Answer::NotDone(COME_BACK),
+        }
+    }
+
+    async fn look_up(&self, id: Id) -> Result<Option<Status>, Unanswered> {
+        ring::ask(&self.steward, |reply| Event::Status(id, reply)).await
+    }
+
+    async fn store(&self, entry: Entry, until: Millis) -> Stored {
+        let outcome = ring::ask(&self.intake, |reply| Intake { entry, until, reply }).await;
+        match outcome {
+            Ok(stored) => stored,
+            Err(Unanswered::Refused) => Stored::No,
+            Err(Unanswered::Dropped) => Stored::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shard/ledger.rs
@@ -0,0 +1,428 @@
+//! The ledger duty: all conversation with the store.
+//!
+//! Its loops share one thread. One tails the log; one appends what callers hand in, grouped; one
+//! appends what the owner decides, in order and fenced; the others read the configuration, the
+//! workers and the members. Every loop retries by itself, spaced and with jitter, so that a store
+//! that comes back is not met by all daemons at once.
+
+use super::border::{Author, Failure, Member, Store};
+use super::steward::Event;
+use super::view::{self, Facts};
+use crate::duty::Duty;
+use crate::ring::{Latest, Publisher, Receiver, Reply, Sender};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::catalog::Catalog;
+use pimentovalve_core::ledger::shard::{Entry, Record};
+use pimentovalve_wire::codec;
+use pimentovalve_wire::http::Pending;
+use rand::RngExt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// Pause between two reads of the log by the owner: what callers hand in waits for it.
+const OWNER_READ_PAUSE: Duration = Duration::from_millis(25);
+/// Pause between two reads of the log by others: what callers are shown lags by it.
+const READ_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two appends of what callers hand in: they are grouped in the meantime.
+const INTAKE_PAUSE: Duration = Duration::from_millis(25);
+/// Most records of one append.
+const MAX_GROUP: usize = 256;
+/// Most bytes of one append; half of what the store takes in a call.
+const MAX_GROUP_BYTES: usize = 1 << 20;
+/// Longest time for which a change of the configuration is awaited in one call.
+const CATALOG_WAIT: Millis = Millis(1000);
+/// Pause between two reads of the list of workers by the owner.
+const OWNER_LIST_PAUSE: Duration = Duration::from_millis(400);
+/// Pause between two reads of the list of workers by others, which only keep it warm.
+const LIST_PAUSE: Duration = Duration::from_secs(3);
+/// Time between two announcements of this daemon.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(3);
+/// Longest time for which a planned stop waits for appends in flight.
+const MAX_FLUSH: Duration = Duration::from_millis(1200);
+/// Pause after a call without success, at first.
+const RETRY: Duration = Duration::from_millis(40);
+/// Longest pause after calls without success.
+const MAX_RETRY: Duration = Duration::from_millis(320);
+
+/// What callers hand in.
+pub struct Intake {
+    /// The entry.
+    pub entry: Entry,
+    /// No append begins after this time on the steady clock.
+    pub until: Millis,
+    /// Where the outcome goes.
+    pub reply: Reply<Stored>,
+}
+
+/// What became of an entry that was handed in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stored {
+    /// It is in the log.
+    Yes,
+    /// It is not and will not be.
+    No,
+    /// It may be, now or later.
+    Unknown,
+}
+
+/// What the steward wants appended.
+#[derive(Clone, Debug)]
+pub enum Append {
+    /// A claim, if the log still ends at an offset.
+    Claim {
+        /// The claim.
+        entry: Entry,
+        /// Its epoch.
+        epoch: u64,
+        /// Where the log must end.
+        at: u64,
+    },
+    /// Records of the owner.
+    Own(Vec<Record>),
+}
+
+/// The duty.
+pub struct Ledger {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// This daemon.
+    pub member: Member,
+    /// What callers hand in.
+    pub intake: Receiver<Intake>,
+    /// What the steward wants appended.
+    pub appends: Receiver<Append>,
+    /// The steward's events.
+    pub steward: Sender<Event>,
+    /// What the steward publishes.
+    pub facts: Latest<Facts>,
+    /// The configuration in force.
+    pub catalog: Publisher<Option<Arc<Catalog>>>,
+}
+
+impl Duty for Ledger {
+    fn name(&self) -> &'static str {
+        "ledger"
+    }
+
+    fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
+        Box::pin(async move {
+            let Self { store, member, intake, appends, steward, facts, catalog } = *self;
+            let own = tokio::spawn(append_own(Arc::clone(&store), appends, steward.clone()));
+            let taking = tokio::spawn(append_intake(Arc::clone(&store), intake));
+            let loops = [
+                tokio::spawn(tail(Arc::clone(&store), steward.clone(), facts.clone())),
+                tokio::spawn(follow_catalog(Arc::clone(&store), catalog)),
+                tokio::spawn(follow_workers(Arc::clone(&store), steward.clone(), facts.clone())),
+                tokio::spawn(follow_members(store, member, steward, facts)),
+            ];
+            stop.cancelled().await;
+            // The rings end when their senders do: what is in them is still appended.
+            for ending in [own, taking] {
+                match tokio::time::timeout(MAX_FLUSH, ending).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(error)) => tracing::error!(%error, "an appending loop panicked"),
+                    Err(_) => tracing::warn!("appends were left behind: the store is away"),
+                }
+            }
+            loops.iter().for_each(tokio::task::JoinHandle::abort);
+        })
+    }
+}
+
+/// Pauses between tries, growing, with jitter.
+struct Backoff(Duration);
+
+impl Backoff {
+    const fn new() -> Self {
+        Self(RETRY)
+    }
+
+    async fn pause(&mut self) {
+        let spread = rand::rng().random_range(0.5..1.5);
+        sleep(self.0.mul_f64(spread)).await;
+        self.0 = MAX_RETRY.min(self.0 * 2);
+    }
+
+    const fn reset(&mut self) {
+        self.0 = RETRY;
+    }
+}
+
+/// Logs the loss and the return of a dependency, one line each.
+struct Watch {
+    of: &'static str,
+    lost_at: Option<Millis>,
+}
+
+impl Watch {
+    const fn new(of: &'static str) -> Self {
+        Self { of, lost_at: None }
+    }
+
+    fn lost(&mut self, failure: &Failure) {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(view::now());
+            tracing::warn!(of = self.of, error = %failure, "dependency lost");
+        }
+    }
+
+    fn regained(&mut self) {
+        if let Some(at) = self.lost_at.take() {
+            let lost_ms = view::now().since(at).get();
+            tracing::info!(of = self.of, lost_ms, "dependency regained");
+        }
+    }
+}
+
+async fn tail(store: Arc<dyn Store>, steward: Sender<Event>, mut facts: Latest<Facts>) {
+    let mut from = 0;
+    let (mut watch, mut backoff) = (Watch::new("log"), Backoff::new());
+    loop {
+        match store.read(from).await {
+            Ok(chunk) => {
+                watch.regained();
+                backoff.reset();
+                let count = u64::try_from(chunk.records.len()).unwrap_or_default();
+                let records = chunk.records.iter().filter_map(|bytes| decode(bytes)).collect();
+                from += count;
+                let caught_up = from >= chunk.end;
+                let event = Event::Read { records, next: from, caught_up };
+                if steward.push(event).await.is_err() {
+                    return;
+                }
+                if !caught_up {
+                    continue;
+                }
+                let pause = if facts.borrow().owns() { OWNER_READ_PAUSE } else { READ_PAUSE };
+                tokio::select! {
+                    () = sleep(pause) => {}
+                    _ = facts.wait_for(|f| f.owns() && pause > OWNER_READ_PAUSE) => {}
+                }
+            }
+            Err(Failure::Gone { first }) => {
+                // What fell out of the log is unknown for good; what follows is still in order.
+                tracing::error!(from, first, "the log was trimmed ahead of this reader");
+                from = first;
+            }
+            Err(failure) => {
+                watch.lost(&failure);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Option<Record> {
+    match codec::unpack(bytes) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            tracing::error!(%error, bytes = bytes.len(), "a record of the log can't be decoded");
+            None
+        }
+    }
+}
+
+fn encode(record: &Record) -> Option<Vec<u8>> {
+    match codec::pack(record) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            tracing::error!(%error, "a record of the log can't be encoded");
+            None
+        }
+    }
+}
+
+async fn append_intake(store: Arc<dyn Store>, intake: Receiver<Intake>) {
+    while let Some(first) = intake.next().await {
+        let (mut group, mut bodies, mut size) = (Vec::new(), Vec::new(), 0);
+        let mut next = Some(first);
+        while let Some(item) = next {
+            if let Some(body) = encode(&Record::open(item.entry.clone())) {
+                size += body.len();
+                bodies.push(body);
+                group.push(item);
+            }
+            let is_full = group.len() >= MAX_GROUP || size >= MAX_GROUP_BYTES;
+            next = if is_full { None } else { intake.try_next() };
+        }
+        let stored = append_group(&*store, &bodies, &group).await;
+        for item in group {
+            // A caller that has left wants no answer.
+            let _ = item.reply.send(stored);
+        }
+        sleep(INTAKE_PAUSE).await;
+    }
+}
+
+/// Appends what callers handed in, until it is stored or the first of them can't wait any more.
+async fn append_group(store: &dyn Store, bodies: &[Vec<u8>], group: &[Intake]) -> Stored {
+    let until = group.iter().map(|i| i.until).min().unwrap_or_default();
+    let mut backoff = Backoff::new();
+    let mut worst = Stored::No;
+    while view::now() < until {
+        match store.append(bodies, None).await {
+            Ok(()) => return Stored::Yes,
+            Err(Failure::Unknown { message }) => {
+                tracing::debug!(message, "an intake append has no answer");
+                worst = Stored::Unknown;
+            }
+            Err(failure) => tracing::debug!(error = %failure, "an intake append was refused"),
+        }
+        backoff.pause().await;
+    }
+    tracing::warn!(entries = group.len(), outcome = ?worst, "an intake append was given up");
+    worst
+}
+
+async fn append_own(store: Arc<dyn Store>, appends: Receiver<Append>, steward: Sender<Event>) {
+    let mut numbers = (0, 0);
+    let mut waiting: Option<Append> = None;
+    loop {
+        let next = match waiting.take() {
+            Some(append) => Some(append),
+            None => appends.next().await,
+        };
+        let Some(next) = next else { return };
+        let sent = match next {
+            Append::Claim { entry, epoch, at } => {
+                claim(&*store, entry, epoch, at).await;
+                continue;
+            }
+            Append::Own(mut records) => {
+                while records.len() < MAX_GROUP && waiting.is_none() {
+                    match appends.try_next() {
+                        Some(Append::Own(more)) => records.extend(more),
+                        other => {
+                            waiting = other;
+                            break;
+                        }
+                    }
+                }
+                records
+            }
+        };
+        let epoch = sent.first().map_or(0, |r| r.epoch);
+        // The claim itself has number 0.
+        numbers = if numbers.0 == epoch { (epoch, numbers.1 + 1) } else { (epoch, 1) };
+        let author = Author { epoch, number: numbers.1, at: None };
+        if !append_fenced(&*store, &sent, author).await {
+            if steward.push(Event::Fenced { epoch }).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        if steward.push(Event::Recorded(sent)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn claim(store: &dyn Store, entry: Entry, epoch: u64, at: u64) {
+    let Some(body) = encode(&Record::open(entry)) else { return };
+    let author = Author { epoch, number: 0, at: Some(at) };
+    let outcome = store.append(&[body], Some(author)).await;
+    // Whether the claim stands is told by the log alone.
+    tracing::info!(epoch, at, outcome = ?outcome.err(), "ownership claimed");
+}
+
+/// Appends records of the owner; returns whether they are in the log, false when fenced.
+async fn append_fenced(store: &dyn Store, records: &[Record], author: Author) -> bool {
+    let bodies: Vec<Vec<u8>> = records.iter().filter_map(encode).collect();
+    let (mut watch, mut backoff) = (Watch::new("fenced append"), Backoff::new());
+    loop {
+        match store.append(&bodies, Some(author)).await {
+            Ok(()) => {
+                watch.regained();
+                return true;
+            }
+            Err(Failure::Fenced | Failure::Moved) => return false,
+            Err(failure) => watch.lost(&failure),
+        }
+        backoff.pause().await;
+    }
+}
+
+async fn follow_catalog(store: Arc<dyn Store>, catalog: Publisher<Option<Arc<Catalog>>>) {
+    let (mut watch, mut backoff) = (Watch::new("configuration"), Backoff::new());
+    loop {
+        match store.catalog(CATALOG_WAIT).await {
+            Ok(newest) => {
+                watch.regained();
+                backoff.reset();
+                let Some(newest) = newest else { continue };
+                let current = catalog.borrow().as_ref().map_or(0, |c| c.version);
+                if newest.version > current {
+                    let (version, queues) = (newest.version, newest.queues().len());
+                    tracing::info!(version, queues, "configuration in force");
+                    catalog.send_replace(Some(Arc::new(newest)));
+                }
+            }
+            Err(failure) => {
+                watch.lost(&failure);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+async fn follow_workers(store: Arc<dyn Store>, steward: Sender<Event>, mut facts: Latest<Facts>) {
+    let (mut watch, mut backoff) = (Watch::new("list of workers"), Backoff::new());
+    loop {
+        match store.workers().await {
+            Ok(list) => {
+                watch.regained();
+                backoff.reset();
+                if steward.push(Event::Listed(list)).await.is_err() {
+                    return;
+                }
+                let pause = if facts.borrow().owns() { OWNER_LIST_PAUSE } else { LIST_PAUSE };
+                tokio::select! {
+                    () = sleep(pause) => {}
+                    _ = facts.wait_for(|f| f.owns() && pause > OWNER_LIST_PAUSE) => {}
+                }
+            }
+            Err(failure) => {
+                watch.lost(&failure);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+async fn follow_members(
+    store: Arc<dyn Store>,
+    mut member: Member,
+    steward: Sender<Event>,
+    facts: Latest<Facts>,
+) {
+    let (mut watch, mut backoff) = (Watch::new("list of members"), Backoff::new());
+    loop {
+        member.beat += 1;
+        let announced = store.announce(&member).await;
+        // Only the owner spreads questions over the members.
+        let owns = facts.borrow().owns();
+        let listed = if owns { store.members().await.map(Some) } else { Ok(None) };
+        match announced.and(listed) {
+            Ok(listed) => {
+                watch.regained();
+                backoff.reset();
+                if let Some(members) = listed
+                    && steward.push(Event::Members(members)).await.is_err()
+                {
+                    return;
+                }
+                let mut facts = facts.clone();
+                tokio::select! {
+                    () = sleep(ANNOUNCE_PAUSE) => {}
+                    _ = facts.wait_for(|f| f.owns() && !owns) => {}
+                }
+            }
+            Err(failure) => {
+                watch.lost(&failure);
+                backoff.pause().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shard/node.rs
@@ -0,0 +1,206 @@
+//! One daemon of a shard: its duties, wired by rings, and its planned stop.
+
+use super::advice::Advice;
+use super::border::{Advisor, Callers, Member, Store, Workers};
+use super::front::Front;
+use super::ledger::Ledger;
+use super::orders::Orders;
+use super::peer::Peer;
+use super::ready::Ready;
+use super::steward::Steward;
+use super::view::Facts;
+use crate::daemon::stage::Stage;
+use crate::duty;
+use crate::front;
+use crate::ring;
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::owner::Limits;
+use pimentovalve_wire::http::Handler;
+use pimentovalve_wire::http::client::Client;
+use pimentovalve_wire::http::server;
+use snafu::{ResultExt, Snafu};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Places of a ring; a flood of a second fits.
+const RING: usize = 4096;
+/// Time for which a daemon that drains still takes new connections: the balancer asks each second
+/// and takes it out after two misses.
+const DRAIN: Duration = Duration::from_millis(2400);
+
+/// Why a daemon can't start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[snafu(display("{front}: {address} can't be listened on: {source}"))]
+    Listen {
+        /// The front.
+        front: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A duty can't be started.
+    #[snafu(context(false), display("{source}"))]
+    Duty {
+        /// Why.
+        source: duty::Error,
+    },
+}
+
+/// What a daemon is told of itself.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Unique name of its instance.
+    pub name: Box<str>,
+    /// Where callers come.
+    pub callers: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    /// Where peers come.
+    pub peers: SocketAddr,
+    /// Bounds of a caller's connection.
+    pub bounds: server::Limits,
+    /// Figures for the owner.
+    pub limits: Limits,
+}
+
+/// The platform, as its adapter implements it.
+#[derive(Clone)]
+pub struct Platform {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// The workers.
+    pub workers: Arc<dyn Workers>,
+    /// The advisor.
+    pub advisor: Arc<dyn Advisor>,
+    /// The callers' protocol.
+    pub callers: Arc<dyn Callers>,
+}
+
+/// A running daemon.
+pub struct Node {
+    leave: CancellationToken,
+    /// Fronts, then everything else: in the order in which they end.
+    fronts: Stage,
+    backs: Stage,
+}
+
+impl Node {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address or a thread can't be had.
+    pub fn start(settings: &Settings, platform: &Platform) -> Result<Self, Error> {
+        let (intake_in, intake) = ring::ring(RING);
+        let (events_in, events) = ring::ring(RING);
+        let (appends_in, appends) = ring::ring(RING);
+        let (orders_in, orders) = ring::ring(RING);
+        let (asks_in, asks) = ring::ring(RING);
+        let (facts_in, facts) = ring::latest(Facts::default());
+        let (catalog_in, catalog) = ring::latest(None);
+        let leave = CancellationToken::new();
+        let member = Member {
+            name: settings.name.clone(),
+            address: settings.peers.to_string().into(),
+            beat: 0,
+        };
+        let ready = Ready {
+            facts: facts.clone(),
+            catalog: catalog.clone(),
+            draining: leave.clone(),
+        };
+        let callers = Front {
+            callers: Arc::clone(&platform.callers),
+            catalog,
+            intake: intake_in,
+            steward: events_in.clone(),
+            facts: facts.clone(),
+        };
+        let peer = Peer { advisor: Arc::clone(&platform.advisor) };
+        let [mut fronts, mut backs, ..] = Stage::all();
+        backs.start(Box::new(Ledger {
+            store: Arc::clone(&platform.store),
+            member,
+            intake,
+            appends,
+            steward: events_in.clone(),
+            facts,
+            catalog: catalog_in,
+        }))?;
+        backs.start(Box::new(Steward {
+            name: settings.name.clone(),
+            nonce: rand::random(),
+            limits: settings.limits,
+            leave: leave.clone(),
+            events,
+            ledger: appends_in,
+            orders: orders_in,
+            advice: asks_in,
+            facts: facts_in,
+        }))?;
+        let workers = Arc::clone(&platform.workers);
+        backs.start(Box::new(Orders { workers, orders, steward: events_in.clone() }))?;
+        let advisor = Arc::clone(&platform.advisor);
+        let client = Arc::new(Client::new());
+        backs.start(Box::new(Advice { advisor, client, asks, steward: events_in }))?;
+        let bounds = settings.bounds;
+        backs.start(Box::new(listen("ready", settings.ready, bounds, Arc::new(ready))?))?;
+        backs.start(Box::new(listen("peers", settings.peers, bounds, Arc::new(peer))?))?;
+        fronts.start(Box::new(listen("callers", settings.callers, bounds, Arc::new(callers))?))?;
+        Ok(Self { leave, fronts, backs })
+    }
+
+    /// Returns whether a duty has ended by itself, so that the daemon must be replaced.
+    pub fn has_failed(&self) -> bool {
+        self.backs.tokens.kill.is_cancelled()
+    }
+
+    /// Stops as planned: hands the shard over, serves until the balancer sends nobody any more,
+    /// answers every request in flight, then ends.
+    pub fn stop(mut self) {
+        self.leave.cancel();
+        std::thread::sleep(DRAIN);
+        self.fronts.stop();
+        self.backs.stop();
+    }
+}
+
+fn listen(
+    name: &'static str,
+    address: SocketAddr,
+    bounds: server::Limits,
+    handler: Arc<dyn Handler>,
+) -> Result<front::Front, Error> {
+    let listener =
+        TcpListener::bind(address).context(ListenSnafu { front: name, address })?;
+    front::Front::new(name, listener, bounds, Arc::default(), handler)
+        .context(ListenSnafu { front: name, address })
+}
+
+/// Returns the figures for an owner whose workers grant leases of at most `max_lease`.
+pub const fn limits(max_lease: Millis) -> Limits {
+    Limits {
+        lease: if max_lease.get() < LEASE.get() { max_lease } else { LEASE },
+        alone: ALONE,
+        look_wait: LOOK_WAIT,
+        look_pause: LOOK_PAUSE,
+        retry: RETRY,
+    }
+}
+
+/// Lease of what runs: rides out a takeover, and frees what a dead worker held soon after.
+const LEASE: Millis = Millis::from_secs(6);
+/// Longest time for which an owner renews leases without word from the store; longer than the
+/// outages that the platform announces.
+const ALONE: Millis = Millis::from_secs(12);
+/// Longest time for which a look waits for an end; a quarter of the lease.
+const LOOK_WAIT: Millis = Millis(1500);
+/// Pause between two looks that found something: ends are recorded in groups.
+const LOOK_PAUSE: Millis = Millis(40);
+/// Time between two tries of an order without answer.
+const RETRY: Millis = Millis(250);
--- /dev/null
+++ b/crates/daemon/src/shard/steward.rs
@@ -0,0 +1,499 @@
+//! The steward duty: keeps the book and, while this daemon owns the shard, decides.
+//!
+//! Whether this daemon owns the shard is told by the log alone: it does while the newest claim
+//! names it. Its own records are taken into the book when they are acknowledged or read back,
+//! whichever is first, each once and in order.
+
+use super::advice::Ask;
+use super::border::Member;
+use super::ledger::Append;
+use super::orders::Order;
+use super::view::{self, Facts};
+use crate::duty::Duty;
+use crate::ring::{Publisher, Receiver, Reply, Sender};
+use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::owner::advice::{Allowed, Question};
+use pimentovalve_core::contract::owner::{Effect, Limits, Owner, Report, StartAnswer, StopAnswer};
+use pimentovalve_core::contract::work::{Id, Status};
+use pimentovalve_core::ledger::shard::book::{Book, Change};
+use pimentovalve_core::ledger::shard::{Entry, Life, Record, Run};
+use pimentovalve_core::machine::host::Listed;
+use pimentovalve_wire::http::Pending;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Time between two decisions while nothing happens.
+const TICK: Duration = Duration::from_millis(20);
+/// Time without an own record after which the owner shows that it still works.
+const ALIVE_EVERY: Millis = Millis(300);
+/// Time without a record of the owner after which another daemon claims the shard.
+const SILENCE: Millis = Millis(1400);
+/// Greatest time by which daemons differ in when they claim, so that one is first.
+const STAGGER: u64 = 400;
+/// Pause between two claims of this daemon.
+const CLAIM_PAUSE: Millis = Millis(500);
+/// A gap between two reads of the log after which silence is measured afresh.
+const DEAF: Millis = Millis(900);
+/// A member that was not announced anew for so long is not asked anything.
+const MEMBER_SILENCE: Millis = Millis::from_secs(10);
+/// Time between two clean-ups of the book.
+const EXPIRE_EVERY: Millis = Millis::from_secs(10);
+
+/// What the steward takes in.
+pub enum Event {
+    /// Records of the log.
+    Read {
+        /// The records, in order.
+        records: Vec<Record>,
+        /// Offset of the next record.
+        next: u64,
+        /// Whether the log ended there.
+        caught_up: bool,
+    },
+    /// Own records are in the log.
+    Recorded(Vec<Record>),
+    /// An own append was refused, since a later owner has claimed.
+    Fenced {
+        /// Epoch of the append.
+        epoch: u64,
+    },
+    /// The workers that are listed now.
+    Listed(Vec<Listed>),
+    /// The members.
+    Members(Vec<Member>),
+    /// An order to start was answered.
+    Started(u64, Run, StartAnswer, Option<u64>),
+    /// An order to stop was answered.
+    Stopped(u64, Run, StopAnswer, Option<u64>),
+    /// A look was answered.
+    Looked(u64, Arc<Life>, u64, Option<Report>),
+    /// A question was answered.
+    Advised(u64, Question, Option<Vec<Allowed>>),
+    /// A caller asks for the state of a job.
+    Status(Id, Reply<Option<Status>>),
+    /// A caller asks how many jobs of a queue have not started.
+    Count(Box<str>, Reply<usize>),
+}
+
+/// The duty.
+pub struct Steward {
+    /// Unique name of this daemon.
+    pub name: Box<str>,
+    /// Drawn at the start of the process.
+    pub nonce: u64,
+    /// Figures for the owner.
+    pub limits: Limits,
+    /// A planned stop has begun: the shard is for others.
+    pub leave: CancellationToken,
+    /// What happens.
+    pub events: Receiver<Event>,
+    /// Appends.
+    pub ledger: Sender<Append>,
+    /// Calls to workers.
+    pub orders: Sender<Order>,
+    /// Questions to the advisor.
+    pub advice: Sender<Ask>,
+    /// What is published.
+    pub facts: Publisher<Facts>,
+}
+
+impl Duty for Steward {
+    fn name(&self) -> &'static str {
+        "steward"
+    }
+
+    fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
+        Box::pin(State::new(*self).run(stop))
+    }
+}
+
+/// The tenure of this daemon as owner.
+struct Tenure {
+    epoch: u64,
+    owner: Owner,
+    /// Sequence of the last own record that was handed over to be appended.
+    sent: u64,
+    /// When a record was last handed over.
+    last_sent: Millis,
+}
+
+/// A member and when it was last announced anew.
+struct Peer {
+    member: Member,
+    seen: Millis,
+}
+
+struct State {
+    duty: Steward,
+    book: Book,
+    tenure: Option<Tenure>,
+    next: u64,
+    /// When the owner last gave a sign, or silence began to be measured.
+    sign: Millis,
+    heard: Millis,
+    caught_up: bool,
+    claimed_at: Millis,
+    workers: Vec<Listed>,
+    /// Sorted by name.
+    peers: Vec<Peer>,
+    expired_at: Millis,
+    is_leaving: bool,
+    /// Epoch and sequence of the last owner's record that the book has.
+    taken: (u64, u64),
+}
+
+impl State {
+    fn new(duty: Steward) -> Self {
+        let now = view::now();
+        Self {
+            duty,
+            book: Book::default(),
+            tenure: None,
+            next: 0,
+            sign: now,
+            heard: Millis::ZERO,
+            caught_up: false,
+            claimed_at: Millis::ZERO,
+            workers: Vec::new(),
+            peers: Vec::new(),
+            expired_at: now,
+            is_leaving: false,
+            taken: (0, 0),
+        }
+    }
+
+    async fn run(mut self, stop: CancellationToken) {
+        let leave = self.duty.leave.clone();
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                () = stop.cancelled() => break,
+                () = leave.cancelled(), if !self.is_leaving => self.release(),
+                _ = tick.tick() => self.decide(),
+                event = self.duty.events.next() => {
+                    let Some(event) = event else { break };
+                    self.take(event);
+                    while let Some(event) = self.duty.events.try_next() {
+                        self.take(event);
+                    }
+                    self.carry_out();
+                }
+            }
+        }
+    }
+
+    /// Lets another daemon claim at once.
+    fn release(&mut self) {
+        self.is_leaving = true;
+        if let Some(epoch) = self.tenure.as_ref().map(|t| t.epoch) {
+            self.record(vec![Entry::Released { epoch }]);
+            tracing::info!(epoch, "ownership released");
+            self.tenure = None;
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = view::now();
+        match event {
+            Event::Read { records, next, caught_up } => self.read(records, next, caught_up, now),
+            Event::Recorded(records) => {
+                for record in records {
+                    self.apply(record, now);
+                }
+            }
+            Event::Fenced { epoch } => self.fenced(epoch),
+            Event::Listed(list) => {
+                self.workers = list;
+                if let Some(tenure) = &mut self.tenure {
+                    tenure.owner.listed(&self.workers, &self.book, now);
+                }
+            }
+            Event::Members(members) => self.meet(members, now),
+            Event::Status(id, reply) => {
+                // A caller that has left wants no answer.
+                let _ = reply.send(self.book.job(id).map(|j| j.status()));
+            }
+            Event::Count(queue, reply) => {
+                let _ = reply.send(self.book.pending(&queue));
+            }
+            Event::Started(epoch, run, answer, clock) => {
+                self.log_start(&run, answer);
+                if let Some(owner) = owner_of(&mut self.tenure, epoch) {
+                    owner.start_answered(&run, answer, clock, &self.book, now);
+                }
+            }
+            Event::Stopped(epoch, run, answer, clock) => {
+                if let Some(owner) = owner_of(&mut self.tenure, epoch) {
+                    owner.stop_answered(&run, answer, clock, now);
+                }
+            }
+            Event::Looked(epoch, on, number, report) => {
+                if let Some(owner) = owner_of(&mut self.tenure, epoch) {
+                    owner.looked(&on, number, report.as_ref(), &self.book, now);
+                }
+            }
+            Event::Advised(epoch, question, answer) => {
+                if let Some(owner) = owner_of(&mut self.tenure, epoch) {
+                    owner.advised(&question, answer.as_deref(), &self.book, now);
+                }
+            }
+        }
+    }
+
+    fn log_start(&self, run: &Run, answer: StartAnswer) {
+        if answer != StartAnswer::Taken {
+            let (task, number) = (run.task, run.number);
+            tracing::info!(job = %task.stage.job, %task, number, ?answer, "start not taken");
+        }
+    }
+
+    fn read(&mut self, records: Vec<Record>, next: u64, caught_up: bool, now: Millis) {
+        if now.since(self.heard) > DEAF {
+            self.sign = now;
+        }
+        self.next = next;
+        for record in records {
+            if record.epoch != 0 {
+                self.sign = now;
+            }
+            self.apply(record, now);
+        }
+        if caught_up {
+            self.heard = now;
+            if !self.caught_up {
+                self.caught_up = true;
+                self.sign = now;
+                let jobs = self.book.jobs().len();
+                tracing::info!(next, jobs, epoch = self.book.claim().epoch, "log read to its end");
+            }
+            self.publish();
+        }
+    }
+
+    /// Takes a record into the book, once.
+    fn apply(&mut self, record: Record, now: Millis) {
+        let Record { epoch, sequence, entry } = record;
+        if epoch != 0 {
+            if (epoch, sequence) <= self.taken {
+                return;
+            }
+            self.taken = (epoch, sequence);
+        }
+        let change = self.book.apply(entry.clone(), now);
+        if let Some(tenure) = &mut self.tenure {
+            if epoch == tenure.epoch {
+                log_entry(&entry, epoch);
+                tenure.owner.recorded(&entry, &self.book, now);
+            }
+            tenure.owner.changed(change, now);
+        }
+        if change == Change::Claimed {
+            self.sign = now;
+            self.claimed(now);
+        }
+    }
+
+    /// Another claim stands: this daemon's, another's, or none.
+    fn claimed(&mut self, now: Millis) {
+        let claim = self.book.claim();
+        let (epoch, owner) = (claim.epoch, claim.owner.clone());
+        let is_own = owner == self.duty.name && claim.nonce == self.duty.nonce;
+        if let Some(tenure) = self.tenure.take() {
+            tracing::info!(epoch = tenure.epoch, by = %owner, next_epoch = epoch, "ownership lost");
+        }
+        if is_own && !self.is_leaving {
+            let mut owner = Owner::new(self.duty.limits, &self.book, now);
+            owner.listed(&self.workers, &self.book, now);
+            let runs = owner.run_count();
+            tracing::info!(epoch, jobs = self.book.jobs().len(), runs, "ownership taken");
+            self.tenure = Some(Tenure { epoch, owner, sent: 0, last_sent: now });
+            self.set_askers(now);
+        }
+        self.publish();
+    }
+
+    fn fenced(&mut self, epoch: u64) {
+        if self.tenure.as_ref().is_some_and(|t| t.epoch == epoch) {
+            // The claim that fenced this daemon is in the log and will be read.
+            tracing::info!(epoch, "ownership lost: an append was fenced");
+            self.tenure = None;
+            self.publish();
+        }
+    }
+
+    fn decide(&mut self) {
+        let now = view::now();
+        if now.since(self.expired_at) > EXPIRE_EVERY {
+            self.expired_at = now;
+            self.book.expire(now);
+        }
+        if self.tenure.is_none() {
+            self.consider_claim(now);
+            return;
+        }
+        self.carry_out();
+        let Some(tenure) = &self.tenure else { return };
+        if now.since(tenure.last_sent) >= ALIVE_EVERY {
+            let epoch = tenure.epoch;
+            self.record(vec![Entry::Alive { epoch }]);
+        }
+    }
+
+    /// Claims the shard when its owner has been silent for too long.
+    fn consider_claim(&mut self, now: Millis) {
+        let is_current = self.caught_up && now.since(self.heard) < DEAF;
+        if !is_current || self.is_leaving || now.since(self.claimed_at) < CLAIM_PAUSE {
+            return;
+        }
+        let claim = self.book.claim();
+        let patience = if claim.owner.is_empty() { Millis::ZERO } else { SILENCE };
+        let stagger = Millis(self.duty.nonce % STAGGER);
+        if self.heard.since(self.sign) < patience + stagger {
+            return;
+        }
+        self.claimed_at = now;
+        let epoch = claim.epoch + 1;
+        let (owner, nonce) = (self.duty.name.clone(), self.duty.nonce);
+        let entry = Entry::Claimed { epoch, owner, nonce };
+        let append = Append::Claim { entry, epoch, at: self.next };
+        if self.duty.ledger.offer(append).is_err() {
+            tracing::warn!(epoch, "the ring of appends is full; no claim");
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let now = view::now();
+        let Some(tenure) = &mut self.tenure else { return };
+        let epoch = tenure.epoch;
+        let effects = tenure.owner.tick(&self.book, now, self.heard, view::wall());
+        let mut entries = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Record(entry) => entries.push(entry),
+                Effect::Ask(question) => self.ask(epoch, question),
+                Effect::Start(start) => self.send(Order::Start(epoch, start)),
+                Effect::Stop { on, address, run } => {
+                    self.send(Order::Stop { epoch, on, address, run });
+                }
+                Effect::Look { on, address, number, noted, lease_end, wait } => {
+                    self.send(Order::Look { epoch, on, address, number, noted, lease_end, wait });
+                }
+            }
+        }
+        if !entries.is_empty() {
+            self.record(entries);
+        }
+    }
+
+    fn record(&mut self, entries: Vec<Entry>) {
+        let Some(tenure) = &mut self.tenure else { return };
+        tenure.last_sent = view::now();
+        let mut records = Vec::with_capacity(entries.len());
+        for entry in entries {
+            tenure.sent += 1;
+            records.push(Record { epoch: tenure.epoch, sequence: tenure.sent, entry });
+        }
+        if self.duty.ledger.offer(Append::Own(records)).is_err() {
+            // The decisions rest on these records: without them this daemon can't go on as owner.
+            tracing::error!("the ring of appends is full; ownership is given up");
+            self.tenure = None;
+            self.publish();
+        }
+    }
+
+    fn send(&mut self, order: Order) {
+        let epoch = order.epoch();
+        if let Err(order) = self.duty.orders.offer_back(order) {
+            let now = view::now();
+            tracing::warn!("the ring of orders is full");
+            let Some(owner) = owner_of(&mut self.tenure, epoch) else { return };
+            match order {
+                Order::Start(_, start) => {
+                    let refused = StartAnswer::Refused;
+                    owner.start_answered(&start.run, refused, None, &self.book, now);
+                }
+                Order::Stop { run, .. } => {
+                    owner.stop_answered(&run, StopAnswer::Unknown, None, now);
+                }
+                Order::Look { on, number, .. } => {
+                    owner.looked(&on, number, None, &self.book, now);
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, epoch: u64, question: Question) {
+        let own = *question.through == *self.duty.name;
+        let peer = self.peers.binary_search_by(|p| p.member.name.cmp(&question.through));
+        let through = peer.ok().filter(|_| !own).map(|i| self.peers[i].member.address.clone());
+        let ask = Ask { epoch, question, through };
+        if let Err(ask) = self.duty.advice.offer_back(ask) {
+            let now = view::now();
+            if let Some(owner) = owner_of(&mut self.tenure, epoch) {
+                owner.advised(&ask.question, None, &self.book, now);
+            }
+        }
+    }
+
+    fn meet(&mut self, members: Vec<Member>, now: Millis) {
+        for member in members {
+            match self.peers.binary_search_by(|p| p.member.name.cmp(&member.name)) {
+                Ok(i) if self.peers[i].member == member => {}
+                Ok(i) => self.peers[i] = Peer { member, seen: now },
+                Err(i) => self.peers.insert(i, Peer { member, seen: now }),
+            }
+        }
+        self.peers.retain(|p| now.since(p.seen) < MEMBER_SILENCE);
+        self.set_askers(now);
+    }
+
+    fn set_askers(&mut self, now: Millis) {
+        let Some(tenure) = &mut self.tenure else { return };
+        let mut names = vec![self.duty.name.clone()];
+        let live = self.peers.iter().filter(|p| now.since(p.seen) < MEMBER_SILENCE);
+        names.extend(live.map(|p| p.member.name.clone()).filter(|n| *n != self.duty.name));
+        tenure.owner.desk_mut().set_askers(&names);
+    }
+
+    fn publish(&self) {
+        let epoch = self.tenure.as_ref().map(|t| t.epoch);
+        let facts = Facts { epoch, caught_up: self.caught_up, heard: self.heard };
+        self.duty.facts.send_replace(facts);
+    }
+}
+
+fn owner_of(tenure: &mut Option<Tenure>, epoch: u64) -> Option<&mut Owner> {
+    tenure.as_mut().filter(|t| t.epoch == epoch).map(|t| &mut t.owner)
+}
+
+/// Logs what was decided of runs, once it is recorded.
+fn log_entry(entry: &Entry, epoch: u64) {
+    match entry {
+        Entry::Started { on, runs } => {
+            for run in runs {
+                let (task, number, worker) = (run.task, run.number, &on.worker);
+                tracing::info!(job = %task.stage.job, %task, number, %worker, epoch, "start recorded");
+            }
+        }
+        Entry::Ended { on, ends } => {
+            for end in ends {
+                let (task, number, outcome) = (end.run.task, end.run.number, end.outcome);
+                let worker = &on.worker;
+                tracing::info!(
+                    job = %task.stage.job, %task, number, %worker, ?outcome, epoch, "end recorded"
+                );
+            }
+        }
+        Entry::Lost(runs) => {
+            for run in runs {
+                let (task, number) = (run.task, run.number);
+                tracing::info!(job = %task.stage.job, %task, number, epoch, "loss recorded");
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shard/view.rs
@@ -0,0 +1,37 @@
+//! What the steward publishes, and the clocks.
+
+use pimentovalve_core::clock::Millis;
+use std::sync::OnceLock;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Reading of the steady clock when the process first looks at it: instants before it can be told.
+const START: u64 = 1_000_000;
+
+/// What the steward publishes to the other duties.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Facts {
+    /// Epoch of this daemon's claim while it owns the shard.
+    pub epoch: Option<u64>,
+    /// Whether the whole log has been read once.
+    pub caught_up: bool,
+    /// When the log was last read to its end, on the steady clock.
+    pub heard: Millis,
+}
+
+impl Facts {
+    /// Returns whether this daemon owns the shard.
+    pub const fn owns(&self) -> bool {
+        self.epoch.is_some()
+    }
+}
+
+/// Returns the reading of the steady clock, which no change of the time of day moves.
+pub fn now() -> Millis {
+    static EPOCH: OnceLock<Instant> = OnceLock::new();
+    Millis(START) + Millis::from(EPOCH.get_or_init(Instant::now).elapsed())
+}
+
+/// Returns the time of day, for due times only: it may jump.
+pub fn wall() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).map(Millis::from).unwrap_or_default()
+}
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -14,6 +14,7 @@
 use std::pin::Pin;
 
 use crate::codec;
+use hyper::HeaderMap;
 
 /// A future that a trait object returns.
 pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
@@ -53,11 +54,18 @@
     pub key: Option<&'a str>,
     /// Tag of the content that the sender has, from the `If-None-Match` header.
     pub unless: Option<&'a str>,
+    /// All header fields.
+    pub headers: &'a HeaderMap,
     /// Body.
     pub body: &'a [u8],
 }
 
 impl<'a> Request<'a> {
+    /// Returns the value of a header field, if it is text.
+    pub fn header(&self, name: &str) -> Option<&'a str> {
+        self.headers.get(name).and_then(|v| v.to_str().ok())
+    }
+
     /// Returns the parts of the path between slashes.
     pub fn segments(&self) -> Vec<&'a str> {
         self.path.split('/').filter(|s| !s.is_empty()).collect()
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -74,6 +74,8 @@
     pub key: Option<&'a str>,
     /// Tag of the content that the caller has; 304 answers that it is still that.
     pub unless: Option<&'a str>,
+    /// Further header fields.
+    pub headers: &'a [(&'static str, &'a str)],
     /// Longest time for the whole call.
     pub timeout: Millis,
     /// Whether to open a new connection even if there is an idle one. An idle one is closed for
@@ -92,6 +94,7 @@
             body,
             key: None,
             unless: None,
+            headers: &[],
             timeout,
             fresh: false,
         }
@@ -107,6 +110,7 @@
             body: &[],
             key: None,
             unless: None,
+            headers: &[],
             timeout,
             fresh: false,
         }
@@ -314,6 +318,9 @@
     if let Some(tag) = call.unless {
         builder = builder.header(IF_NONE_MATCH, tag);
     }
+    for (name, value) in call.headers {
+        builder = builder.header(*name, *value);
+    }
     let request = builder
         .body(Full::new(Bytes::copy_from_slice(call.body)))
         .map_err(|e| Failure::Unknown(e.to_string()))?;
