Let the owner append what callers hand in

Ruled out: ownership lost to fencing; no claim was fenced. Change: fronts hand over to the owner, which appends with its own records; a claim rests on its epoch alone, of which the store takes one. Direct appends remain for when no owner answers.

--- a/crates/core/src/contract/catalog.rs
+++ b/crates/core/src/contract/catalog.rs
@@ -52,7 +52,8 @@
     pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
         let from = self.queues.partition_point(|q| *q.host < *host);
         let of_host = self.queues[from..].iter().take_while(|q| *q.host == *host);
-        let longest = of_host.filter(|q| path.starts_with(&*q.prefix)).max_by_key(|q| q.prefix.len());
+        let longest =
+            of_host.filter(|q| path.starts_with(&*q.prefix)).max_by_key(|q| q.prefix.len());
         longest.map(|q| (q, &path[q.prefix.len()..]))
     }
 
--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -151,7 +151,8 @@
         now: Millis,
     ) -> Option<Question> {
         let named = u64::try_from(workers.len()).unwrap_or(u64::MAX);
-        let takes = Millis((advised.answer_us + advised.worker_us.saturating_mul(named)) / 1000 + 1);
+        let takes =
+            Millis((advised.answer_us + advised.worker_us.saturating_mul(named)) / 1000 + 1);
         let first = usize::from(takes > SLOW && self.askers.len() > 1);
         let asker = self.askers.iter_mut().skip(first).min_by_key(|a| a.busy_until.max(now))?;
         asker.busy_until = asker.busy_until.max(now) + takes;
--- a/crates/core/src/contract/owner/look.rs
+++ b/crates/core/src/contract/owner/look.rs
@@ -59,7 +59,8 @@
             let host = &mut self.hosts[i];
             host.looking = Some(number);
             let is_recording = host.noting > host.noted;
-            let wait = if host.runs == 0 || is_recording { Millis::ZERO } else { self.limits.look_wait };
+            let wait =
+                if host.runs == 0 || is_recording { Millis::ZERO } else { self.limits.look_wait };
             let lease_end = host.grant(lease, now);
             let (on, address) = (Arc::clone(&host.life), host.listed.address.clone());
             let noted = host.noted.max(book.noted(&host.life));
@@ -188,8 +189,7 @@
     fn give_up(&mut self, i: usize) {
         let life = Arc::clone(&self.hosts[i].life);
         let runs = self.runs.iter().filter(|r| *r.on == *life);
-        let lost: Vec<Run> =
-            runs.filter(|r| r.phase != Phase::Recording).map(|r| r.run).collect();
+        let lost: Vec<Run> = runs.filter(|r| r.phase != Phase::Recording).map(|r| r.run).collect();
         self.lose(&lost);
     }
 }
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -319,13 +319,7 @@
     }
 
     /// Asks the advisor about workers for `count` tasks, if an answer would help now.
-    fn ask(
-        &mut self,
-        waiting: &Waiting<'_>,
-        advised: Advised,
-        count: usize,
-        now: Millis,
-    ) {
+    fn ask(&mut self, waiting: &Waiting<'_>, advised: Advised, count: usize, now: Millis) {
         if !self.desk.may_ask(&waiting.stage, now) {
             return;
         }
--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -58,6 +58,8 @@
         epoch: u64,
         /// Name of the daemon.
         owner: Box<str>,
+        /// Where its peers reach it, IP number and port.
+        address: Box<str>,
         /// Drawn at its start, so that a restarted daemon does not take the claim for its own.
         nonce: u64,
     },
--- a/crates/core/src/ledger/shard/book.rs
+++ b/crates/core/src/ledger/shard/book.rs
@@ -17,8 +17,10 @@
 pub struct Claim {
     /// Epoch of the owner, 0 before the first claim.
     pub epoch: u64,
-    /// Name of the owner.
+    /// Name of the owner, empty when it has released the shard.
     pub owner: Box<str>,
+    /// Where its peers reach it, IP number and port.
+    pub address: Box<str>,
     /// Number that the owner drew at its start.
     pub nonce: u64,
 }
@@ -106,13 +108,12 @@
         match entry {
             Entry::Submitted(job) => self.submit(*job, now),
             Entry::Cancelled(id) => self.cancel(id, now),
-            Entry::Claimed { epoch, owner, nonce } if epoch > self.claim.epoch => {
-                self.claim = Claim { epoch, owner, nonce };
+            Entry::Claimed { epoch, owner, address, nonce } if epoch > self.claim.epoch => {
+                self.claim = Claim { epoch, owner, address, nonce };
                 Change::Claimed
             }
             Entry::Released { epoch } if epoch == self.claim.epoch => {
-                self.claim.owner = Box::default();
-                self.claim.nonce = 0;
+                self.claim = Claim { epoch, ..Claim::default() };
                 Change::Claimed
             }
             Entry::Claimed { .. } | Entry::Released { .. } | Entry::Alive { .. } => Change::Nothing,
@@ -125,7 +126,9 @@
             Entry::Ended { on, ends } => self.end(&on, &ends, now),
             Entry::Lost(runs) => {
                 for run in runs {
-                    if let Some(step) = self.job_mut(run.task.stage.job).and_then(|j| j.step_mut(&run.task)) {
+                    if let Some(step) =
+                        self.job_mut(run.task.stage.job).and_then(|j| j.step_mut(&run.task))
+                    {
                         step.lose(run);
                     }
                 }
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -164,7 +164,9 @@
         let Some(state) = self.steps.get(step) else { return false };
         let before = job.steps[step].after.iter();
         !state.is_done()
-            && before.map(|b| usize::from(*b)).all(|b| self.steps.get(b).is_some_and(StepState::is_done))
+            && before
+                .map(|b| usize::from(*b))
+                .all(|b| self.steps.get(b).is_some_and(StepState::is_done))
     }
 }
 
--- a/crates/daemon/src/log/lines.rs
+++ b/crates/daemon/src/log/lines.rs
@@ -117,7 +117,8 @@
         depth.fetch_sub(count, Ordering::Relaxed);
         let total = dropped.load(Ordering::Relaxed);
         if total > reported {
-            let line = format!("{{\"level\":\"WARN\",\"message\":\"lines dropped\",\"total\":{total}}}\n");
+            let line =
+                format!("{{\"level\":\"WARN\",\"message\":\"lines dropped\",\"total\":{total}}}\n");
             batch.extend_from_slice(line.as_bytes());
             reported = total;
         }
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -31,9 +31,6 @@
     /// A later epoch has appended.
     #[snafu(display("a later epoch has appended"))]
     Fenced,
-    /// The log does not end where the append demands.
-    #[snafu(display("the log has moved on"))]
-    Moved,
     /// The wanted offset is no longer kept.
     #[snafu(display("the log begins at offset {first} only"))]
     Gone {
@@ -47,10 +44,9 @@
 pub struct Author {
     /// Epoch of the owner.
     pub epoch: u64,
-    /// Number of the append in the epoch. A repeat of one number is taken once.
+    /// Number of the append in the epoch; that of the claim is 0. The store takes each number once
+    /// only, whoever appends: so of two claims of one epoch the first is in the log.
     pub number: u64,
-    /// Offset at which the log must end, for a claim.
-    pub at: Option<u64>,
 }
 
 /// Records of the log, in order.
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -148,7 +148,9 @@
     }
 
     async fn store(&self, entry: Entry, until: Millis) -> Stored {
-        let outcome = ring::ask(&self.intake, |reply| Intake { entry, until, reply }).await;
+        let outcome =
+            ring::ask(&self.intake, |reply| Intake { entry, until, is_doubtful: false, reply })
+                .await;
         match outcome {
             Ok(stored) => stored,
             Err(Unanswered::Refused) => Stored::No,
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -9,26 +9,40 @@
 use super::steward::Event;
 use super::view::{self, Facts};
 use crate::duty::Duty;
-use crate::ring::{Latest, Publisher, Receiver, Reply, Sender};
+use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_wire::codec;
 use pimentovalve_wire::http::Pending;
+use pimentovalve_wire::http::client::{Client, Error};
 use rand::RngExt;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-/// Pause between two reads of the log by the owner: what callers hand in waits for it.
-const OWNER_READ_PAUSE: Duration = Duration::from_millis(25);
+/// Path under which the owner takes what its peers' callers hand in.
+pub const PATH: &str = "/intake";
+/// Longest time for which the owner is waited for; a slow store takes most of it.
+const MAX_FORWARD: Millis = Millis(1500);
+/// Part of the time that is left to a caller, in tenths, that the owner may use.
+const FORWARD_TENTHS: u64 = 6;
+/// Most entries that are handed to the owner at once.
+const MAX_RELAYED: usize = 64;
+/// Pause between two calls to the owner: entries are grouped in the meantime.
+const RELAY_PAUSE: Duration = Duration::from_millis(5);
+/// Places of the ring of what the owner did not take.
+const DIRECT_PLACES: usize = 4096;
+/// Pause between two reads of the log by the owner, which brings what others appended directly.
+const OWNER_READ_PAUSE: Duration = Duration::from_millis(80);
 /// Pause between two reads of the log by others: what callers are shown lags by it.
 const READ_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two appends of what callers hand in: they are grouped in the meantime.
 const INTAKE_PAUSE: Duration = Duration::from_millis(25);
 /// Most records of one append.
-const MAX_GROUP: usize = 256;
+const MAX_GROUP: usize = 1024;
 /// Most bytes of one append; half of what the store takes in a call.
 const MAX_GROUP_BYTES: usize = 1 << 20;
 /// Longest time for which a change of the configuration is awaited in one call.
@@ -52,12 +66,25 @@
     pub entry: Entry,
     /// No append begins after this time on the steady clock.
     pub until: Millis,
+    /// Whether a try that gave no answer may have stored it.
+    pub is_doubtful: bool,
     /// Where the outcome goes.
     pub reply: Reply<Stored>,
 }
 
+impl Intake {
+    fn answer(self, stored: Stored) {
+        let stored = match stored {
+            Stored::No if self.is_doubtful => Stored::Unknown,
+            other => other,
+        };
+        // A caller that has left wants no answer.
+        let _ = self.reply.send(stored);
+    }
+}
+
 /// What became of an entry that was handed in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stored {
     /// It is in the log.
     Yes,
@@ -68,19 +95,18 @@
 }
 
 /// What the steward wants appended.
-#[derive(Clone, Debug)]
 pub enum Append {
-    /// A claim, if the log still ends at an offset.
+    /// A claim.
     Claim {
         /// The claim.
         entry: Entry,
         /// Its epoch.
         epoch: u64,
-        /// Where the log must end.
-        at: u64,
     },
     /// Records of the owner.
     Own(Vec<Record>),
+    /// What a caller handed in to this daemon or to a peer.
+    Intake(Intake),
 }
 
 /// The duty.
@@ -93,6 +119,10 @@
     pub intake: Receiver<Intake>,
     /// What the steward wants appended.
     pub appends: Receiver<Append>,
+    /// The other end of `appends`, for what callers hand in while this daemon owns the shard.
+    pub owner: Sender<Append>,
+    /// For the owner.
+    pub client: Arc<Client>,
     /// The steward's events.
     pub steward: Sender<Event>,
     /// What the steward publishes.
@@ -108,9 +138,13 @@
 
     fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
         Box::pin(async move {
-            let Self { store, member, intake, appends, steward, facts, catalog } = *self;
-            let own = tokio::spawn(append_own(Arc::clone(&store), appends, steward.clone()));
-            let taking = tokio::spawn(append_intake(Arc::clone(&store), intake));
+            let Self { store, member, intake, appends, owner, client, steward, facts, catalog } =
+                *self;
+            let (direct, rest) = ring::ring(DIRECT_PLACES);
+            let own = append_own(Arc::clone(&store), appends, steward.clone(), facts.clone());
+            let own = tokio::spawn(own);
+            let relay = tokio::spawn(relay(intake, facts.clone(), owner, direct, client));
+            let taking = tokio::spawn(append_direct(Arc::clone(&store), rest));
             let loops = [
                 tokio::spawn(tail(Arc::clone(&store), steward.clone(), facts.clone())),
                 tokio::spawn(follow_catalog(Arc::clone(&store), catalog)),
@@ -119,7 +153,7 @@
             ];
             stop.cancelled().await;
             // The rings end when their senders do: what is in them is still appended.
-            for ending in [own, taking] {
+            for ending in [relay, own, taking] {
                 match tokio::time::timeout(MAX_FLUSH, ending).await {
                     Ok(Ok(())) => {}
                     Ok(Err(error)) => tracing::error!(%error, "an appending loop panicked"),
@@ -180,6 +214,7 @@
     let mut from = 0;
     let (mut watch, mut backoff) = (Watch::new("log"), Backoff::new());
     loop {
+        let began = view::now();
         match store.read(from).await {
             Ok(chunk) => {
                 watch.regained();
@@ -188,7 +223,8 @@
                 let records = chunk.records.iter().filter_map(|bytes| decode(bytes)).collect();
                 from += count;
                 let caught_up = from >= chunk.end;
-                let event = Event::Read { records, next: from, caught_up };
+                let took = view::now().since(began);
+                let event = Event::Read { records, next: from, caught_up, took };
                 if steward.push(event).await.is_err() {
                     return;
                 }
@@ -234,7 +270,69 @@
     }
 }
 
-async fn append_intake(store: Arc<dyn Store>, intake: Receiver<Intake>) {
+/// Brings what callers hand in to the owner, which appends it with its own records. Without an
+/// owner that answers it is appended directly: the log takes it from any daemon.
+async fn relay(
+    intake: Receiver<Intake>,
+    facts: Latest<Facts>,
+    owner: Sender<Append>,
+    direct: Sender<Intake>,
+    client: Arc<Client>,
+) {
+    while let Some(first) = intake.next().await {
+        let mut group = vec![first];
+        while let Some(item) = intake.try_next().filter(|_| group.len() < MAX_RELAYED) {
+            group.push(item);
+        }
+        let (owns, address) = {
+            let facts = facts.borrow();
+            (facts.owns(), facts.owner.clone())
+        };
+        if owns {
+            group.into_iter().for_each(|item| offer(&owner, Append::Intake(item)));
+        } else if address.is_empty() {
+            group.into_iter().for_each(|item| offer(&direct, item));
+        } else {
+            let (client, direct) = (Arc::clone(&client), direct.clone());
+            tokio::spawn(async move { forward(&client, &address, group, &direct).await });
+            sleep(RELAY_PAUSE).await;
+        }
+    }
+}
+
+/// Puts an item in a ring; one that does not fit is dropped, which its caller hears as "unknown".
+fn offer<T>(ring: &Sender<T>, item: T) {
+    if ring.offer(item).is_err() {
+        tracing::warn!("a ring of appends is full");
+    }
+}
+
+/// Hands a group to the owner, and what the owner can't store to `direct`.
+async fn forward(client: &Client, address: &str, group: Vec<Intake>, direct: &Sender<Intake>) {
+    let now = view::now();
+    let until = group.iter().map(|i| i.until).min().unwrap_or_default();
+    let timeout = MAX_FORWARD.min(Millis(until.since(now).get() * FORWARD_TENTHS / 10));
+    let entries: Vec<&Entry> = group.iter().map(|i| &i.entry).collect();
+    let message = (timeout, entries);
+    match client.exchange::<_, Stored>(address, PATH, &message, timeout).await {
+        Ok(Stored::Yes) => group.into_iter().for_each(|item| item.answer(Stored::Yes)),
+        outcome => {
+            let entries = group.len();
+            let is_doubtful = !matches!(
+                outcome,
+                Ok(Stored::No) | Err(Error::Unsent { .. } | Error::Status { .. })
+            );
+            tracing::info!(address, entries, outcome = ?outcome, "the owner stored nothing");
+            for item in group {
+                let is_doubtful = is_doubtful || item.is_doubtful;
+                offer(direct, Intake { is_doubtful, ..item });
+            }
+        }
+    }
+}
+
+/// Appends what the owner did not take.
+async fn append_direct(store: Arc<dyn Store>, intake: Receiver<Intake>) {
     while let Some(first) = intake.next().await {
         let (mut group, mut bodies, mut size) = (Vec::new(), Vec::new(), 0);
         let mut next = Some(first);
@@ -247,12 +345,12 @@
             let is_full = group.len() >= MAX_GROUP || size >= MAX_GROUP_BYTES;
             next = if is_full { None } else { intake.try_next() };
         }
+        let began = view::now();
         let stored = append_group(&*store, &bodies, &group).await;
-        for item in group {
-            // A caller that has left wants no answer.
-            let _ = item.reply.send(stored);
-        }
-        sleep(INTAKE_PAUSE).await;
+        group.into_iter().for_each(|item| item.answer(stored));
+        // A slow store is asked less often, with more at once.
+        let pause = INTAKE_PAUSE.max(view::now().since(began).into());
+        sleep(pause.min(MAX_RETRY)).await;
     }
 }
 
@@ -276,7 +374,58 @@
     worst
 }
 
-async fn append_own(store: Arc<dyn Store>, appends: Receiver<Append>, steward: Sender<Event>) {
+/// One append of the owner.
+#[derive(Default)]
+struct Group {
+    records: Vec<Record>,
+    intake: Vec<Intake>,
+    bytes: Vec<Vec<u8>>,
+    size: usize,
+}
+
+impl Group {
+    fn put(&mut self, append: Append) {
+        match append {
+            Append::Own(records) => records.into_iter().for_each(|r| self.add(r)),
+            Append::Intake(item) => {
+                self.add(Record::open(item.entry.clone()));
+                self.intake.push(item);
+            }
+            Append::Claim { .. } => {}
+        }
+    }
+
+    fn add(&mut self, record: Record) {
+        if let Some(bytes) = encode(&record) {
+            self.size += bytes.len();
+            self.bytes.push(bytes);
+            self.records.push(record);
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.records.len() >= MAX_GROUP || self.size >= MAX_GROUP_BYTES
+    }
+
+    fn epoch(&self) -> u64 {
+        self.records.iter().map(|r| r.epoch).max().unwrap_or_default()
+    }
+
+    /// Answers callers that can't wait any more.
+    fn give_up(&mut self, now: Millis) {
+        let (late, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.intake).into_iter().partition(|i| now >= i.until);
+        late.into_iter().for_each(|item| item.answer(Stored::Unknown));
+        self.intake = waiting;
+    }
+}
+
+async fn append_own(
+    store: Arc<dyn Store>,
+    appends: Receiver<Append>,
+    steward: Sender<Event>,
+    facts: Latest<Facts>,
+) {
     let mut numbers = (0, 0);
     let mut waiting: Option<Append> = None;
     loop {
@@ -284,62 +433,70 @@
             Some(append) => Some(append),
             None => appends.next().await,
         };
-        let Some(next) = next else { return };
-        let sent = match next {
-            Append::Claim { entry, epoch, at } => {
-                claim(&*store, entry, epoch, at).await;
+        let mut group = Group::default();
+        match next {
+            None => return,
+            Some(Append::Claim { entry, epoch }) => {
+                claim(&*store, entry, epoch).await;
                 continue;
             }
-            Append::Own(mut records) => {
-                while records.len() < MAX_GROUP && waiting.is_none() {
-                    match appends.try_next() {
-                        Some(Append::Own(more)) => records.extend(more),
-                        other => {
-                            waiting = other;
-                            break;
-                        }
-                    }
-                }
-                records
+            Some(other) => group.put(other),
+        }
+        while !group.is_full() && waiting.is_none() {
+            match appends.try_next() {
+                Some(claim @ Append::Claim { .. }) => waiting = Some(claim),
+                Some(other) => group.put(other),
+                None => break,
             }
+        }
+        // Without own records the group is fenced by the epoch that is in force here.
+        let own = facts.borrow().epoch;
+        let Some(epoch) = Some(group.epoch()).filter(|e| *e > 0).or(own) else {
+            std::mem::take(&mut group.intake).into_iter().for_each(|i| i.answer(Stored::No));
+            continue;
         };
-        let epoch = sent.first().map_or(0, |r| r.epoch);
         // The claim itself has number 0.
         numbers = if numbers.0 == epoch { (epoch, numbers.1 + 1) } else { (epoch, 1) };
-        let author = Author { epoch, number: numbers.1, at: None };
-        if !append_fenced(&*store, &sent, author).await {
-            if steward.push(Event::Fenced { epoch }).await.is_err() {
-                return;
-            }
-            continue;
-        }
-        if steward.push(Event::Recorded(sent)).await.is_err() {
+        let author = Author { epoch, number: numbers.1 };
+        let stored = append_fenced(&*store, &mut group, author).await;
+        std::mem::take(&mut group.intake).into_iter().for_each(|item| item.answer(stored));
+        let records = group.records;
+        let event = match stored {
+            Stored::Yes => Event::Recorded(records),
+            Stored::No | Stored::Unknown => Event::Fenced { epoch },
+        };
+        if steward.push(event).await.is_err() {
             return;
         }
     }
 }
 
-async fn claim(store: &dyn Store, entry: Entry, epoch: u64, at: u64) {
+async fn claim(store: &dyn Store, entry: Entry, epoch: u64) {
     let Some(body) = encode(&Record::open(entry)) else { return };
-    let author = Author { epoch, number: 0, at: Some(at) };
-    let outcome = store.append(&[body], Some(author)).await;
+    let outcome = store.append(&[body], Some(Author { epoch, number: 0 })).await;
     // Whether the claim stands is told by the log alone.
-    tracing::info!(epoch, at, outcome = ?outcome.err(), "ownership claimed");
+    tracing::info!(epoch, outcome = ?outcome.err(), "ownership claimed");
 }
 
-/// Appends records of the owner; returns whether they are in the log, false when fenced.
-async fn append_fenced(store: &dyn Store, records: &[Record], author: Author) -> bool {
-    let bodies: Vec<Vec<u8>> = records.iter().filter_map(encode).collect();
+/// Appends a group of the owner, until it is in the log or a later epoch fences it.
+async fn append_fenced(store: &dyn Store, group: &mut Group, author: Author) -> Stored {
     let (mut watch, mut backoff) = (Watch::new("fenced append"), Backoff::new());
+    let mut fenced = Stored::No;
     loop {
-        match store.append(&bodies, Some(author)).await {
+        match store.append(&group.bytes, Some(author)).await {
             Ok(()) => {
                 watch.regained();
-                return true;
+                return Stored::Yes;
+            }
+            Err(Failure::Fenced) => return fenced,
+            Err(failure) => {
+                if matches!(failure, Failure::Unknown { .. }) {
+                    fenced = Stored::Unknown;
+                }
+                watch.lost(&failure);
             }
-            Err(Failure::Fenced | Failure::Moved) => return false,
-            Err(failure) => watch.lost(&failure),
         }
+        group.give_up(view::now());
         backoff.pause().await;
     }
 }
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -109,11 +109,8 @@
             address: settings.peers.to_string().into(),
             beat: 0,
         };
-        let ready = Ready {
-            facts: facts.clone(),
-            catalog: catalog.clone(),
-            draining: leave.clone(),
-        };
+        let ready =
+            Ready { facts: facts.clone(), catalog: catalog.clone(), draining: leave.clone() };
         let callers = Front {
             callers: Arc::clone(&platform.callers),
             catalog,
@@ -121,19 +118,26 @@
             steward: events_in.clone(),
             facts: facts.clone(),
         };
-        let peer = Peer { advisor: Arc::clone(&platform.advisor) };
+        let peer = Peer {
+            advisor: Arc::clone(&platform.advisor),
+            owner: appends_in.clone(),
+            facts: facts.clone(),
+        };
         let [mut fronts, mut backs, ..] = Stage::all();
         backs.start(Box::new(Ledger {
             store: Arc::clone(&platform.store),
             member,
             intake,
             appends,
+            owner: appends_in.clone(),
+            client: Arc::new(Client::new()),
             steward: events_in.clone(),
             facts,
             catalog: catalog_in,
         }))?;
         backs.start(Box::new(Steward {
             name: settings.name.clone(),
+            address: settings.peers.to_string().into(),
             nonce: rand::random(),
             limits: settings.limits,
             leave: leave.clone(),
@@ -176,8 +180,7 @@
     bounds: server::Limits,
     handler: Arc<dyn Handler>,
 ) -> Result<front::Front, Error> {
-    let listener =
-        TcpListener::bind(address).context(ListenSnafu { front: name, address })?;
+    let listener = TcpListener::bind(address).context(ListenSnafu { front: name, address })?;
     front::Front::new(name, listener, bounds, Arc::default(), handler)
         .context(ListenSnafu { front: name, address })
 }
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -1,29 +1,76 @@
-//! What daemons do for each other: ask the advisor, which serves each daemon by itself.
+//! What daemons do for each other: the owner stores what callers hand in, and every daemon asks the
+//! advisor, which serves each by itself.
 
-use super::advice::PATH;
+use super::advice;
 use super::border::Advisor;
+use super::ledger::{self, Append, Intake, Stored};
+use super::view::{self, Facts};
+use crate::ring::{Latest, Sender};
+use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::Question;
 use pimentovalve_core::finding::List;
+use pimentovalve_core::ledger::shard::Entry;
 use pimentovalve_wire::codec;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
 use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Part of a peer's patience, in tenths, after which it is told that the outcome is unknown.
+const ANSWER_TENTHS: u64 = 8;
 
 /// Answers peers.
 pub struct Peer {
     /// The advisor.
     pub advisor: Arc<dyn Advisor>,
+    /// Appends, while this daemon owns the shard.
+    pub owner: Sender<Append>,
+    /// What the steward publishes.
+    pub facts: Latest<Facts>,
 }
 
 impl Handler for Peer {
     fn handle<'a>(&'a self, request: Request<'a>) -> Pending<'a, Response> {
         Box::pin(async move {
-            if request.path != PATH {
-                return Response::findings(404, &List::one("path", "is not known"));
-            }
-            match codec::unpack::<Question>(request.body) {
-                Ok(question) => Response::pack(200, &self.advisor.ask(&question).await),
-                Err(findings) => Response::findings(400, &findings),
+            match request.path {
+                advice::PATH => self.advise(request.body).await,
+                ledger::PATH => self.store(request.body).await,
+                _ => Response::findings(404, &List::one("path", "is not known")),
             }
         })
     }
 }
+
+impl Peer {
+    async fn advise(&self, body: &[u8]) -> Response {
+        match codec::unpack::<Question>(body) {
+            Ok(question) => Response::pack(200, &self.advisor.ask(&question).await),
+            Err(findings) => Response::findings(400, &findings),
+        }
+    }
+
+    async fn store(&self, body: &[u8]) -> Response {
+        let (patience, entries) = match codec::unpack::<(Millis, Vec<Entry>)>(body) {
+            Ok(message) => message,
+            Err(findings) => return Response::findings(400, &findings),
+        };
+        if !self.facts.borrow().owns() {
+            return Response::findings(503, &List::one("owner", "is another daemon"));
+        }
+        let until = view::now() + Millis(patience.get() * ANSWER_TENTHS / 10);
+        let mut answers = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let (reply, answer) = oneshot::channel();
+            let item = Intake { entry, until, is_doubtful: false, reply };
+            if self.owner.offer(Append::Intake(item)).is_err() {
+                return Response::pack(200, &Stored::Unknown);
+            }
+            answers.push(answer);
+        }
+        for answer in answers {
+            if !matches!(answer.await, Ok(Stored::Yes)) {
+                return Response::pack(200, &Stored::Unknown);
+            }
+        }
+        Response::pack(200, &Stored::Yes)
+    }
+}
--- a/crates/daemon/src/shard/ready.rs
+++ b/crates/daemon/src/shard/ready.rs
@@ -24,7 +24,7 @@
 impl Ready {
     /// Returns why callers should go elsewhere, if they should.
     fn reason(&self) -> Option<&'static str> {
-        let facts = *self.facts.borrow();
+        let facts = self.facts.borrow().clone();
         if self.draining.is_cancelled() {
             Some("the daemon drains")
         } else if self.catalog.borrow().is_none() {
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -29,12 +29,14 @@
 const ALIVE_EVERY: Millis = Millis(300);
 /// Time without a record of the owner after which another daemon claims the shard.
 const SILENCE: Millis = Millis(1400);
+/// Reads of the log that the owner's silence must outlast, on top.
+const SLOW_READS: u64 = 3;
 /// Greatest time by which daemons differ in when they claim, so that one is first.
 const STAGGER: u64 = 400;
 /// Pause between two claims of this daemon.
 const CLAIM_PAUSE: Millis = Millis(500);
 /// A gap between two reads of the log after which silence is measured afresh.
-const DEAF: Millis = Millis(900);
+const DEAF: Millis = Millis(1200);
 /// A member that was not announced anew for so long is not asked anything.
 const MEMBER_SILENCE: Millis = Millis::from_secs(10);
 /// Time between two clean-ups of the book.
@@ -50,6 +52,8 @@
         next: u64,
         /// Whether the log ended there.
         caught_up: bool,
+        /// How long the read took.
+        took: Millis,
     },
     /// Own records are in the log.
     Recorded(Vec<Record>),
@@ -80,6 +84,8 @@
 pub struct Steward {
     /// Unique name of this daemon.
     pub name: Box<str>,
+    /// Where its peers reach it, IP number and port.
+    pub address: Box<str>,
     /// Drawn at the start of the process.
     pub nonce: u64,
     /// Figures for the owner.
@@ -128,10 +134,11 @@
     duty: Steward,
     book: Book,
     tenure: Option<Tenure>,
-    next: u64,
     /// When the owner last gave a sign, or silence began to be measured.
     sign: Millis,
     heard: Millis,
+    /// How long the last read of the log took.
+    took: Millis,
     caught_up: bool,
     claimed_at: Millis,
     workers: Vec<Listed>,
@@ -150,9 +157,9 @@
             duty,
             book: Book::default(),
             tenure: None,
-            next: 0,
             sign: now,
             heard: Millis::ZERO,
+            took: Millis::ZERO,
             caught_up: false,
             claimed_at: Millis::ZERO,
             workers: Vec::new(),
@@ -199,7 +206,10 @@
     fn take(&mut self, event: Event) {
         let now = view::now();
         match event {
-            Event::Read { records, next, caught_up } => self.read(records, next, caught_up, now),
+            Event::Read { records, next, caught_up, took } => {
+                self.took = took;
+                self.read(records, next, caught_up, now);
+            }
             Event::Recorded(records) => {
                 for record in records {
                     self.apply(record, now);
@@ -255,7 +265,6 @@
         if now.since(self.heard) > DEAF {
             self.sign = now;
         }
-        self.next = next;
         for record in records {
             if record.epoch != 0 {
                 self.sign = now;
@@ -350,16 +359,18 @@
             return;
         }
         let claim = self.book.claim();
-        let patience = if claim.owner.is_empty() { Millis::ZERO } else { SILENCE };
+        // A slow store delays the owner's signs, and this daemon's view of them.
+        let silence = SILENCE + self.took.times(SLOW_READS);
+        let patience = if claim.owner.is_empty() { Millis::ZERO } else { silence };
         let stagger = Millis(self.duty.nonce % STAGGER);
         if self.heard.since(self.sign) < patience + stagger {
             return;
         }
         self.claimed_at = now;
         let epoch = claim.epoch + 1;
-        let (owner, nonce) = (self.duty.name.clone(), self.duty.nonce);
-        let entry = Entry::Claimed { epoch, owner, nonce };
-        let append = Append::Claim { entry, epoch, at: self.next };
+        let (owner, address) = (self.duty.name.clone(), self.duty.address.clone());
+        let entry = Entry::Claimed { epoch, owner, address, nonce: self.duty.nonce };
+        let append = Append::Claim { entry, epoch };
         if self.duty.ledger.offer(append).is_err() {
             tracing::warn!(epoch, "the ring of appends is full; no claim");
         }
@@ -461,7 +472,8 @@
 
     fn publish(&self) {
         let epoch = self.tenure.as_ref().map(|t| t.epoch);
-        let facts = Facts { epoch, caught_up: self.caught_up, heard: self.heard };
+        let owner = self.book.claim().address.clone();
+        let facts = Facts { epoch, owner, caught_up: self.caught_up, heard: self.heard };
         self.duty.facts.send_replace(facts);
     }
 }
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -8,10 +8,12 @@
 const START: u64 = 1_000_000;
 
 /// What the steward publishes to the other duties.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Facts {
     /// Epoch of this daemon's claim while it owns the shard.
     pub epoch: Option<u64>,
+    /// Where the owner's peers reach it; empty when nobody owns the shard.
+    pub owner: Box<str>,
     /// Whether the whole log has been read once.
     pub caught_up: bool,
     /// When the log was last read to its end, on the steady clock.
