Ask the advisor only for what has room

Ruled out: processor time (0.15 of 0.25 cores at most). Change: quick questions are lined up for 200 ms at most and slow ones one at a time for each daemon, only workers with room are named, and a ticket counts as expired early by what a record takes.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -153,6 +153,8 @@
     desk: Desk,
     /// Number of the last look.
     looks: u64,
+    /// How long a start waits for its record, smoothed.
+    lead: Millis,
     /// When the epoch began.
     since: Millis,
     effects: Vec<Effect>,
@@ -169,6 +171,7 @@
             runs: Vec::new(),
             desk: Desk::default(),
             looks: 0,
+            lead: Millis::ZERO,
             since: now,
             effects: Vec::new(),
             is_dirty: true,
@@ -348,6 +351,9 @@
         if self.runs[i].phase != Phase::Recording {
             return;
         }
+        // Rises at once and falls slowly, so that a slow store spoils few tickets.
+        let waited = now.since(self.runs[i].progress.1);
+        self.lead = waited.max(Millis(self.lead.get() * 9 / 10));
         let over = book.job(run.task.stage.job).is_none_or(|j| j.is_over());
         let expired = self.runs[i].ticket.is_some() && now >= self.runs[i].valid_until;
         if over || expired || self.runs[i].doomed {
--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -18,8 +18,14 @@
 const PATIENCE: Millis = Millis(700);
 /// Pause after a question that failed.
 const RETRY: Millis = Millis(60);
-/// A ticket is not used in the last part of its validity: the order must still arrive.
-const TICKET_MARGIN: Millis = Millis(150);
+/// Time that a ticket and the order that carries it spend on their ways; three crossings between
+/// regions and a margin.
+const TICKET_TRAVEL: Millis = Millis(150);
+/// Greatest time for which quick questions are lined up at one daemon: what is asked later can be
+/// asked for what has room by then.
+const MAX_AHEAD: Millis = Millis(200);
+/// A daemon that brought no answer is not asked for so long.
+const SILENT: Millis = Millis(800);
 /// Weight of the newest answer in the share of workers that is allowed, in hundredths.
 const SHARE_WEIGHT: u64 = 20;
 
@@ -71,6 +77,8 @@
 struct Asker {
     name: Box<str>,
     busy_until: Millis,
+    /// Questions in flight.
+    open: usize,
 }
 
 /// The advisors' desk: all questions and answers.
@@ -82,6 +90,8 @@
     /// Share of workers that is allowed, by queue, in thousandths; sorted.
     shares: Vec<(Box<str>, u64)>,
     questions: u64,
+    /// Whether a question found no daemon free.
+    is_full: bool,
     next_timeout: Option<Millis>,
 }
 
@@ -102,19 +112,20 @@
     /// Takes in which daemons can ask, the own one first.
     pub fn set_askers(&mut self, names: &[Box<str>]) {
         let old = std::mem::take(&mut self.askers);
-        let busy = |name: &str| old.iter().find(|a| &*a.name == name).map(|a| a.busy_until);
-        self.askers = names
-            .iter()
-            .map(|n| Asker { name: n.clone(), busy_until: busy(n).unwrap_or_default() })
-            .collect();
+        let known = |name: &str| old.iter().find(|a| &*a.name == name).cloned();
+        let fresh =
+            |name: &Box<str>| Asker { name: name.clone(), busy_until: Millis::ZERO, open: 0 };
+        self.askers = names.iter().map(|n| known(n).unwrap_or_else(|| fresh(n))).collect();
     }
 
     /// Returns a worker's standing.
-    pub fn standing(&self, stage: &Stage, worker: &str, now: Millis) -> Standing {
+    ///
+    /// `lead` is how long a start waits for its record.
+    pub fn standing(&self, stage: &Stage, worker: &str, lead: Millis, now: Millis) -> Standing {
         let Some(file) = self.file(stage) else { return Standing::Unknown };
         if let Ok(i) = file.allowed.binary_search_by(|(w, ..)| (**w).cmp(worker)) {
             let (_, ticket, until) = &file.allowed[i];
-            if now + TICKET_MARGIN < *until {
+            if now + lead + TICKET_TRAVEL < *until {
                 return Standing::Allowed(ticket.clone(), *until);
             }
             return Standing::Expired;
@@ -131,11 +142,6 @@
             && self.file(stage).is_none_or(|f| f.open.is_none() && now >= f.not_before)
     }
 
-    /// Returns whether an answer is awaited.
-    pub fn is_asking(&self, stage: &Stage) -> bool {
-        self.file(stage).is_some_and(|f| f.open.is_some())
-    }
-
     /// Returns the share of workers that a queue's steps are allowed, in thousandths.
     pub fn share(&self, queue: &str) -> u64 {
         let i = self.shares.binary_search_by(|(q, _)| (**q).cmp(queue));
@@ -153,9 +159,19 @@
         let named = u64::try_from(workers.len()).unwrap_or(u64::MAX);
         let takes =
             Millis((advised.answer_us + advised.worker_us.saturating_mul(named)) / 1000 + 1);
-        let first = usize::from(takes > SLOW && self.askers.len() > 1);
-        let asker = self.askers.iter_mut().skip(first).min_by_key(|a| a.busy_until.max(now))?;
+        let is_slow = takes > SLOW;
+        let first = usize::from(is_slow && self.askers.len() > 1);
+        let free = |a: &&mut Asker| {
+            let ahead = a.busy_until.since(now);
+            if is_slow { ahead == Millis::ZERO } else { ahead <= MAX_AHEAD }
+        };
+        let askers = self.askers.iter_mut().skip(first).filter(free);
+        let Some(asker) = askers.min_by_key(|a| a.busy_until.max(now)) else {
+            self.is_full = true;
+            return None;
+        };
         asker.busy_until = asker.busy_until.max(now) + takes;
+        asker.open += 1;
         let patience = asker.busy_until.since(now) + PATIENCE;
         let through = asker.name.clone();
         self.questions += 1;
@@ -175,6 +191,14 @@
         answer: Option<&[Allowed]>,
         now: Millis,
     ) {
+        if let Some(asker) = self.askers.iter_mut().find(|a| a.name == question.through) {
+            asker.open = asker.open.saturating_sub(1);
+            if answer.is_none() {
+                asker.busy_until = asker.busy_until.max(now + SILENT);
+            } else if asker.open == 0 {
+                asker.busy_until = now;
+            }
+        }
         let is_open = |f: &File| f.open.is_some_and(|o| o.number == question.number);
         let Ok(i) = self.files.binary_search_by(|(s, _)| s.cmp(&question.stage)) else { return };
         let file = &mut self.files[i].1;
@@ -209,14 +233,15 @@
         }
     }
 
-    /// Returns whether a question has waited too long.
+    /// Returns whether a question has waited too long, or found no daemon free.
     pub fn is_due(&self, now: Millis) -> bool {
-        self.next_timeout.is_some_and(|t| now >= t)
+        self.is_full || self.next_timeout.is_some_and(|t| now >= t)
     }
 
     /// Gives up questions that have waited too long.
     pub fn expire(&mut self, now: Millis) {
-        if !self.is_due(now) {
+        self.is_full = false;
+        if self.next_timeout.is_none_or(|t| now < t) {
             return;
         }
         for (_, file) in &mut self.files {
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -104,14 +104,23 @@
             return;
         }
         let advised = waiting.job.policy.advised;
-        if round.reserving < MAX_RESERVING {
+        let is_next = round.reserving < MAX_RESERVING;
+        if is_next {
             self.reserve(waiting, tasks.len(), round, now);
         }
-        if let Some(advised) = advised {
+        if let Some(advised) = advised.filter(|_| is_next || self.has_room(waiting, now)) {
             self.ask(waiting, advised, tasks.len(), now);
         }
     }
 
+    /// Returns whether a gang would fit if every worker with room were allowed.
+    fn has_room(&self, waiting: &Waiting<'_>, now: Millis) -> bool {
+        let needs = counted(waiting.step);
+        let able = (0..self.hosts.len()).filter(|i| self.suits(waiting, *i, now));
+        let room: usize = able.map(|i| self.fits(waiting.step, i, &needs)).sum();
+        room >= waiting.state.tasks.len()
+    }
+
     /// Returns a spot for each task of a gang, `None` if not all fit.
     fn gang_spots(
         &self,
@@ -206,7 +215,7 @@
         if waiting.job.policy.advised.is_none() {
             return Some(None);
         }
-        match self.desk.standing(&waiting.stage, &self.hosts[i].life.worker, now) {
+        match self.desk.standing(&waiting.stage, &self.hosts[i].life.worker, self.lead, now) {
             Standing::Allowed(ticket, until) => Some(Some((ticket, until))),
             _ => None,
         }
@@ -287,7 +296,7 @@
                 continue;
             }
             let host = &self.hosts[i];
-            let standing = self.desk.standing(&waiting.stage, &host.life.worker, now);
+            let standing = self.desk.standing(&waiting.stage, &host.life.worker, self.lead, now);
             if is_advised && !matches!(standing, Standing::Allowed(..) | Standing::Expired) {
                 continue;
             }
@@ -335,8 +344,10 @@
             let whole = host.listed.capacity.times_held(&needs);
             let whole = usize::try_from(whole).unwrap_or(usize::MAX);
             let entry = (free.min(count), host.free().cpu_milli, host.life.worker.clone());
-            match self.desk.standing(&waiting.stage, &host.life.worker, now) {
-                Standing::Unknown if whole > 0 => unknown.push(entry),
+            match self.desk.standing(&waiting.stage, &host.life.worker, self.lead, now) {
+                Standing::Unknown if free > 0 || (whole > 0 && waiting.step.gang) => {
+                    unknown.push(entry);
+                }
                 Standing::Expired if whole > 0 => {
                     able += whole;
                     if free > 0 {
