--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -29,6 +29,10 @@
 pub use answer::{StartAnswer, StopAnswer};
 pub use look::{Report, Working};
 
+/// Greatest time that a start is expected to wait for its record. It stays below what tickets are
+/// valid for, or no ticket would be used again after an outage of the store.
+const MAX_LEAD: Millis = Millis(500);
+
 /// Figures that the owner's decisions rest on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -353,7 +357,7 @@
         }
         // Rises at once and falls slowly, so that a slow store spoils few tickets.
         let waited = now.since(self.runs[i].progress.1);
-        self.lead = waited.max(Millis(self.lead.get() * 9 / 10));
+        self.lead = MAX_LEAD.min(waited.max(Millis(self.lead.get() * 9 / 10)));
         let over = book.job(run.task.stage.job).is_none_or(|j| j.is_over());
         let expired = self.runs[i].ticket.is_some() && now >= self.runs[i].valid_until;
         if over || expired || self.runs[i].doomed {
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -247,6 +247,10 @@
                 }
             }
             Event::Advised(epoch, question, answer) => {
+                let (step, named) = (question.stage, question.workers.len());
+                let allowed = answer.as_ref().map(Vec::len);
+                tracing::info!(job = %step.job, %step, through = %question.through, named, ?allowed,
+                    "advice");
                 if let Some(owner) = owner_of(&mut self.tenure, epoch) {
                     owner.advised(&question, answer.as_deref(), &self.book, now);
                 }
