Place at most every 20 ms and ask for no more than could be placed

Ruled out: the advisor (no refusals), the peers (all answered, late alike). Change: placement has a cadence of its own and skips steps that fit nowhere; questions are bounded by the room that is free; objectives are computed once.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -247,21 +247,25 @@
         }
     }
 
-    /// Decides what is to be done at `now`. `heard` is when the store last answered, `wall` the
-    /// time of day.
-    pub fn tick(&mut self, book: &Book, now: Millis, heard: Millis, wall: Millis) -> Vec<Effect> {
+    /// Decides what is to be done at `now` but for placement. `heard` is when the store last
+    /// answered.
+    pub fn tick(&mut self, book: &Book, now: Millis, heard: Millis) {
         if now.since(heard) < self.limits.alone {
             self.retry_stops(now);
             self.look(book, now);
         }
         self.settle_orphans(now);
+    }
+
+    /// Places what can be placed, if something has changed. `wall` is the time of day. This is what
+    /// costs most: the caller says how often.
+    pub fn schedule(&mut self, book: &Book, now: Millis, wall: Millis) {
         self.record_due(book, wall);
+        self.desk.forget_closed(book.open());
         if self.is_dirty || self.desk.is_due(now) {
             self.is_dirty = false;
             self.place(book, now);
         }
-        self.desk.forget_closed(book.open());
-        std::mem::take(&mut self.effects)
     }
 
     /// Returns the effects of what was taken in since the last call.
@@ -285,7 +289,7 @@
     }
 
     fn record_due(&mut self, book: &Book, wall: Millis) {
-        for state in book.jobs() {
+        for state in book.scheduled() {
             let Some(schedule) = state.job.schedule else { continue };
             let next = u32::try_from(state.passes.len()).unwrap_or(u32::MAX);
             let due = schedule.first + schedule.interval.times(next.into());
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::contract::work::{Advised, Job, Stage, Step, Task};
 use crate::ledger::shard::book::Book;
-use crate::ledger::shard::state::{JobState, StepState};
+use crate::ledger::shard::state::StepState;
 use crate::ledger::shard::{Entry, Life, Run};
 use crate::machine::capacity::Capacity;
 use crate::machine::host::Host;
@@ -22,6 +22,11 @@
 const SPARE_TENTHS: u64 = 25;
 /// Fewest workers that a question names.
 const MIN_NAMED: u64 = 6;
+/// Room that questions may be asked for at the same time, in tenths of what is free: not every
+/// worker is allowed.
+const ASK_FREE_TENTHS: u64 = 15;
+/// Further room that questions may be asked for, in hundredths of all: it becomes free meanwhile.
+const ASK_WHOLE_PERCENT: u64 = 6;
 /// Gangs that may keep room free at the same time.
 const MAX_RESERVING: usize = 2;
 /// Most starts of one placement: the rest follows with the next tick.
@@ -54,6 +59,10 @@
     /// Positions of workers that a higher rank keeps, sorted.
     reserved: Vec<usize>,
     reserving: usize,
+    /// Processor time, in thousandths of a core, that questions may still be asked for.
+    askable: u64,
+    /// Greatest free processor time of a worker.
+    widest: u64,
     /// Runs to record, by worker.
     starts: Vec<(Arc<Life>, Vec<Run>)>,
     count: usize,
@@ -71,7 +80,7 @@
         let mut ranks: Vec<Rank> =
             book.open().iter().filter_map(|stage| rank(book, *stage, now)).collect();
         ranks.sort_unstable();
-        let mut round = Round::default();
+        let mut round = self.round(now);
         for rank in ranks {
             if round.count >= MAX_STARTS {
                 self.is_dirty = true;
@@ -90,6 +99,18 @@
         }
     }
 
+    fn round(&self, now: Millis) -> Round {
+        let (mut free, mut whole, mut widest) = (0, 0, 0);
+        for host in self.hosts.iter().filter(|h| h.takes_work(now)) {
+            let room = host.free().cpu_milli;
+            free += room;
+            whole += host.listed.capacity.cpu_milli;
+            widest = widest.max(room);
+        }
+        let askable = free * ASK_FREE_TENTHS / 10 + whole * ASK_WHOLE_PERCENT / 100;
+        Round { askable, widest, ..Round::default() }
+    }
+
     fn place_gang(&mut self, waiting: &Waiting<'_>, round: &mut Round, now: Millis) {
         let tasks = self.idle_tasks(waiting);
         if tasks.len() != waiting.state.tasks.len() {
@@ -109,7 +130,7 @@
             self.reserve(waiting, tasks.len(), round, now);
         }
         if let Some(advised) = advised.filter(|_| is_next || self.has_room(waiting, now)) {
-            self.ask(waiting, advised, tasks.len(), now);
+            self.ask(waiting, advised, tasks.len(), round, now);
         }
     }
 
@@ -154,6 +175,9 @@
 
     fn place_singles(&mut self, waiting: &Waiting<'_>, round: &mut Round, now: Millis) {
         let needs = counted(waiting.step);
+        if needs.cpu_milli > round.widest {
+            return;
+        }
         let tasks = self.idle_tasks(waiting);
         let mut left = tasks.len();
         for task in &tasks {
@@ -163,7 +187,7 @@
             left -= 1;
         }
         if let Some(advised) = waiting.job.policy.advised.filter(|_| left > 0) {
-            self.ask(waiting, advised, left, now);
+            self.ask(waiting, advised, left, round, now);
         }
     }
 
@@ -328,7 +352,19 @@
     }
 
     /// Asks the advisor about workers for `count` tasks, if an answer would help now.
-    fn ask(&mut self, waiting: &Waiting<'_>, advised: Advised, count: usize, now: Millis) {
+    fn ask(
+        &mut self,
+        waiting: &Waiting<'_>,
+        advised: Advised,
+        count: usize,
+        round: &mut Round,
+        now: Millis,
+    ) {
+        let wanted = waiting.step.needs.cpu_milli * u64::try_from(count).unwrap_or(u64::MAX);
+        if round.askable == 0 {
+            return;
+        }
+        round.askable = round.askable.saturating_sub(wanted);
         if !self.desk.may_ask(&waiting.stage, now) {
             return;
         }
@@ -401,7 +437,8 @@
         return None;
     }
     let state = book.job(stage.job)?;
-    let (objective, left) = times(state, usize::from(stage.step));
+    let objective = state.objective;
+    let left = state.chains.get(usize::from(stage.step)).copied().unwrap_or_default();
     let finish = now + left;
     Some(Rank {
         is_hopeless: finish > state.seen + objective.times(LATE_FACTOR) && !waiting.step.lasting,
@@ -412,11 +449,6 @@
     })
 }
 
-/// Returns the objective of a job, and the least time that it takes from the start of a step.
-fn times(state: &JobState, step: usize) -> (Millis, Millis) {
-    (state.job.objective(), state.job.chain_from(step))
-}
-
 fn waiting(book: &Book, stage: Stage) -> Option<Waiting<'_>> {
     let job = book.job(stage.job)?;
     let pass = job.passes.get(usize::try_from(stage.occurrence).ok()?)?;
--- a/crates/core/src/contract/work.rs
+++ b/crates/core/src/contract/work.rs
@@ -229,9 +229,9 @@
 }
 
 impl Job {
-    /// Returns the estimated time of the longest chain of steps from `step` to the end, with the
-    /// step itself.
-    pub fn chain_from(&self, step: usize) -> Millis {
+    /// Returns the estimated time of the longest chain from each step, with the step itself, to the
+    /// end of the job.
+    pub fn chains(&self) -> Vec<Millis> {
         let mut longest = vec![Millis::ZERO; self.steps.len()];
         for (i, current) in self.steps.iter().enumerate().rev() {
             let after = self.steps.iter().enumerate().skip(i + 1);
@@ -241,18 +241,20 @@
                 .max();
             longest[i] = current.estimate_ms + next.unwrap_or_default();
         }
-        longest.get(step).copied().unwrap_or_default()
-    }
-
-    /// Returns the estimated time of the longest chain of the whole job.
-    pub fn chain(&self) -> Millis {
-        (0..self.steps.len()).map(|i| self.chain_from(i)).max().unwrap_or_default()
+        longest
     }
 
     /// Returns the time from acceptance within which the job should be completed.
     pub fn objective(&self) -> Millis {
-        Millis(self.chain().get().saturating_mul(self.policy.stretch_milli) / 1000)
-            + self.policy.slack_ms
+        Millis(
+            self.chains()
+                .into_iter()
+                .max()
+                .unwrap_or_default()
+                .get()
+                .saturating_mul(self.policy.stretch_milli)
+                / 1000,
+        ) + self.policy.slack_ms
     }
 }
 
--- a/crates/core/src/ledger/shard/book.rs
+++ b/crates/core/src/ledger/shard/book.rs
@@ -47,6 +47,8 @@
     jobs: Vec<JobState>,
     /// Steps whose tasks may start or are at work, sorted.
     open: Vec<Stage>,
+    /// Jobs with a schedule that are not over, sorted.
+    scheduled: Vec<Id>,
     /// The last end that was recorded of each life, sorted.
     noted: Vec<(Life, u64)>,
     claim: Claim,
@@ -73,6 +75,11 @@
         &self.open
     }
 
+    /// Returns the jobs with a schedule that are not over.
+    pub fn scheduled(&self) -> impl Iterator<Item = &JobState> {
+        self.scheduled.iter().filter_map(|id| self.job(*id))
+    }
+
     /// Returns the number of the last end that was recorded of a worker's life.
     pub fn noted(&self, life: &Life) -> u64 {
         self.noted.binary_search_by(|(l, _)| l.cmp(life)).map_or(0, |i| self.noted[i].1)
@@ -139,6 +146,10 @@
 
     /// Forgets jobs that ended long ago.
     pub fn expire(&mut self, now: Millis) {
+        let jobs = &self.jobs;
+        let is_over =
+            |id: &Id| jobs.binary_search_by_key(id, |j| j.job.id).is_ok_and(|i| jobs[i].is_over());
+        self.scheduled.retain(|id| !is_over(id));
         self.jobs.retain(|j| j.ended.is_none_or(|at| now.since(at) < REMEMBER_ENDED));
     }
 
@@ -153,6 +164,11 @@
     fn submit(&mut self, job: Job, now: Millis) -> Change {
         let id = job.id;
         let Err(i) = self.find(id) else { return Change::Nothing };
+        if job.schedule.is_some()
+            && let Err(at) = self.scheduled.binary_search(&id)
+        {
+            self.scheduled.insert(at, id);
+        }
         self.jobs.insert(i, JobState::new(job, now));
         self.reopen(id, now);
         Change::Accepted(id)
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -177,6 +177,10 @@
     pub job: Arc<Job>,
     /// When this process read of it, on its steady clock.
     pub seen: Millis,
+    /// Time from `seen` within which it should be completed.
+    pub objective: Millis,
+    /// Estimated time of the longest chain from each step to the end, by step.
+    pub chains: Vec<Millis>,
     /// Whether a task has started.
     pub started: bool,
     /// Whether the caller cancelled it before it ended.
@@ -193,6 +197,8 @@
     pub(super) fn new(job: Job, seen: Millis) -> Self {
         let passes = if job.schedule.is_none() { vec![Pass::new(&job)] } else { Vec::new() };
         Self {
+            objective: job.objective(),
+            chains: job.chains(),
             job: Arc::new(job),
             seen,
             started: false,
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -25,6 +25,10 @@
 
 /// Time between two decisions while nothing happens.
 const TICK: Duration = Duration::from_millis(20);
+/// Shortest time between two placements: what arrives meanwhile is placed together.
+const SCHEDULE_EVERY: Millis = Millis(20);
+/// Time between two placements as a multiple of what one takes, so that answers are taken in too.
+const SCHEDULE_REST: u64 = 4;
 /// Time without an own record after which the owner shows that it still works.
 const ALIVE_EVERY: Millis = Millis(300);
 /// Time without a record of the owner after which another daemon claims the shard.
@@ -122,6 +126,8 @@
     sent: u64,
     /// When a record was last handed over.
     last_sent: Millis,
+    /// When to place next.
+    next_schedule: Millis,
 }
 
 /// A member and when it was last announced anew.
@@ -323,7 +329,8 @@
             owner.listed(&self.workers, &self.book, now);
             let runs = owner.run_count();
             tracing::info!(epoch, jobs = self.book.jobs().len(), runs, "ownership taken");
-            self.tenure = Some(Tenure { epoch, owner, sent: 0, last_sent: now });
+            self.tenure =
+                Some(Tenure { epoch, owner, sent: 0, last_sent: now, next_schedule: now });
             self.set_askers(now);
         }
         self.publish();
@@ -384,7 +391,13 @@
         let now = view::now();
         let Some(tenure) = &mut self.tenure else { return };
         let epoch = tenure.epoch;
-        let effects = tenure.owner.tick(&self.book, now, self.heard, view::wall());
+        tenure.owner.tick(&self.book, now, self.heard);
+        if now >= tenure.next_schedule {
+            tenure.owner.schedule(&self.book, now, view::wall());
+            let took = view::now().since(now);
+            tenure.next_schedule = now + SCHEDULE_EVERY.max(took.times(SCHEDULE_REST));
+        }
+        let effects = tenure.owner.effects();
         let mut entries = Vec::new();
         for effect in effects {
             match effect {
