--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -129,15 +129,16 @@
         if is_next {
             self.reserve(waiting, tasks.len(), round, now);
         }
-        if let Some(advised) = advised.filter(|_| is_next || self.has_room(waiting, now)) {
+        if let Some(advised) = advised.filter(|_| is_next || self.has_room(waiting, round, now)) {
             self.ask(waiting, advised, tasks.len(), round, now);
         }
     }
 
     /// Returns whether a gang would fit if every worker with room were allowed.
-    fn has_room(&self, waiting: &Waiting<'_>, now: Millis) -> bool {
+    fn has_room(&self, waiting: &Waiting<'_>, round: &Round, now: Millis) -> bool {
         let needs = counted(waiting.step);
-        let able = (0..self.hosts.len()).filter(|i| self.suits(waiting, *i, now));
+        let is_open = |i: &usize| round.reserved.binary_search(i).is_err();
+        let able = (0..self.hosts.len()).filter(|i| is_open(i) && self.suits(waiting, *i, now));
         let room: usize = able.map(|i| self.fits(waiting.step, i, &needs)).sum();
         room >= waiting.state.tasks.len()
     }
@@ -369,7 +370,7 @@
             return;
         }
         let needs = counted(waiting.step);
-        let (mut expired, mut unknown) = (Vec::new(), Vec::new());
+        let (mut expired, mut valid, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
         let (mut room, mut able) = (0_usize, 0_usize);
         for i in 0..self.hosts.len() {
             if !self.suits(waiting, i, now) {
@@ -394,15 +395,22 @@
                 Standing::Allowed(..) => {
                     able += whole;
                     room += free;
+                    if free > 0 {
+                        valid.push(entry);
+                    }
                 }
                 _ => {}
             }
         }
         let workers = if !expired.is_empty() && (!waiting.step.gang || room >= count) {
-            chosen(expired, count, 10)
+            if waiting.step.gang {
+                // Tickets of a gang must be valid together: all are renewed when one has expired.
+                expired.append(&mut valid);
+            }
+            chosen(expired, count, 10, 0)
         } else if able < count || (room == 0 && !waiting.step.gang) {
             let share = self.desk.share(&waiting.job.policy.queue);
-            chosen(unknown, count, SPARE_TENTHS * 1000 / share)
+            chosen(unknown, count, SPARE_TENTHS * 1000 / share, MIN_NAMED)
         } else {
             return;
         };
@@ -415,14 +423,20 @@
     }
 }
 
-/// Returns the workers with most room, enough for `count` tasks times `spare` tenths.
-fn chosen(mut workers: Vec<(usize, u64, Box<str>)>, count: usize, spare: u64) -> Vec<Box<str>> {
+/// Returns the workers with most room, enough for `count` tasks times `spare` tenths, and at least
+/// `least`.
+fn chosen(
+    mut workers: Vec<(usize, u64, Box<str>)>,
+    count: usize,
+    spare: u64,
+    least: u64,
+) -> Vec<Box<str>> {
     workers.sort_by(|a, b| b.cmp(a));
     let wanted = u64::try_from(count).unwrap_or(u64::MAX).saturating_mul(spare) / 10;
     let (mut room, mut named) = (0, Vec::new());
     for (fits, _, worker) in workers {
         let count = u64::try_from(named.len()).unwrap_or(u64::MAX);
-        if named.len() >= super::advice::MAX_NAMED || (room >= wanted && count >= MIN_NAMED) {
+        if named.len() >= super::advice::MAX_NAMED || (room >= wanted && count >= least) {
             break;
         }
         room += u64::try_from(fits.max(1)).unwrap_or(u64::MAX);
