--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -19,7 +19,7 @@
 /// A job is worth nothing after this multiple of its objective.
 const LATE_FACTOR: u64 = 3;
 /// Workers that a question names for each one that the step needs, in tenths.
-const SPARE_TENTHS: u64 = 25;
+const SPARE_TENTHS: u64 = 35;
 /// Fewest workers that a question names.
 const MIN_NAMED: u64 = 6;
 /// Room that questions may be asked for at the same time, in tenths of what is free: not every
--- a/crates/core/src/ledger/shard/book.rs
+++ b/crates/core/src/ledger/shard/book.rs
@@ -199,7 +199,6 @@
 
     fn start(&mut self, run: Run, on: &Arc<Life>) {
         if let Some(state) = self.job_mut(run.task.stage.job) {
-            state.started = true;
             if let Some(step) = state.step_mut(&run.task) {
                 step.start(run, on);
             }
@@ -214,6 +213,7 @@
             let Some(state) = self.job_mut(id) else { continue };
             let job = Arc::clone(&state.job);
             let Some(step) = job.steps.get(usize::from(end.run.task.stage.step)) else { continue };
+            state.begun = true;
             let Some(of) = state.step_mut(&end.run.task) else { continue };
             let is_spent = of.end(step, job.policy.attempts, end);
             let is_done = of.is_done();
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -181,8 +181,8 @@
     pub objective: Millis,
     /// Estimated time of the longest chain from each step to the end, by step.
     pub chains: Vec<Millis>,
-    /// Whether a task has started.
-    pub started: bool,
+    /// Whether a run has ended that its worker had begun.
+    pub begun: bool,
     /// Whether the caller cancelled it before it ended.
     pub cancelled: bool,
     /// Whether a task used up its attempts.
@@ -201,7 +201,7 @@
             chains: job.chains(),
             job: Arc::new(job),
             seen,
-            started: false,
+            begun: false,
             cancelled: false,
             failed: false,
             ended: None,
@@ -221,20 +221,26 @@
     }
 
     /// Returns the state that callers are shown.
-    pub const fn status(&self) -> Status {
+    pub fn status(&self) -> Status {
         if self.cancelled {
             Status::Cancelled
         } else if self.failed {
             Status::Failed
         } else if self.ended.is_some() {
             Status::Completed
-        } else if self.started {
+        } else if self.has_started() {
             Status::Running
         } else {
             Status::Queued
         }
     }
 
+    /// Returns whether a task has started: a run ended, or may be at work. One that was recorded
+    /// and then refused does not count.
+    fn has_started(&self) -> bool {
+        self.begun || self.passes.iter().flat_map(|p| &p.steps).any(|s| s.placed > 0)
+    }
+
     /// Returns the state of the step of a task.
     pub fn step(&self, task: &Task) -> Option<&StepState> {
         let pass = self.passes.get(usize::try_from(task.stage.occurrence).ok()?)?;
