--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -368,7 +368,7 @@
             return self.refuse(run, book, now);
         }
         let lease = self.limits.lease;
-        let Some(host) = self.host_mut(&self.runs[i].on.clone()) else {
+        let Some(host) = self.host_mut(&Arc::clone(&self.runs[i].on)) else {
             return self.refuse(run, book, now);
         };
         let address = host.listed.address.clone();
@@ -483,7 +483,7 @@
 
     fn insert(&mut self, running: Running) {
         if let Err(i) = self.run_index(&running.run) {
-            if let Some(host) = self.host_mut(&running.on.clone()) {
+            if let Some(host) = self.host_mut(&running.on) {
                 host.add(&running.needs);
             }
             self.runs.insert(i, running);
--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -114,7 +114,7 @@
         let old = std::mem::take(&mut self.askers);
         let known = |name: &str| old.iter().find(|a| &*a.name == name).cloned();
         let fresh =
-            |name: &Box<str>| Asker { name: name.clone(), busy_until: Millis::ZERO, open: 0 };
+            |name: &str| Asker { name: name.into(), busy_until: Millis::ZERO, open: 0 };
         self.askers = names.iter().map(|n| known(n).unwrap_or_else(|| fresh(n))).collect();
     }
 
@@ -228,8 +228,8 @@
                 }
             }
         }
-        if fresh > 0 {
-            self.learn(queue, gained * 1000 / fresh);
+        if let Some(share) = (gained * 1000_u64).checked_div(fresh) {
+            self.learn(queue, share);
         }
     }
 
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -152,12 +152,12 @@
         now: Millis,
     ) -> Option<Vec<Spot>> {
         let needs = counted(waiting.step);
-        let mut open: Vec<(usize, usize, Option<(Box<str>, Millis)>)> = Vec::new();
+        let mut open: Vec<(usize, Spot)> = Vec::new();
         for i in 0..self.hosts.len() {
             if let Some(ticket) = self.admits(waiting, i, round, now) {
                 let fits = self.fits(waiting.step, i, &needs);
                 if fits > 0 {
-                    open.push((fits, i, ticket));
+                    open.push((fits, (i, ticket)));
                 }
             }
         }
--- a/crates/core/src/ledger/shard/book.rs
+++ b/crates/core/src/ledger/shard/book.rs
@@ -198,10 +198,10 @@
     }
 
     fn start(&mut self, run: Run, on: &Arc<Life>) {
-        if let Some(state) = self.job_mut(run.task.stage.job) {
-            if let Some(step) = state.step_mut(&run.task) {
-                step.start(run, on);
-            }
+        if let Some(state) = self.job_mut(run.task.stage.job)
+            && let Some(step) = state.step_mut(&run.task)
+        {
+            step.start(run, on);
         }
     }
 
