Give up lives whose address another worker has, and leases of silent workers

Change: 421 ends a life; a silent worker gets no further lease; a worker's first answer under an epoch bounds what earlier owners granted; with plenty of room eight gangs may keep some.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -27,7 +27,7 @@
 use std::sync::Arc;
 
 pub use answer::{StartAnswer, StopAnswer};
-pub use look::{Report, Working};
+pub use look::{Miss, Report, Working};
 
 /// Greatest time that a start is expected to wait for its record. It stays below what tickets are
 /// valid for, or no ticket would be used again after an outage of the store.
--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -113,8 +113,7 @@
     pub fn set_askers(&mut self, names: &[Box<str>]) {
         let old = std::mem::take(&mut self.askers);
         let known = |name: &str| old.iter().find(|a| &*a.name == name).cloned();
-        let fresh =
-            |name: &str| Asker { name: name.into(), busy_until: Millis::ZERO, open: 0 };
+        let fresh = |name: &str| Asker { name: name.into(), busy_until: Millis::ZERO, open: 0 };
         self.askers = names.iter().map(|n| known(n).unwrap_or_else(|| fresh(n))).collect();
     }
 
--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -64,13 +64,14 @@
                 self.look_by(&on, now + self.limits.look_pause);
             }
             StartAnswer::Refused | StartAnswer::Fenced => self.refuse(*run, book, now),
+            StartAnswer::OtherLife => self.end_life(&on, book, now),
             StartAnswer::Unhealthy => {
                 if let Some(host) = self.host_mut(&on) {
                     host.avoid(now + UNHEALTHY);
                 }
                 self.refuse(*run, book, now);
             }
-            StartAnswer::OtherLife | StartAnswer::Unknown => {
+            StartAnswer::Unknown => {
                 // It can still begin: only a stop makes sure that it can't.
                 self.runs[i].phase = Phase::Stopping { next: Some(now) };
                 if let Some(host) = self.host_mut(&on) {
@@ -88,6 +89,7 @@
         run: &Run,
         answer: StopAnswer,
         clock: Option<u64>,
+        book: &Book,
         now: Millis,
     ) {
         let Ok(i) = self.run_index(run) else { return };
@@ -101,7 +103,8 @@
                 self.runs[i].phase = Phase::Stopped { since: self.looks };
                 self.look_by(&on, now);
             }
-            StopAnswer::Fenced | StopAnswer::OtherLife | StopAnswer::Unknown => {
+            StopAnswer::OtherLife => self.end_life(&on, book, now),
+            StopAnswer::Fenced | StopAnswer::Unknown => {
                 let next = now + self.limits.retry;
                 self.runs[i].phase = Phase::Stopping { next: Some(next) };
                 self.look_by(&on, now);
--- a/crates/core/src/contract/owner/look.rs
+++ b/crates/core/src/contract/owner/look.rs
@@ -10,8 +10,10 @@
 const HUNG_ESTIMATES: u64 = 3;
 /// Shortest time without progress after which a run counts as hung.
 const HUNG_MIN: Millis = Millis::from_secs(3);
-/// Looks in a row without answer after which a worker gets no new work.
+/// Looks in a row without answer after which a worker gets no further lease.
 const MAX_MISSES: u32 = 1;
+/// Greatest pause after a look without answer, as a multiple of the first.
+const MAX_PAUSES: u32 = 4;
 /// Pause after a look without answer.
 const MISS_PAUSE: Millis = Millis(250);
 /// Renewals within one lease while ends can't be recorded.
@@ -26,6 +28,15 @@
     pub percent: u64,
 }
 
+/// Why a look brought no report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// Another life answered at the address.
+    OtherLife,
+    /// There was no answer, or none that can be used.
+    Silent,
+}
+
 /// What a worker says when it is looked at.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
@@ -61,19 +72,20 @@
             let is_recording = host.noting > host.noted;
             let wait =
                 if host.runs == 0 || is_recording { Millis::ZERO } else { self.limits.look_wait };
-            let lease_end = host.grant(lease, now);
+            // A worker that does not answer gets no further lease, or it could never be given up.
+            let lease_end = if host.misses > MAX_MISSES { None } else { host.grant(lease, now) };
             let (on, address) = (Arc::clone(&host.life), host.listed.address.clone());
             let noted = host.noted.max(book.noted(&host.life));
             self.effects.push(Effect::Look { on, address, number, noted, lease_end, wait });
         }
     }
 
-    /// Takes in what a look brought, `None` when there was no answer that can be used.
+    /// Takes in what a look brought.
     pub fn looked(
         &mut self,
         on: &Life,
         number: u64,
-        report: Option<&Report>,
+        report: Result<&Report, Miss>,
         book: &Book,
         now: Millis,
     ) {
@@ -83,11 +95,18 @@
             return;
         }
         host.looking = None;
-        let Some(report) = report else {
-            host.misses += 1;
-            host.next_look = now + MISS_PAUSE;
-            host.answers &= host.misses < MAX_MISSES;
-            return;
+        let report = match report {
+            Ok(report) => report,
+            Err(miss) => {
+                host.misses += 1;
+                host.next_look = now + MISS_PAUSE.times(host.misses.min(MAX_PAUSES).into());
+                host.answers = false;
+                if miss == Miss::OtherLife {
+                    // Another worker has its address: this life is over.
+                    self.end_life(on, book, now);
+                }
+                return;
+            }
         };
         if report.born.is_some_and(|b| b != on.born) {
             let life = Life { worker: on.worker.clone(), born: report.born.unwrap_or_default() };
@@ -100,6 +119,7 @@
         }
         host.misses = 0;
         let was_silent = !std::mem::replace(&mut host.answers, true);
+        host.confirm(lease, now);
         host.anchor(report.clock, now);
         let is_recording = host.noting > host.noted;
         let renew = Millis(lease.get() / RENEWALS_PER_LEASE);
@@ -185,6 +205,16 @@
         self.stop(&run, now);
     }
 
+    /// A life of a worker is over: nothing of it runs, and orders that name it do nothing.
+    pub(super) fn end_life(&mut self, on: &Life, book: &Book, now: Millis) {
+        let runs = self.runs.iter().filter(|r| *r.on == *on && r.phase != Phase::Recording);
+        let lost: Vec<Run> = runs.map(|r| r.run).collect();
+        self.lose(&lost);
+        for run in &lost {
+            self.break_gang(run, book, now);
+        }
+    }
+
     /// Every lease of a worker that does not answer has run out: nothing runs there.
     fn give_up(&mut self, i: usize) {
         let life = Arc::clone(&self.hosts[i].life);
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -27,8 +27,12 @@
 const ASK_FREE_TENTHS: u64 = 15;
 /// Further room that questions may be asked for, in hundredths of all: it becomes free meanwhile.
 const ASK_WHOLE_PERCENT: u64 = 6;
-/// Gangs that may keep room free at the same time.
+/// Gangs that may keep room free at the same time while room is scarce.
 const MAX_RESERVING: usize = 2;
+/// The same while there is plenty: then gangs wait for tickets rather than for room.
+const MAX_RESERVING_IDLE: usize = 8;
+/// Share of the room that is free, in tenths, from which on there is plenty.
+const PLENTY_TENTHS: u64 = 4;
 /// Most starts of one placement: the rest follows with the next tick.
 const MAX_STARTS: usize = 200;
 
@@ -59,6 +63,7 @@
     /// Positions of workers that a higher rank keeps, sorted.
     reserved: Vec<usize>,
     reserving: usize,
+    max_reserving: usize,
     /// Processor time, in thousandths of a core, that questions may still be asked for.
     askable: u64,
     /// Greatest free processor time of a worker.
@@ -108,7 +113,9 @@
             widest = widest.max(room);
         }
         let askable = free * ASK_FREE_TENTHS / 10 + whole * ASK_WHOLE_PERCENT / 100;
-        Round { askable, widest, ..Round::default() }
+        let is_idle = free * 10 >= whole * PLENTY_TENTHS;
+        let max_reserving = if is_idle { MAX_RESERVING_IDLE } else { MAX_RESERVING };
+        Round { askable, widest, max_reserving, ..Round::default() }
     }
 
     fn place_gang(&mut self, waiting: &Waiting<'_>, round: &mut Round, now: Millis) {
@@ -125,7 +132,7 @@
             return;
         }
         let advised = waiting.job.policy.advised;
-        let is_next = round.reserving < MAX_RESERVING;
+        let is_next = round.reserving < round.max_reserving;
         if is_next {
             self.reserve(waiting, tasks.len(), round, now);
         }
@@ -162,12 +169,12 @@
             }
         }
         // The fullest use of few workers keeps the members near each other.
-        open.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
+        open.sort_by(|(fits, (i, _)), (other, (j, _))| other.cmp(fits).then(i.cmp(j)));
         let mut spots = Vec::with_capacity(count);
-        for (fits, i, ticket) in open {
+        for (fits, spot) in open {
             for _ in 0..fits {
                 if spots.len() < count {
-                    spots.push((i, ticket.clone()));
+                    spots.push(spot.clone());
                 }
             }
         }
@@ -371,7 +378,7 @@
         }
         let needs = counted(waiting.step);
         let (mut expired, mut valid, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
-        let (mut room, mut able) = (0_usize, 0_usize);
+        let (mut room, mut able, mut hidden) = (0_usize, 0_usize, 0_usize);
         for i in 0..self.hosts.len() {
             if !self.suits(waiting, i, now) {
                 continue;
@@ -383,6 +390,7 @@
             let entry = (free.min(count), host.free().cpu_milli, host.life.worker.clone());
             match self.desk.standing(&waiting.stage, &host.life.worker, self.lead, now) {
                 Standing::Unknown if free > 0 || (whole > 0 && waiting.step.gang) => {
+                    hidden += free;
                     unknown.push(entry);
                 }
                 Standing::Expired if whole > 0 => {
@@ -408,7 +416,7 @@
                 expired.append(&mut valid);
             }
             chosen(expired, count, 10, 0)
-        } else if able < count || (room == 0 && !waiting.step.gang) {
+        } else if able < count || (room == 0 && !waiting.step.gang) || hidden >= count * 2 {
             let share = self.desk.share(&waiting.job.policy.queue);
             chosen(unknown, count, SPARE_TENTHS * 1000 / share, MIN_NAMED)
         } else {
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -2,7 +2,7 @@
 //! each test has them.
 
 use super::advice::{Allowed, Question};
-use super::{Effect, Limits, Owner, Report, Start, StartAnswer, StopAnswer, Working};
+use super::{Effect, Limits, Miss, Owner, Report, Start, StartAnswer, StopAnswer, Working};
 use crate::clock::Millis;
 use crate::contract::work::tests::{job, step};
 use crate::contract::work::{Advised, Id, Job, Outcome, Step};
@@ -119,7 +119,7 @@
             let (working, ends) = (working.clone(), ends.to_vec());
             let clock = self.now.get();
             let report = Report { born: Some(look.on.born), clock, working, ends };
-            self.owner.looked(&look.on, look.number, Some(&report), &self.book, self.now);
+            self.owner.looked(&look.on, look.number, Ok(&report), &self.book, self.now);
         }
         self.settle();
     }
@@ -131,18 +131,19 @@
     }
 
     fn answer_stop(&mut self, run: &Run, answer: StopAnswer) {
-        self.owner.stop_answered(run, answer, Some(self.now.get()), self.now);
+        let clock = Some(self.now.get());
+        self.owner.stop_answered(run, answer, clock, &self.book, self.now);
         self.settle();
     }
 
     /// Answers every question: all workers are allowed.
     fn advise(&mut self) {
         for question in std::mem::take(&mut self.asks) {
-            let allowed = |worker: &Box<str>| Allowed {
-                worker: worker.clone(),
+            let allowed = |worker: &str| Allowed {
+                worker: worker.into(),
                 ticket: format!("ticket-{}", question.number).into(),
             };
-            let answer: Vec<Allowed> = question.workers.iter().map(allowed).collect();
+            let answer: Vec<Allowed> = question.workers.iter().map(|w| allowed(w)).collect();
             self.owner.advised(&question, Some(&answer), &self.book, self.now);
         }
         self.settle();
@@ -190,7 +191,7 @@
     let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
     for look in std::mem::take(&mut world.looks) {
         let report = Report { born: Some(1), clock: 1, ..Report::default() };
-        world.owner.looked(&look.on, look.number, Some(&report), &world.book, world.now);
+        world.owner.looked(&look.on, look.number, Ok(&report), &world.book, world.now);
     }
     world.step();
     expect_that!(world.unrecorded, len(eq(1)));
@@ -242,7 +243,7 @@
     let end = End { run, number: 1, outcome: Outcome::Done, saved: "".into() };
     let look = world.looks.pop().expect("a look");
     let report = Report { born: Some(1), clock: 9, ends: vec![end], ..Report::default() };
-    world.owner.looked(&look.on, look.number, Some(&report), &world.book, world.now);
+    world.owner.looked(&look.on, look.number, Ok(&report), &world.book, world.now);
     world.now = world.now + Millis(1600);
     world.step();
     expect_that!(world.looks.iter().map(|l| l.noted).max(), some(eq(0)));
@@ -425,3 +426,44 @@
     world.answer_looks();
     expect_that!(world.asks.len(), all![ge(1), le(3)]);
 }
+
+/// Regression: a crashed worker whose address another one had was looked at for ever, and each look
+/// extended the lease that had to run out first (Lifebuoy mix, seed 868803821619: LOST 22).
+#[gtest]
+fn what_ran_on_a_worker_whose_address_another_has_starts_elsewhere() {
+    let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    world.answer_looks();
+    let first = world.started()[0];
+    world.answer_start(&first, StartAnswer::Taken);
+    world.pass(50);
+    world.list(&[listed("b", 2)]);
+    for look in std::mem::take(&mut world.looks) {
+        let miss =
+            if &*look.on.worker == "a" { Err(Miss::OtherLife) } else { Ok(&Report::default()) };
+        world.owner.looked(&look.on, look.number, miss, &world.book, world.now);
+    }
+    world.settle();
+    expect_that!(world.started().last(), some(eq(&Run { number: 2, ..first })));
+}
+
+/// Regression: as above, with a worker that is silent.
+#[gtest]
+fn what_ran_on_a_silent_worker_starts_elsewhere_once_its_lease_has_run_out() {
+    let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    world.answer_looks();
+    let first = world.started()[0];
+    world.answer_start(&first, StartAnswer::Taken);
+    let since = world.now;
+    world.list(&[listed("b", 2)]);
+    while world.starts.len() == 1 && world.now.since(since) < Millis::from_secs(60) {
+        world.pass(250);
+        for look in std::mem::take(&mut world.looks) {
+            let silent = &*look.on.worker == "a";
+            let report = Report { born: Some(2), clock: world.now.get(), ..Report::default() };
+            let answer = if silent { Err(Miss::Silent) } else { Ok(&report) };
+            world.owner.looked(&look.on, look.number, answer, &world.book, world.now);
+        }
+    }
+    expect_that!(world.started().last(), some(eq(&Run { number: 2, ..first })));
+    expect_that!(world.now.since(since), all![ge(LIMITS.lease), le(Millis(9000))]);
+}
--- a/crates/core/src/contract/work/tests.rs
+++ b/crates/core/src/contract/work/tests.rs
@@ -72,12 +72,18 @@
     let raw = Raw { id: Id(1), policy: policy(), payload, steps, schedule: None };
     let findings = Job::try_from(raw).unwrap_err();
     let places: Vec<&str> = findings.as_slice().iter().map(|f| f.place.as_str()).collect();
-    expect_that!(places, elements_are![eq(&"payload"), eq(&"steps[0].count"), eq(&"steps[1].after")]);
+    expect_that!(
+        places,
+        elements_are![eq(&"payload"), eq(&"steps[0].count"), eq(&"steps[1].after")]
+    );
 }
 
 #[gtest]
 fn the_objective_rests_on_the_longest_chain() {
     let job = job(1, vec![step(1, &[]), step(1, &[]), step(1, &[0])]);
-    expect_that!(job.chains(), elements_are![eq(&Millis(1000)), eq(&Millis(500)), eq(&Millis(500))]);
+    expect_that!(
+        job.chains(),
+        elements_are![eq(&Millis(1000)), eq(&Millis(500)), eq(&Millis(500))]
+    );
     expect_that!(job.objective(), eq(Millis(3000)));
 }
--- a/crates/core/src/ledger/shard/book/tests.rs
+++ b/crates/core/src/ledger/shard/book/tests.rs
@@ -98,11 +98,17 @@
     let gang = Step { gang: true, ..step(3, &[]) };
     let runs = [run(0, 0, 1), run(0, 1, 1), run(0, 2, 1)];
     let done = ended(runs[1], 1, Outcome::Done);
-    expect_that!(status(&book(vec![gang.clone()], vec![started(&runs), done])), eq(Status::Completed));
+    expect_that!(
+        status(&book(vec![gang.clone()], vec![started(&runs), done])),
+        eq(Status::Completed)
+    );
     // Two members that fail in one run are one attempt.
     let fails = [ended(runs[0], 1, Outcome::Failed), ended(runs[1], 2, Outcome::Failed)];
     let [first, second] = fails;
-    expect_that!(status(&book(vec![gang], vec![started(&runs), first, second])), eq(Status::Running));
+    expect_that!(
+        status(&book(vec![gang], vec![started(&runs), first, second])),
+        eq(Status::Running)
+    );
 }
 
 #[gtest]
--- a/crates/core/src/machine/host.rs
+++ b/crates/core/src/machine/host.rs
@@ -152,6 +152,13 @@
         Some(ends)
     }
 
+    /// Takes in that the worker obeys this epoch: earlier owners can't extend leases any more, so
+    /// none lasts longer than one granted now.
+    pub fn confirm(&mut self, lease: Millis, now: Millis) {
+        let slow = Millis(lease.get() * DRIFT_MILLI / 1000);
+        self.lapse_at = self.lapse_at.min(now + lease + slow + LAPSE_MARGIN);
+    }
+
     /// Returns whether every lease that was granted has run out.
     pub fn has_lapsed(&self, now: Millis) -> bool {
         now >= self.lapse_at
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -4,7 +4,7 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::contract::owner::advice::{Allowed, Question};
-use pimentovalve_core::contract::owner::{Report, Start, StartAnswer, StopAnswer};
+use pimentovalve_core::contract::owner::{Miss, Report, Start, StartAnswer, StopAnswer};
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::finding::List;
 use pimentovalve_core::ledger::shard::{Life, Run};
@@ -111,7 +111,7 @@
     ) -> Pending<'a, (StopAnswer, Option<u64>)>;
 
     /// Renews the lease and asks what runs and what has ended.
-    fn look<'a>(&'a self, epoch: u64, look: Look<'a>) -> Pending<'a, Option<Report>>;
+    fn look<'a>(&'a self, epoch: u64, look: Look<'a>) -> Pending<'a, Result<Report, Miss>>;
 }
 
 /// A look at a worker.
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -13,7 +13,9 @@
 use crate::ring::{Publisher, Receiver, Reply, Sender};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::{Allowed, Question};
-use pimentovalve_core::contract::owner::{Effect, Limits, Owner, Report, StartAnswer, StopAnswer};
+use pimentovalve_core::contract::owner::{
+    Effect, Limits, Miss, Owner, Report, StartAnswer, StopAnswer,
+};
 use pimentovalve_core::contract::work::{Id, Status};
 use pimentovalve_core::ledger::shard::book::{Book, Change};
 use pimentovalve_core::ledger::shard::{Entry, Life, Record, Run};
@@ -75,7 +77,7 @@
     /// An order to stop was answered.
     Stopped(u64, Run, StopAnswer, Option<u64>),
     /// A look was answered.
-    Looked(u64, Arc<Life>, u64, Option<Report>),
+    Looked(u64, Arc<Life>, u64, Result<Report, Miss>),
     /// A question was answered.
     Advised(u64, Question, Option<Vec<Allowed>>),
     /// A caller asks for the state of a job.
@@ -244,12 +246,13 @@
             }
             Event::Stopped(epoch, run, answer, clock) => {
                 if let Some(owner) = owner_of(&mut self.tenure, epoch) {
-                    owner.stop_answered(&run, answer, clock, now);
+                    owner.stop_answered(&run, answer, clock, &self.book, now);
                 }
             }
             Event::Looked(epoch, on, number, report) => {
                 if let Some(owner) = owner_of(&mut self.tenure, epoch) {
-                    owner.looked(&on, number, report.as_ref(), &self.book, now);
+                    let report = report.as_ref().map_err(|miss| *miss);
+                    owner.looked(&on, number, report, &self.book, now);
                 }
             }
             Event::Advised(epoch, question, answer) => {
@@ -445,10 +448,10 @@
                     owner.start_answered(&start.run, refused, None, &self.book, now);
                 }
                 Order::Stop { run, .. } => {
-                    owner.stop_answered(&run, StopAnswer::Unknown, None, now);
+                    owner.stop_answered(&run, StopAnswer::Unknown, None, &self.book, now);
                 }
                 Order::Look { on, number, .. } => {
-                    owner.looked(&on, number, None, &self.book, now);
+                    owner.looked(&on, number, Err(Miss::Silent), &self.book, now);
                 }
             }
         }
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -5,6 +5,7 @@
 //! request that was held by a pause takes effect after it, as it would in a frozen process.
 
 use crate::fault::{Fault, Switch};
+use hyper::HeaderMap;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_wire::http::server::{self, Limits};
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
@@ -307,6 +308,7 @@
     path: String,
     query: String,
     unless: Option<String>,
+    headers: HeaderMap,
     body: Vec<u8>,
 }
 
@@ -317,6 +319,7 @@
             path: request.path.into(),
             query: request.query.into(),
             unless: request.unless.map(Into::into),
+            headers: request.headers.clone(),
             body: request.body.into(),
         }
     }
@@ -330,6 +333,7 @@
             query: &self.query,
             key: None,
             unless: self.unless.as_deref(),
+            headers: &self.headers,
             body: &self.body,
         }
     }
