--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -164,6 +164,13 @@
         self.backs.tokens.kill.is_cancelled()
     }
 
+    /// Ends at once, as if the process had died.
+    pub fn kill(mut self) {
+        self.backs.tokens.kill.cancel();
+        self.fronts.join();
+        self.backs.join();
+    }
+
     /// Stops as planned: hands the shard over, serves until the balancer sends nobody any more,
     /// answers every request in flight, then ends.
     pub fn stop(mut self) {
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -74,7 +74,7 @@
     pub key: Option<&'a str>,
     /// Tag of the content that the caller has; 304 answers that it is still that.
     pub unless: Option<&'a str>,
-    /// Further header fields.
+    /// Further header fields; `Host` takes the place of the address.
     pub headers: &'a [(&'static str, &'a str)],
     /// Longest time for the whole call.
     pub timeout: Millis,
@@ -84,6 +84,11 @@
 }
 
 impl<'a> Call<'a> {
+    fn host(&self) -> &'a str {
+        let named = self.headers.iter().find(|(name, _)| *name == "Host");
+        named.map_or(self.address, |(_, host)| host)
+    }
+
     /// Returns a `POST` of a MessagePack body.
     pub const fn post(address: &'a str, path: &'a str, body: &'a [u8], timeout: Millis) -> Self {
         Self {
@@ -310,7 +315,7 @@
     let mut builder = hyper::Request::builder()
         .method(call.method)
         .uri(call.path)
-        .header(HOST, call.address)
+        .header(HOST, call.host())
         .header(CONTENT_TYPE, call.content.media_type());
     if let Some(key) = call.key {
         builder = builder.header(AUTHORIZATION, format!("Bearer {key}"));
@@ -318,7 +323,7 @@
     if let Some(tag) = call.unless {
         builder = builder.header(IF_NONE_MATCH, tag);
     }
-    for (name, value) in call.headers {
+    for (name, value) in call.headers.iter().filter(|(name, _)| *name != "Host") {
         builder = builder.header(*name, *value);
     }
     let request = builder
