--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -19,7 +19,9 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -41,6 +43,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two appends of what callers hand in: they are grouped in the meantime.
 const INTAKE_PAUSE: Duration = Duration::from_millis(25);
+/// Pause between two appends of the owner: what is decided meanwhile goes in one call.
+const OWN_PAUSE: Duration = Duration::from_millis(15);
 /// Most records of one append.
 const MAX_GROUP: usize = 1024;
 /// Most bytes of one append; half of what the store takes in a call.
@@ -129,6 +133,8 @@
     pub facts: Latest<Facts>,
     /// The configuration in force.
     pub catalog: Publisher<Option<Arc<Catalog>>>,
+    /// Whether the owner's appends succeed.
+    pub appending: Arc<AtomicBool>,
 }
 
 impl Duty for Ledger {
@@ -138,15 +144,35 @@
 
     fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
         Box::pin(async move {
-            let Self { store, member, intake, appends, owner, client, steward, facts, catalog } =
-                *self;
+            let Self {
+                store,
+                member,
+                intake,
+                appends,
+                owner,
+                client,
+                steward,
+                facts,
+                catalog,
+                appending,
+            } = *self;
             let (direct, rest) = ring::ring(DIRECT_PLACES);
-            let own = append_own(Arc::clone(&store), appends, steward.clone(), facts.clone());
+            // Whether a claim stands is read as soon as it is appended.
+            let claimed = Arc::new(Notify::new());
+            let own = append_own(
+                Arc::clone(&store),
+                appends,
+                steward.clone(),
+                facts.clone(),
+                Arc::clone(&claimed),
+                Arc::clone(&appending),
+            );
             let own = tokio::spawn(own);
-            let relay = tokio::spawn(relay(intake, facts.clone(), owner, direct, client));
+            let relay =
+                tokio::spawn(relay(intake, facts.clone(), owner, direct, client, appending));
             let taking = tokio::spawn(append_direct(Arc::clone(&store), rest));
             let loops = [
-                tokio::spawn(tail(Arc::clone(&store), steward.clone(), facts.clone())),
+                tokio::spawn(tail(Arc::clone(&store), steward.clone(), facts.clone(), claimed)),
                 tokio::spawn(follow_catalog(Arc::clone(&store), catalog)),
                 tokio::spawn(follow_workers(Arc::clone(&store), steward.clone(), facts.clone())),
                 tokio::spawn(follow_members(store, member, steward, facts)),
@@ -210,7 +236,12 @@
     }
 }
 
-async fn tail(store: Arc<dyn Store>, steward: Sender<Event>, mut facts: Latest<Facts>) {
+async fn tail(
+    store: Arc<dyn Store>,
+    steward: Sender<Event>,
+    mut facts: Latest<Facts>,
+    claimed: Arc<Notify>,
+) {
     let mut from = 0;
     let (mut watch, mut backoff) = (Watch::new("log"), Backoff::new());
     loop {
@@ -234,6 +265,7 @@
                 let pause = if facts.borrow().owns() { OWNER_READ_PAUSE } else { READ_PAUSE };
                 tokio::select! {
                     () = sleep(pause) => {}
+                    () = claimed.notified() => {}
                     _ = facts.wait_for(|f| f.owns() && pause > OWNER_READ_PAUSE) => {}
                 }
             }
@@ -278,6 +310,7 @@
     owner: Sender<Append>,
     direct: Sender<Intake>,
     client: Arc<Client>,
+    appending: Arc<AtomicBool>,
 ) {
     while let Some(first) = intake.next().await {
         let mut group = vec![first];
@@ -288,9 +321,9 @@
             let facts = facts.borrow();
             (facts.owns(), facts.owner.clone())
         };
-        if owns {
+        if owns && appending.load(Ordering::Relaxed) {
             group.into_iter().for_each(|item| offer(&owner, Append::Intake(item)));
-        } else if address.is_empty() {
+        } else if owns || address.is_empty() {
             group.into_iter().for_each(|item| offer(&direct, item));
         } else {
             let (client, direct) = (Arc::clone(&client), direct.clone());
@@ -425,6 +458,8 @@
     appends: Receiver<Append>,
     steward: Sender<Event>,
     facts: Latest<Facts>,
+    claimed: Arc<Notify>,
+    appending: Arc<AtomicBool>,
 ) {
     let mut numbers = (0, 0);
     let mut waiting: Option<Append> = None;
@@ -438,6 +473,7 @@
             None => return,
             Some(Append::Claim { entry, epoch }) => {
                 claim(&*store, entry, epoch).await;
+                claimed.notify_one();
                 continue;
             }
             Some(other) => group.put(other),
@@ -458,7 +494,7 @@
         // The claim itself has number 0.
         numbers = if numbers.0 == epoch { (epoch, numbers.1 + 1) } else { (epoch, 1) };
         let author = Author { epoch, number: numbers.1 };
-        let stored = append_fenced(&*store, &mut group, author).await;
+        let stored = append_fenced(&*store, &mut group, author, &appending).await;
         std::mem::take(&mut group.intake).into_iter().for_each(|item| item.answer(stored));
         let records = group.records;
         let event = match stored {
@@ -468,6 +504,7 @@
         if steward.push(event).await.is_err() {
             return;
         }
+        sleep(OWN_PAUSE).await;
     }
 }
 
@@ -479,13 +516,19 @@
 }
 
 /// Appends a group of the owner, until it is in the log or a later epoch fences it.
-async fn append_fenced(store: &dyn Store, group: &mut Group, author: Author) -> Stored {
+async fn append_fenced(
+    store: &dyn Store,
+    group: &mut Group,
+    author: Author,
+    appending: &AtomicBool,
+) -> Stored {
     let (mut watch, mut backoff) = (Watch::new("fenced append"), Backoff::new());
     let mut fenced = Stored::No;
     loop {
         match store.append(&group.bytes, Some(author)).await {
             Ok(()) => {
                 watch.regained();
+                appending.store(true, Ordering::Relaxed);
                 return Stored::Yes;
             }
             Err(Failure::Fenced) => return fenced,
@@ -494,6 +537,7 @@
                     fenced = Stored::Unknown;
                 }
                 watch.lost(&failure);
+                appending.store(false, Ordering::Relaxed);
             }
         }
         group.give_up(view::now());
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -21,6 +21,7 @@
 use snafu::{ResultExt, Snafu};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -104,6 +105,7 @@
         let (facts_in, facts) = ring::latest(Facts::default());
         let (catalog_in, catalog) = ring::latest(None);
         let leave = CancellationToken::new();
+        let appending = Arc::new(AtomicBool::new(true));
         let member = Member {
             name: settings.name.clone(),
             address: settings.peers.to_string().into(),
@@ -121,6 +123,7 @@
         let peer = Peer {
             advisor: Arc::clone(&platform.advisor),
             owner: appends_in.clone(),
+            appending: Arc::clone(&appending),
             facts: facts.clone(),
         };
         let [mut fronts, mut backs, ..] = Stage::all();
@@ -134,6 +137,7 @@
             steward: events_in.clone(),
             facts,
             catalog: catalog_in,
+            appending,
         }))?;
         backs.start(Box::new(Steward {
             name: settings.name.clone(),
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -13,6 +13,7 @@
 use pimentovalve_wire::codec;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::oneshot;
 
 /// Part of a peer's patience, in tenths, after which it is told that the outcome is unknown.
@@ -24,6 +25,8 @@
     pub advisor: Arc<dyn Advisor>,
     /// Appends, while this daemon owns the shard.
     pub owner: Sender<Append>,
+    /// Whether the owner's appends succeed.
+    pub appending: Arc<AtomicBool>,
     /// What the steward publishes.
     pub facts: Latest<Facts>,
 }
@@ -53,8 +56,9 @@
             Ok(message) => message,
             Err(findings) => return Response::findings(400, &findings),
         };
-        if !self.facts.borrow().owns() {
-            return Response::findings(503, &List::one("owner", "is another daemon"));
+        // While the owner can't append, its peers try by themselves at once.
+        if !self.facts.borrow().owns() || !self.appending.load(Ordering::Relaxed) {
+            return Response::findings(503, &List::one("owner", "can't append here now"));
         }
         let until = view::now() + Millis(patience.get() * ANSWER_TENTHS / 10);
         let mut answers = Vec::with_capacity(entries.len());
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -375,7 +375,9 @@
         let claim = self.book.claim();
         // A slow store delays the owner's signs, and this daemon's view of them.
         let silence = SILENCE + self.took.times(SLOW_READS);
-        let patience = if claim.owner.is_empty() { Millis::ZERO } else { silence };
+        // A claim of this instance that is not this process's is one of a process that has ended.
+        let is_vacant = claim.owner.is_empty() || claim.owner == self.duty.name;
+        let patience = if is_vacant { Millis::ZERO } else { silence };
         let stagger = Millis(self.duty.nonce % STAGGER);
         if self.heard.since(self.sign) < patience + stagger {
             return;
