Tell callers at once when the store is away

Ruled out: a caller's own deadline (3 s). Change: entries are refused at once when the log could not be read for a second; otherwise storing may take two fifths of a caller's time; a request that its caller left is logged.

--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -17,8 +17,9 @@
 /// Longest time for which storing a request is tried. Callers that say how long they wait get an
 /// answer while they can still use it.
 const MAX_PATIENCE: Millis = Millis(2500);
-/// Part of a caller's patience, in tenths, that storing may use.
-const PATIENCE_TENTHS: u64 = 7;
+/// Part of a caller's patience, in tenths, that storing may use: a caller that hears earlier that
+/// nothing was done can still come back in time.
+const PATIENCE_TENTHS: u64 = 4;
 /// A book that was not brought up to date for so long can't tell that a job does not exist. Half
 /// of the time in which an accepted job must be visible.
 const STALE: Millis = Millis(1500);
@@ -42,7 +43,37 @@
 
 impl Handler for Front {
     fn handle<'a>(&'a self, request: Request<'a>) -> Pending<'a, Response> {
-        Box::pin(async move { self.callers.encode(&self.answer(&request).await) })
+        Box::pin(async move {
+            let mut visit = Visit::new(&request);
+            let answer = self.answer(&request).await;
+            visit.is_answered = true;
+            self.callers.encode(&answer)
+        })
+    }
+}
+
+/// A request in flight. One that is dropped before its answer was left by its caller.
+struct Visit<'a> {
+    method: &'a str,
+    path: &'a str,
+    since: Millis,
+    is_answered: bool,
+}
+
+impl<'a> Visit<'a> {
+    fn new(request: &Request<'a>) -> Self {
+        let (method, path) = (request.method, request.path);
+        Self { method, path, since: view::now(), is_answered: false }
+    }
+}
+
+impl Drop for Visit<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let waited_ms = view::now().since(self.since).get();
+            let (method, path) = (self.method, self.path);
+            tracing::info!(method, path, waited_ms, "caller left before its answer");
+        }
     }
 }
 
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -41,6 +41,9 @@
 const OWNER_READ_PAUSE: Duration = Duration::from_millis(80);
 /// Pause between two reads of the log by others: what callers are shown lags by it.
 const READ_PAUSE: Duration = Duration::from_millis(200);
+/// A store whose log could not be read for so long is not tried with what callers hand in: they
+/// are told at once. Reads are 200 ms apart, and slow ones take half a second.
+const AWAY: Millis = Millis(1000);
 /// Pause between two appends of what callers hand in: they are grouped in the meantime.
 const INTAKE_PAUSE: Duration = Duration::from_millis(25);
 /// Pause between two appends of the owner: what is decided meanwhile goes in one call.
@@ -170,7 +173,7 @@
             let own = tokio::spawn(own);
             let relay =
                 tokio::spawn(relay(intake, facts.clone(), owner, direct, client, appending));
-            let taking = tokio::spawn(append_direct(Arc::clone(&store), rest));
+            let taking = tokio::spawn(append_direct(Arc::clone(&store), rest, facts.clone()));
             let loops = [
                 tokio::spawn(tail(Arc::clone(&store), steward.clone(), facts.clone(), claimed)),
                 tokio::spawn(follow_catalog(Arc::clone(&store), catalog)),
@@ -365,8 +368,14 @@
 }
 
 /// Appends what the owner did not take.
-async fn append_direct(store: Arc<dyn Store>, intake: Receiver<Intake>) {
+async fn append_direct(store: Arc<dyn Store>, intake: Receiver<Intake>, facts: Latest<Facts>) {
     while let Some(first) = intake.next().await {
+        let away_ms = view::now().since(facts.borrow().heard);
+        if away_ms > AWAY {
+            tracing::info!(%away_ms, "entry refused: the store is away");
+            first.answer(Stored::No);
+            continue;
+        }
         let (mut group, mut bodies, mut size) = (Vec::new(), Vec::new(), 0);
         let mut next = Some(first);
         while let Some(item) = next {
