--- a/crates/daemon/src/log/lines.rs
+++ b/crates/daemon/src/log/lines.rs
@@ -3,6 +3,9 @@
 //! When the ring is full, lines below `WARN` are dropped first: a quarter of the places is kept for
 //! warnings and errors. What was dropped is counted, and the count is itself a line.
 
+#[cfg(test)]
+mod tests;
+
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
--- /dev/null
+++ b/crates/daemon/src/log/lines/tests.rs
@@ -0,0 +1,69 @@
+//! Tests of the ring of log lines: a blocked output holds nobody up, and nothing is lost unsaid.
+
+use super::{KEPT, Lines, PLACES};
+use googletest::prelude::*;
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Longest time for which a test waits for the writer.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An output that takes nothing until it is told to.
+struct Blocked {
+    go: Receiver<()>,
+    is_open: bool,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for Blocked {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if !self.is_open {
+            self.is_open = self.go.recv().is_ok();
+        }
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn blocked() -> (Lines, Sender<()>, Arc<Mutex<Vec<u8>>>) {
+    let (sender, go) = channel();
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let out = Blocked { go, is_open: false, written: Arc::clone(&written) };
+    (Lines::start(out).unwrap(), sender, written)
+}
+
+fn text(written: &Mutex<Vec<u8>>) -> String {
+    String::from_utf8(written.lock().unwrap().clone()).unwrap()
+}
+
+#[gtest]
+fn a_flood_before_a_blocked_output_drops_routine_lines_and_keeps_faults() {
+    let (lines, go, written) = blocked();
+    for i in 0..2 * PLACES {
+        lines.put(format!("routine {i}\n").into_bytes(), PLACES - KEPT);
+    }
+    let before = lines.dropped();
+    expect_that!(before, ge((PLACES / 2) as u64));
+    for i in 0..KEPT / 2 {
+        lines.put(format!("fault {i}\n").into_bytes(), PLACES);
+    }
+    expect_that!(lines.dropped(), eq(before));
+    go.send(()).unwrap();
+    let started = Instant::now();
+    let last = format!("fault {}\n", KEPT / 2 - 1);
+    while !text(&written).contains(&last) && started.elapsed() < PATIENCE {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let text = text(&written);
+    expect_that!(text.matches("fault ").count(), eq(KEPT / 2));
+    let total = format!("\"total\":{before}");
+    expect_that!(text, contains_substring(total));
+    let kept = text.matches("routine ").count() as u64;
+    expect_that!(kept + before, eq(2 * PLACES as u64));
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -118,7 +118,7 @@
 }
 
 /// Adds a gauge that is read by `read`, with the value of its one label.
-fn gauge(
+pub(crate) fn gauge(
     meter: &Meter,
     name: &'static str,
     description: &'static str,
@@ -137,7 +137,7 @@
 }
 
 /// Adds a counter that is read by `read`, with the value of its one label.
-fn counter(
+pub(crate) fn counter(
     meter: &Meter,
     name: &'static str,
     description: &'static str,
--- a/crates/daemon/src/shard.rs
+++ b/crates/daemon/src/shard.rs
@@ -13,6 +13,7 @@
 pub mod border;
 pub mod front;
 pub mod ledger;
+pub mod metrics;
 pub mod node;
 pub mod orders;
 pub mod peer;
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -2,6 +2,7 @@
 
 use super::border::{Answer, Callers, Command};
 use super::ledger::{Intake, Stored};
+use super::metrics::Metrics;
 use super::steward::Event;
 use super::view::{self, Facts};
 use crate::ring::{self, Latest, Sender, Unanswered};
@@ -37,6 +38,8 @@
     pub intake: Sender<Intake>,
     /// Who knows the state of jobs.
     pub steward: Sender<Event>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
     /// What the steward publishes.
     pub facts: Latest<Facts>,
 }
@@ -47,11 +50,26 @@
             let mut visit = Visit::new(&request);
             let answer = self.answer(&request).await;
             visit.is_answered = true;
+            self.metrics.answered(kind(&answer), view::now().since(visit.since));
             self.callers.encode(&answer)
         })
     }
 }
 
+/// Returns the kind of an answer, for metrics.
+const fn kind(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Accepted => "accepted",
+        Answer::State(_) => "state",
+        Answer::Waiting(_) => "count",
+        Answer::NoQueue => "no queue",
+        Answer::NoJob => "no job",
+        Answer::Malformed(_) => "malformed",
+        Answer::NotDone(_) => "not done",
+        Answer::Undecided => "undecided",
+    }
+}
+
 /// A request in flight. One that is dropped before its answer was left by its caller.
 struct Visit<'a> {
     method: &'a str,
--- /dev/null
+++ b/crates/daemon/src/shard/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters and latency histograms of a shard's daemon, in the usual text format.
+
+use super::view::{self, Facts};
+use crate::metrics::{Depth, Error, gauge};
+use crate::ring::Latest;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use pimentovalve_core::clock::Millis;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Name of the meter.
+const METER: &str = "pimentovalve_shard";
+/// Bounds of the buckets of latencies, in milliseconds: from a crossing between regions to the
+/// longest that a caller waits.
+const BUCKETS_MS: [f64; 10] = [2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1000.0, 3000.0];
+
+/// The metrics of one daemon.
+pub struct Metrics {
+    registry: Registry,
+    answers: Counter<u64>,
+    answer_ms: Histogram<u64>,
+    orders: Counter<u64>,
+    order_ms: Histogram<u64>,
+    entries: Counter<u64>,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Sets up metrics over what the steward publishes and the rings by the duty that receives.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Setup`] when the exporter can't be set up.
+    pub fn new(
+        facts: Latest<Facts>,
+        rings: Vec<(&'static str, Box<dyn Depth>)>,
+    ) -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|source| Error::Setup { source })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(METER);
+        let epochs = facts.clone();
+        let name = "pimentovalve_owned_epoch";
+        gauge(&meter, name, "Epoch of the own claim, 0 without one", "shard", move || {
+            vec![("0", epochs.borrow().epoch.unwrap_or_default())]
+        });
+        let name = "pimentovalve_log_age_ms";
+        gauge(&meter, name, "Time since the log was read to its end, in ms", "shard", move || {
+            vec![("0", view::now().since(facts.borrow().heard).get())]
+        });
+        let name = "pimentovalve_ring_depth";
+        gauge(&meter, name, "Taken places of a ring", "duty", move || {
+            rings.iter().map(|(duty, ring)| (*duty, ring.depth() as u64)).collect()
+        });
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let histogram = |name, about| {
+            let builder = meter.u64_histogram(name).with_description(about);
+            builder.with_boundaries(BUCKETS_MS.to_vec()).build()
+        };
+        Ok(Self {
+            registry,
+            answers: counter("pimentovalve_answers", "Answers to callers, by kind"),
+            answer_ms: histogram("pimentovalve_answer_ms", "Time to answer a caller, in ms"),
+            orders: counter("pimentovalve_orders", "Calls to workers, by kind and answer"),
+            order_ms: histogram("pimentovalve_order_ms", "Time of a call to a worker, in ms"),
+            entries: counter("pimentovalve_entries", "Own entries in the log, by kind"),
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answered(&self, kind: &'static str, took: Millis) {
+        self.answers.add(1, &[KeyValue::new("answer", kind)]);
+        self.answer_ms.record(took.get(), &[]);
+    }
+
+    /// Counts a call to a worker.
+    pub fn ordered(&self, kind: &'static str, answer: &'static str, took: Millis) {
+        let kind = KeyValue::new("kind", kind);
+        self.orders.add(1, &[kind.clone(), KeyValue::new("answer", answer)]);
+        self.order_ms.record(took.get(), &[kind]);
+    }
+
+    /// Counts own entries of one kind.
+    pub fn recorded(&self, kind: &'static str, count: usize) {
+        self.entries.add(count as u64, &[KeyValue::new("entry", kind)]);
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Text`] when they can't be written.
+    pub fn text(&self) -> Result<String, Error> {
+        let mut text = Vec::new();
+        let gathered = self.registry.gather();
+        TextEncoder::new().encode(&gathered, &mut text).map_err(|source| Error::Text { source })?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -4,6 +4,7 @@
 use super::border::{Advisor, Callers, Member, Store, Workers};
 use super::front::Front;
 use super::ledger::Ledger;
+use super::metrics::Metrics;
 use super::orders::Orders;
 use super::peer::Peer;
 use super::ready::Ready;
@@ -44,6 +45,12 @@
         /// Why.
         source: std::io::Error,
     },
+    /// Metrics can't be set up.
+    #[snafu(context(false), display("{source}"))]
+    Metrics {
+        /// Why.
+        source: crate::metrics::Error,
+    },
     /// A duty can't be started.
     #[snafu(context(false), display("{source}"))]
     Duty {
@@ -104,6 +111,16 @@
         let (asks_in, asks) = ring::ring(RING);
         let (facts_in, facts) = ring::latest(Facts::default());
         let (catalog_in, catalog) = ring::latest(None);
+        let metrics = Arc::new(Metrics::new(
+            facts.clone(),
+            vec![
+                ("intake", Box::new(intake_in.clone())),
+                ("steward", Box::new(events_in.clone())),
+                ("ledger", Box::new(appends_in.clone())),
+                ("orders", Box::new(orders_in.clone())),
+                ("advice", Box::new(asks_in.clone())),
+            ],
+        )?);
         let leave = CancellationToken::new();
         let appending = Arc::new(AtomicBool::new(true));
         let member = Member {
@@ -118,12 +135,14 @@
             catalog,
             intake: intake_in,
             steward: events_in.clone(),
+            metrics: Arc::clone(&metrics),
             facts: facts.clone(),
         };
         let peer = Peer {
             advisor: Arc::clone(&platform.advisor),
             owner: appends_in.clone(),
             appending: Arc::clone(&appending),
+            metrics: Arc::clone(&metrics),
             facts: facts.clone(),
         };
         let [mut fronts, mut backs, ..] = Stage::all();
@@ -149,10 +168,11 @@
             ledger: appends_in,
             orders: orders_in,
             advice: asks_in,
+            metrics: Arc::clone(&metrics),
             facts: facts_in,
         }))?;
         let workers = Arc::clone(&platform.workers);
-        backs.start(Box::new(Orders { workers, orders, steward: events_in.clone() }))?;
+        backs.start(Box::new(Orders { workers, orders, metrics, steward: events_in.clone() }))?;
         let advisor = Arc::clone(&platform.advisor);
         let client = Arc::new(Client::new());
         backs.start(Box::new(Advice { advisor, client, asks, steward: events_in }))?;
--- a/crates/daemon/src/shard/orders.rs
+++ b/crates/daemon/src/shard/orders.rs
@@ -1,11 +1,13 @@
 //! The orders duty: carries calls to workers and brings back what they answered.
 
 use super::border::{Look, Workers};
+use super::metrics::Metrics;
 use super::steward::Event;
+use super::view;
 use crate::duty::Duty;
 use crate::ring::{Receiver, Sender};
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::contract::owner::Start;
+use pimentovalve_core::contract::owner::{Start, StartAnswer, StopAnswer};
 use pimentovalve_core::ledger::shard::{Life, Run};
 use pimentovalve_wire::http::Pending;
 use std::sync::Arc;
@@ -60,6 +62,8 @@
     pub workers: Arc<dyn Workers>,
     /// Calls to make.
     pub orders: Receiver<Order>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
     /// Where answers go.
     pub steward: Sender<Event>,
 }
@@ -77,11 +81,14 @@
                     order = self.orders.next() => order,
                 };
                 let Some(order) = order else { return };
-                let workers = Arc::clone(&self.workers);
+                let (workers, metrics) = (Arc::clone(&self.workers), Arc::clone(&self.metrics));
                 let steward = self.steward.clone();
                 // The owner has at most one call in flight for each run and each look.
                 tokio::spawn(async move {
+                    let began = view::now();
                     let answer = carry(&*workers, order).await;
+                    let (kind, outcome) = kinds(&answer);
+                    metrics.ordered(kind, outcome, view::now().since(began));
                     if steward.push(answer).await.is_err() {
                         tracing::debug!("an answer came after the steward ended");
                     }
@@ -91,6 +98,19 @@
     }
 }
 
+/// Returns the kind of an answered call and of its answer, for metrics.
+const fn kinds(event: &Event) -> (&'static str, &'static str) {
+    match event {
+        Event::Started(_, _, StartAnswer::Taken, _) => ("start", "taken"),
+        Event::Started(_, _, StartAnswer::Unknown, _) => ("start", "unknown"),
+        Event::Started(..) => ("start", "refused"),
+        Event::Stopped(_, _, StopAnswer::Taken, _) => ("stop", "taken"),
+        Event::Stopped(..) => ("stop", "not taken"),
+        Event::Looked(_, _, _, Ok(_)) => ("look", "report"),
+        _ => ("look", "none"),
+    }
+}
+
 async fn carry(workers: &dyn Workers, order: Order) -> Event {
     match order {
         Order::Start(epoch, start) => {
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -1,9 +1,10 @@
-//! What daemons do for each other: the owner stores what callers hand in, and every daemon asks the
+//! What daemons do for each other, and metrics for monitors: the owner stores what callers hand in, and every daemon asks the
 //! advisor, which serves each by itself.
 
 use super::advice;
 use super::border::Advisor;
 use super::ledger::{self, Append, Intake, Stored};
+use super::metrics::Metrics;
 use super::view::{self, Facts};
 use crate::ring::{Latest, Sender};
 use pimentovalve_core::clock::Millis;
@@ -16,6 +17,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::oneshot;
 
+/// Path under which monitors read metrics.
+const METRICS: &str = "/metrics";
 /// Part of a peer's patience, in tenths, after which it is told that the outcome is unknown.
 const ANSWER_TENTHS: u64 = 8;
 
@@ -27,6 +30,8 @@
     pub owner: Sender<Append>,
     /// Whether the owner's appends succeed.
     pub appending: Arc<AtomicBool>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
     /// What the steward publishes.
     pub facts: Latest<Facts>,
 }
@@ -37,6 +42,7 @@
             match request.path {
                 advice::PATH => self.advise(request.body).await,
                 ledger::PATH => self.store(request.body).await,
+                METRICS => self.metrics(),
                 _ => Response::findings(404, &List::one("path", "is not known")),
             }
         })
@@ -51,6 +57,13 @@
         }
     }
 
+    fn metrics(&self) -> Response {
+        match self.metrics.text() {
+            Ok(text) => Response::text(200, text),
+            Err(error) => Response::text(500, error.to_string()),
+        }
+    }
+
     async fn store(&self, body: &[u8]) -> Response {
         let (patience, entries) = match codec::unpack::<(Millis, Vec<Entry>)>(body) {
             Ok(message) => message,
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -7,6 +7,7 @@
 use super::advice::Ask;
 use super::border::Member;
 use super::ledger::Append;
+use super::metrics::Metrics;
 use super::orders::Order;
 use super::view::{self, Facts};
 use crate::duty::Duty;
@@ -106,6 +107,8 @@
     pub orders: Sender<Order>,
     /// Questions to the advisor.
     pub advice: Sender<Ask>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
     /// What is published.
     pub facts: Publisher<Facts>,
 }
@@ -308,7 +311,7 @@
         let change = self.book.apply(entry.clone(), now);
         if let Some(tenure) = &mut self.tenure {
             if epoch == tenure.epoch {
-                log_entry(&entry, epoch);
+                log_entry(&entry, epoch, &self.duty.metrics);
                 tenure.owner.recorded(&entry, &self.book, now);
             }
             tenure.owner.changed(change, now);
@@ -504,16 +507,18 @@
     tenure.as_mut().filter(|t| t.epoch == epoch).map(|t| &mut t.owner)
 }
 
-/// Logs what was decided of runs, once it is recorded.
-fn log_entry(entry: &Entry, epoch: u64) {
+/// Logs and counts what was decided of runs, once it is recorded.
+fn log_entry(entry: &Entry, epoch: u64, metrics: &Metrics) {
     match entry {
         Entry::Started { on, runs } => {
+            metrics.recorded("start", runs.len());
             for run in runs {
                 let (task, number, worker) = (run.task, run.number, &on.worker);
                 tracing::info!(job = %task.stage.job, %task, number, %worker, epoch, "start recorded");
             }
         }
         Entry::Ended { on, ends } => {
+            metrics.recorded("end", ends.len());
             for end in ends {
                 let (task, number, outcome) = (end.run.task, end.run.number, end.outcome);
                 let worker = &on.worker;
@@ -523,6 +528,7 @@
             }
         }
         Entry::Lost(runs) => {
+            metrics.recorded("loss", runs.len());
             for run in runs {
                 let (task, number) = (run.task, run.number);
                 tracing::info!(job = %task.stage.job, %task, number, epoch, "loss recorded");
