--- a/tests/specs.rs
+++ b/tests/specs.rs
@@ -162,3 +162,17 @@
     }
     rejects("configuration", "configuration-proof", &[("Skipped", &skipped("forwarded"))]);
 }
+
+#[gtest]
+fn shard_holds() {
+    holds("shard", "shard", &[]);
+}
+
+#[gtest]
+fn shard_needs_its_guards() {
+    for guard in ["first", "token", "look", "order", "stop"] {
+        rejects("shard", "shard", &[("Skipped", &skipped(guard))]);
+    }
+    // The store's fence stands for having read every claim: without both, an old owner goes on.
+    rejects("shard", "shard", &[("Skipped", "{\"fence\", \"read\"}")]);
+}
