Wait longer for a slow store, and let only the owner append to it

Cause: with answers 60 to 80 times slower an append takes 0.6 s, half of it one at a time in the partition. Change: the pace of the log's reads is published; while it is slow, appends and callers are waited for longer, forwards use nine tenths of what is left, and what the owner did not take is answered as not done (or as doubtful) instead of being appended beside it.

--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -71,11 +71,13 @@
 
 /// The platform's store.
 pub trait Store: Send + Sync {
-    /// Appends records to the shard's log, all or none. Without an author the append is not fenced.
+    /// Appends records to the shard's log, all or none, and waits up to `patience` for the answer.
+    /// Without an author the append is not fenced.
     fn append<'a>(
         &'a self,
         records: &'a [Vec<u8>],
         author: Option<Author>,
+        patience: Millis,
     ) -> Pending<'a, Result<(), Failure>>;
 
     /// Reads the shard's log from an offset on.
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -21,6 +21,8 @@
 /// Part of a caller's patience, in tenths, that storing may use: a caller that hears earlier that
 /// nothing was done can still come back in time.
 const PATIENCE_TENTHS: u64 = 4;
+/// The same while the store is slow: then it is waiting that brings success, not coming back.
+const SLOW_PATIENCE_TENTHS: u64 = 8;
 /// A book that was not brought up to date for so long can't tell that a job does not exist. Half
 /// of the time in which an accepted job must be visible.
 const STALE: Millis = Millis(1500);
@@ -102,7 +104,9 @@
             return Answer::NotDone(COME_BACK);
         };
         let patience = self.callers.patience(request).unwrap_or(MAX_PATIENCE);
-        let patience = MAX_PATIENCE.min(Millis(patience.get() * PATIENCE_TENTHS / 10));
+        let is_slow = self.facts.borrow().pace.is_slow();
+        let tenths = if is_slow { SLOW_PATIENCE_TENTHS } else { PATIENCE_TENTHS };
+        let patience = MAX_PATIENCE.min(Millis(patience.get() * tenths / 10));
         let until = view::now() + patience;
         match self.callers.decode(request, &catalog) {
             Ok(Command::Submit(job)) => self.submit(job, catalog.version, until).await,
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -37,6 +37,9 @@
 const OWNER_READ_PAUSE: Duration = Duration::from_millis(80);
 /// Pause between two reads of the log by others: what callers are shown lags by it.
 const READ_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time for an append. It may stand behind others for two seconds, and is better tried
+/// again on another connection before.
+const APPEND_PATIENCE: Millis = Millis(1000);
 /// Most records of one append.
 const MAX_GROUP: usize = 1024;
 /// Most bytes of one append; half of what the store takes in a call.
--- a/crates/daemon/src/shard/ledger/intake.rs
+++ b/crates/daemon/src/shard/ledger/intake.rs
@@ -1,6 +1,9 @@
 //! What callers hand in: to the owner, or into the log directly while no owner answers.
 
-use super::{Append, Backoff, Intake, MAX_GROUP, MAX_GROUP_BYTES, MAX_RETRY, PATH, Stored, encode};
+use super::{
+    APPEND_PATIENCE, Append, Backoff, Intake, MAX_GROUP, MAX_GROUP_BYTES, MAX_RETRY, PATH, Stored,
+    encode,
+};
 use crate::ring::{Latest, Receiver, Sender};
 use crate::shard::border::{Failure, Store};
 use crate::shard::view::{self, Facts};
@@ -12,10 +15,11 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Longest time for which the owner is waited for; a slow store takes most of it.
-const MAX_FORWARD: Millis = Millis(1500);
 /// Part of the time that is left to a caller, in tenths, that the owner may use.
 const FORWARD_TENTHS: u64 = 6;
+/// The same while the store is slow: the owner appends everything in one queue, and more appends
+/// beside its own would only make that queue longer.
+const SLOW_FORWARD_TENTHS: u64 = 9;
 /// Most entries that are handed to the owner at once.
 const MAX_RELAYED: usize = 64;
 /// Pause between two calls to the owner: entries are grouped in the meantime.
@@ -51,7 +55,9 @@
             group.into_iter().for_each(|item| offer(&direct, item));
         } else {
             let (client, direct) = (Arc::clone(&client), direct.clone());
-            tokio::spawn(async move { forward(&client, &address, group, &direct).await });
+            let tenths =
+                if facts.borrow().pace.is_slow() { SLOW_FORWARD_TENTHS } else { FORWARD_TENTHS };
+            tokio::spawn(async move { forward(&client, &address, group, tenths, &direct).await });
             sleep(RELAY_PAUSE).await;
         }
     }
@@ -65,10 +71,16 @@
 }
 
 /// Hands a group to the owner, and what the owner can't store to `direct`.
-async fn forward(client: &Client, address: &str, group: Vec<Intake>, direct: &Sender<Intake>) {
+async fn forward(
+    client: &Client,
+    address: &str,
+    group: Vec<Intake>,
+    tenths: u64,
+    direct: &Sender<Intake>,
+) {
     let now = view::now();
     let until = group.iter().map(|i| i.until).min().unwrap_or_default();
-    let timeout = MAX_FORWARD.min(Millis(until.since(now).get() * FORWARD_TENTHS / 10));
+    let timeout = Millis(until.since(now).get() * tenths / 10);
     let entries: Vec<&Entry> = group.iter().map(|i| &i.entry).collect();
     let message = (timeout, entries);
     match client.exchange::<_, Stored>(address, PATH, &message, timeout).await {
@@ -88,16 +100,21 @@
     }
 }
 
-/// Appends what the owner did not take.
+/// Appends what the owner did not take, unless the store is away or slow.
 pub(super) async fn append_direct(
     store: Arc<dyn Store>,
     intake: Receiver<Intake>,
     facts: Latest<Facts>,
 ) {
+    let began = view::now();
     while let Some(first) = intake.next().await {
-        let away_ms = view::now().since(facts.borrow().heard);
-        if away_ms > AWAY {
-            tracing::info!(%away_ms, "entry refused: the store is away");
+        // A daemon that has just begun has not heard of the store yet.
+        let away_ms = view::now().since(facts.borrow().heard.max(began));
+        // The log takes one append at a time. While each takes long, those of several daemons would
+        // only hold up the owner's, which bring everything.
+        let is_slow = facts.borrow().pace.is_slow();
+        if away_ms > AWAY || is_slow {
+            tracing::info!(%away_ms, is_slow, "entry not appended beside the owner");
             first.answer(Stored::No);
             continue;
         }
@@ -113,7 +130,7 @@
             next = if is_full { None } else { intake.try_next() };
         }
         let began = view::now();
-        let stored = append_group(&*store, &bodies, &group).await;
+        let stored = append_group(&*store, &bodies, &group, &facts).await;
         group.into_iter().for_each(|item| item.answer(stored));
         // A slow store is asked less often, with more at once.
         let pause = INTAKE_PAUSE.max(view::now().since(began).into());
@@ -122,12 +139,18 @@
 }
 
 /// Appends what callers handed in, until it is stored or the first of them can't wait any more.
-async fn append_group(store: &dyn Store, bodies: &[Vec<u8>], group: &[Intake]) -> Stored {
+async fn append_group(
+    store: &dyn Store,
+    bodies: &[Vec<u8>],
+    group: &[Intake],
+    facts: &Latest<Facts>,
+) -> Stored {
     let until = group.iter().map(|i| i.until).min().unwrap_or_default();
     let mut backoff = Backoff::new();
     let mut worst = Stored::No;
     while view::now() < until {
-        match store.append(bodies, None).await {
+        let patience = facts.borrow().pace.patience(APPEND_PATIENCE);
+        match store.append(bodies, None, patience).await {
             Ok(()) => return Stored::Yes,
             Err(Failure::Unknown { message }) => {
                 tracing::debug!(message, "an intake append has no answer");
--- a/crates/daemon/src/shard/ledger/own.rs
+++ b/crates/daemon/src/shard/ledger/own.rs
@@ -1,6 +1,8 @@
 //! Appends of the owner: fenced, in order, each number once.
 
-use super::{Append, Backoff, Intake, MAX_GROUP, MAX_GROUP_BYTES, Stored, Watch, encode};
+use super::{
+    APPEND_PATIENCE, Append, Backoff, Intake, MAX_GROUP, MAX_GROUP_BYTES, Stored, Watch, encode,
+};
 use crate::ring::{Latest, Receiver, Sender};
 use crate::shard::border::{Author, Failure, Store};
 use crate::shard::steward::Event;
@@ -16,6 +18,10 @@
 /// Pause between two appends of the owner: what is decided meanwhile goes in one call.
 const OWN_PAUSE: Duration = Duration::from_millis(15);
 
+/// An append that takes longer is worth a line: it delays every decision behind it. Ten times what
+/// the store announces, and the longest way between regions.
+const SLOW_APPEND: Millis = Millis(200);
+
 /// One append of the owner.
 #[derive(Default)]
 struct Group {
@@ -81,7 +87,8 @@
         match next {
             None => return,
             Some(Append::Claim { entry, epoch }) => {
-                claim(&*store, entry, epoch).await;
+                let patience = facts.borrow().pace.patience(APPEND_PATIENCE);
+                claim(&*store, entry, epoch, patience).await;
                 claimed.notify_one();
                 continue;
             }
@@ -103,7 +110,7 @@
         // The claim itself has number 0.
         numbers = if numbers.0 == epoch { (epoch, numbers.1 + 1) } else { (epoch, 1) };
         let author = Author { epoch, number: numbers.1 };
-        let stored = append_fenced(&*store, &mut group, author, &appending).await;
+        let stored = append_fenced(&*store, &mut group, author, &facts, &appending).await;
         std::mem::take(&mut group.intake).into_iter().for_each(|item| item.answer(stored));
         let records = group.records;
         let event = match stored {
@@ -117,9 +124,9 @@
     }
 }
 
-async fn claim(store: &dyn Store, entry: Entry, epoch: u64) {
+async fn claim(store: &dyn Store, entry: Entry, epoch: u64, patience: Millis) {
     let Some(body) = encode(&Record::open(entry)) else { return };
-    let outcome = store.append(&[body], Some(Author { epoch, number: 0 })).await;
+    let outcome = store.append(&[body], Some(Author { epoch, number: 0 }), patience).await;
     // Whether the claim stands is told by the log alone.
     tracing::info!(epoch, outcome = ?outcome.err(), "ownership claimed");
 }
@@ -129,14 +136,22 @@
     store: &dyn Store,
     group: &mut Group,
     author: Author,
+    facts: &Latest<Facts>,
     appending: &AtomicBool,
 ) -> Stored {
     let (mut watch, mut backoff) = (Watch::new("fenced append"), Backoff::new());
     let mut fenced = Stored::No;
     loop {
-        match store.append(&group.bytes, Some(author)).await {
+        let patience = facts.borrow().pace.patience(APPEND_PATIENCE);
+        let began = view::now();
+        match store.append(&group.bytes, Some(author), patience).await {
             Ok(()) => {
                 watch.regained();
+                let took = view::now().since(began);
+                if took > SLOW_APPEND {
+                    let (entries, bytes, number) = (group.records.len(), group.size, author.number);
+                    tracing::info!(number, entries, bytes, took_ms = took.get(), "slow append");
+                }
                 appending.store(true, Ordering::Relaxed);
                 return Stored::Yes;
             }
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -20,6 +20,7 @@
 use pimentovalve_core::contract::work::{Id, Status};
 use pimentovalve_core::ledger::shard::book::{Book, Change};
 use pimentovalve_core::ledger::shard::{Entry, Life, Record, Run};
+use pimentovalve_core::link::pace::Pace;
 use pimentovalve_core::machine::host::Listed;
 use pimentovalve_wire::http::Pending;
 use std::sync::Arc;
@@ -148,8 +149,8 @@
     /// When the owner last gave a sign, or silence began to be measured.
     sign: Millis,
     heard: Millis,
-    /// How long the last read of the log took.
-    took: Millis,
+    /// How fast the log is read.
+    pace: Pace,
     caught_up: bool,
     claimed_at: Millis,
     workers: Vec<Listed>,
@@ -170,7 +171,7 @@
             tenure: None,
             sign: now,
             heard: Millis::ZERO,
-            took: Millis::ZERO,
+            pace: Pace::default(),
             caught_up: false,
             claimed_at: Millis::ZERO,
             workers: Vec::new(),
@@ -218,7 +219,7 @@
         let now = view::now();
         match event {
             Event::Read { records, next, caught_up, took } => {
-                self.took = took;
+                self.pace.note(took);
                 self.read(records, next, caught_up, now);
             }
             Event::Recorded(records) => {
@@ -377,7 +378,7 @@
         }
         let claim = self.book.claim();
         // A slow store delays the owner's signs, and this daemon's view of them.
-        let silence = SILENCE + self.took.times(SLOW_READS);
+        let silence = SILENCE + self.pace.typical().times(SLOW_READS);
         // A claim of this instance that is not this process's is one of a process that has ended.
         let is_vacant = claim.owner.is_empty() || claim.owner == self.duty.name;
         let patience = if is_vacant { Millis::ZERO } else { silence };
@@ -498,7 +499,8 @@
     fn publish(&self) {
         let epoch = self.tenure.as_ref().map(|t| t.epoch);
         let owner = self.book.claim().address.clone();
-        let facts = Facts { epoch, owner, caught_up: self.caught_up, heard: self.heard };
+        let (caught_up, heard, pace) = (self.caught_up, self.heard, self.pace);
+        let facts = Facts { epoch, owner, caught_up, heard, pace };
         self.duty.facts.send_replace(facts);
     }
 }
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -1,6 +1,7 @@
 //! What the steward publishes, and the clocks.
 
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::link::pace::Pace;
 use std::sync::OnceLock;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -18,6 +19,8 @@
     pub caught_up: bool,
     /// When the log was last read to its end, on the steady clock.
     pub heard: Millis,
+    /// How fast the store answers.
+    pub pace: Pace,
 }
 
 impl Facts {
