--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -25,7 +25,7 @@
 use crate::machine::capacity::Capacity;
 use crate::machine::host::{self, Host, Listed};
 use advice::Desk;
-use order::{Order, Start, Stop};
+use order::{Order, Start, Stop, Why};
 use std::sync::Arc;
 
 pub use answer::{StartAnswer, StopAnswer};
@@ -90,6 +90,8 @@
     valid_until: Millis,
     /// Whether it must stop as soon as it can be.
     doomed: bool,
+    /// Why it stops, once it does.
+    why: Why,
     /// Share of the work that is done, in hundredths, and when it last rose.
     progress: (u64, Millis),
 }
@@ -299,6 +301,7 @@
             }
             running.on = Arc::clone(life);
             running.phase = Phase::Stopping { next: Some(now) };
+            running.why = Why::Unanswered;
             let needs = running.needs;
             if let Some(host) = self.host_mut(life) {
                 host.add(&needs);
@@ -382,7 +385,7 @@
             .filter(|r| r.run.task.stage == run.task.stage && r.run.number == run.number)
             .map(|r| r.run)
             .collect();
-        members.iter().for_each(|m| self.stop(m, now));
+        members.iter().for_each(|m| self.stop(m, Why::Gang, now));
     }
 
     fn react(&mut self, run: &Run, outcome: Outcome, on: &Life, book: &Book, now: Millis) {
@@ -404,12 +407,15 @@
     fn stop_job(&mut self, id: Id, now: Millis) {
         let runs = self.runs.iter().filter(|r| r.run.task.stage.job == id);
         let runs: Vec<Run> = runs.map(|r| r.run).collect();
-        runs.iter().for_each(|r| self.stop(r, now));
+        runs.iter().for_each(|r| self.stop(r, Why::Over, now));
     }
 
     /// Stops a run as soon as that can be done.
-    fn stop(&mut self, run: &Run, now: Millis) {
+    fn stop(&mut self, run: &Run, why: Why, now: Millis) {
         let Ok(i) = self.run_index(run) else { return };
+        if !self.runs[i].doomed {
+            self.runs[i].why = why;
+        }
         match self.runs[i].phase {
             Phase::Recording | Phase::Ordered => self.runs[i].doomed = true,
             Phase::Working { .. } => {
@@ -430,11 +436,11 @@
 
     fn try_stop(&mut self, i: usize) {
         let running = &self.runs[i];
-        let (on, run) = (Arc::clone(&running.on), running.run);
+        let (on, run, why) = (Arc::clone(&running.on), running.run, running.why);
         let Some(host) = self.host(&on) else { return };
         let address = host.listed.address.clone();
         self.runs[i].phase = Phase::Stopping { next: None };
-        self.effects.push(Effect::Order(Order::Stop(Stop { on, address, run })));
+        self.effects.push(Effect::Order(Order::Stop(Stop { on, address, run, why })));
     }
 
     fn host_index(&self, worker: &str) -> Result<usize, usize> {
@@ -508,6 +514,7 @@
             ticket: None,
             valid_until: Millis::MAX,
             doomed: false,
+            why: Why::Stray,
             progress: (0, now),
         }
     }
--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -1,5 +1,6 @@
 //! What workers answer to orders.
 
+use super::order::Why;
 use super::{Owner, Phase};
 use crate::clock::Millis;
 use crate::ledger::shard::book::Book;
@@ -59,7 +60,7 @@
                 self.runs[i].phase = Phase::Working { since: self.looks };
                 self.runs[i].progress = (0, now);
                 if self.runs[i].doomed {
-                    self.stop(run, now);
+                    self.stop(run, Why::Over, now);
                 }
                 self.look_by(on, now + self.limits.look_pause);
             }
@@ -74,6 +75,7 @@
             StartAnswer::Unknown => {
                 // It can still begin: only a stop makes sure that it can't.
                 self.runs[i].phase = Phase::Stopping { next: Some(now) };
+                self.runs[i].why = Why::Unanswered;
                 if let Some(host) = self.host_mut(on) {
                     host.avoid(now + UNHEALTHY);
                 }
--- a/crates/core/src/contract/owner/look.rs
+++ b/crates/core/src/contract/owner/look.rs
@@ -1,6 +1,6 @@
 //! Looks at workers: they renew leases and bring what runs and what has ended.
 
-use super::order::{Look, Order};
+use super::order::{Look, Order, Why};
 use super::{Effect, Owner, Phase, Running};
 use crate::clock::Millis;
 use crate::ledger::shard::book::Book;
@@ -187,10 +187,11 @@
             self.break_gang(run, book, now);
         }
         for (run, is_blamed) in hung {
+            let why = if is_blamed { Why::Hung } else { Why::Stray };
             if let Some(host) = self.host_mut(on).filter(|_| is_blamed) {
                 host.strike(now);
             }
-            self.stop(&run, now);
+            self.stop(&run, why, now);
             self.break_gang(&run, book, now);
         }
         for working in listed {
@@ -205,7 +206,7 @@
         }
         let needs = super::needs_of(book, &run);
         self.insert(Running::adopted(run, Arc::new(on.clone()), needs, now));
-        self.stop(&run, now);
+        self.stop(&run, Why::Stray, now);
     }
 
     /// A life of a worker is over: nothing of it runs, and orders that name it do nothing.
--- a/crates/core/src/contract/owner/order.rs
+++ b/crates/core/src/contract/owner/order.rs
@@ -24,6 +24,21 @@
     pub ticket: Option<Box<str>>,
 }
 
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Its job is over.
+    Over,
+    /// Another member of its gang has ended or can't run.
+    Gang,
+    /// It makes no progress.
+    Hung,
+    /// Nobody asked for it any more.
+    Stray,
+    /// Its order was not answered: it may be there.
+    Unanswered,
+}
+
 /// An order to stop a run.
 #[derive(Clone, Debug)]
 pub struct Stop {
@@ -33,6 +48,8 @@
     pub address: Box<str>,
     /// The run.
     pub run: Run,
+    /// Why.
+    pub why: Why,
 }
 
 /// A look at a worker, which renews its lease.
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -6,6 +6,7 @@
 //! behind small tasks.
 
 use super::advice::Standing;
+use super::order::Why;
 use super::{Effect, Owner, Phase, Running};
 use crate::clock::Millis;
 use crate::contract::work::{Advised, Job, Stage, Step, Task};
@@ -309,6 +310,7 @@
             ticket,
             valid_until: valid_until.unwrap_or(Millis::MAX),
             doomed: false,
+            why: Why::Stray,
             progress: (0, now),
         });
         round.count += 1;
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -439,6 +439,10 @@
     }
 
     fn send(&mut self, call: Call) {
+        if let Order::Stop(Stop { on, run, why, .. }) = &call.order {
+            let (task, number, worker, epoch) = (run.task, run.number, &on.worker, call.epoch);
+            tracing::info!(job = %task.stage.job, %task, number, %worker, ?why, epoch, "stop ordered");
+        }
         if let Err(Call { epoch, order }) = self.duty.orders.offer_back(call) {
             let now = view::now();
             tracing::warn!("the ring of orders is full");
