--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -205,7 +205,7 @@
         match change {
             Change::Over(id) => self.stop_job(id, now),
             Change::Accepted(_) | Change::Progress => self.is_dirty = true,
-            Change::Claimed | Change::Nothing => {}
+            Change::Claimed | Change::Saved | Change::Nothing => {}
         }
     }
 
--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -9,6 +9,7 @@
 //! ended `done` is never started again.
 
 pub mod book;
+pub mod snapshot;
 pub mod state;
 
 use crate::contract::work::{Id, Job, Outcome, Task};
@@ -68,6 +69,11 @@
         /// Its epoch.
         epoch: u64,
     },
+    /// A snapshot of everything before an earlier offset is kept.
+    Saved {
+        /// Its number.
+        number: u64,
+    },
     /// The owner still works.
     Alive {
         /// Its epoch.
--- a/crates/core/src/ledger/shard/book.rs
+++ b/crates/core/src/ledger/shard/book.rs
@@ -7,13 +7,26 @@
 use super::{End, Entry, Life, Run};
 use crate::clock::Millis;
 use crate::contract::work::{Id, Job, Stage, Status, Task};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// How long an ended job is remembered.
-pub const REMEMBER_ENDED: Millis = Millis::from_secs(600);
+/// How long an ended job is remembered; twice as long as callers may ask.
+pub const REMEMBER_ENDED: Millis = Millis::from_secs(240);
+
+/// How long an ended job is kept with its tasks: orders that come late and ends that are listed late
+/// are still told apart. Later its state is all that anyone asks for.
+const KEEP_TASKS: Millis = Millis::from_secs(30);
+
+/// A job of which only the state is remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Ended {
+    id: Id,
+    status: Status,
+    at: Millis,
+}
 
 /// The claim that is in force.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     /// Epoch of the owner, 0 before the first claim.
     pub epoch: u64,
@@ -37,6 +50,8 @@
     Over(Id),
     /// Another owner has claimed the shard.
     Claimed,
+    /// A snapshot was saved.
+    Saved,
     /// The entry changed what is known of runs.
     Progress,
     /// The entry changed nothing: a repeat.
@@ -44,10 +59,12 @@
 }
 
 /// What the log says.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Book {
     /// Sorted by id.
     jobs: Vec<JobState>,
+    /// Jobs that ended a while ago, sorted by id.
+    ended: Vec<Ended>,
     /// Steps whose tasks may start or are at work, sorted.
     open: Vec<Stage>,
     /// Jobs with a schedule that are not over, sorted.
@@ -57,6 +74,8 @@
     claim: Claim,
     /// The last epoch before which no lease can hold any more.
     settled: u64,
+    /// Number of the last snapshot.
+    saves: u64,
 }
 
 impl Book {
@@ -70,12 +89,23 @@
         self.settled >= self.claim.epoch
     }
 
+    /// Returns the number of the last snapshot, 0 before the first.
+    pub const fn saves(&self) -> u64 {
+        self.saves
+    }
+
     /// Returns a job.
     pub fn job(&self, id: Id) -> Option<&JobState> {
         self.find(id).ok().map(|i| &self.jobs[i])
     }
 
-    /// Returns all jobs, by id.
+    /// Returns the state of a job, `None` when it isn't known.
+    pub fn status(&self, id: Id) -> Option<Status> {
+        let ended = || self.find_ended(id).ok().map(|i| self.ended[i].status);
+        self.job(id).map(JobState::status).or_else(ended)
+    }
+
+    /// Returns the jobs that are not over, or ended a short while ago, by id.
     pub fn jobs(&self) -> &[JobState] {
         &self.jobs
     }
@@ -143,7 +173,12 @@
                 self.claim = Claim { epoch, ..Claim::default() };
                 Change::Claimed
             }
-            Entry::Claimed { .. }
+            Entry::Saved { number } if number > self.saves => {
+                self.saves = number;
+                Change::Saved
+            }
+            Entry::Saved { .. }
+            | Entry::Claimed { .. }
             | Entry::Released { .. }
             | Entry::Alive { .. }
             | Entry::Settled { .. } => Change::Nothing,
@@ -167,19 +202,45 @@
         }
     }
 
-    /// Forgets jobs that ended long ago.
+    /// Forgets the tasks of jobs that ended a while ago, and jobs that ended long ago.
     pub fn expire(&mut self, now: Millis) {
         let jobs = &self.jobs;
         let is_over =
             |id: &Id| jobs.binary_search_by_key(id, |j| j.job.id).is_ok_and(|i| jobs[i].is_over());
         self.scheduled.retain(|id| !is_over(id));
-        self.jobs.retain(|j| j.ended.is_none_or(|at| now.since(at) < REMEMBER_ENDED));
+        let ended = &mut self.ended;
+        self.jobs.retain(|job| {
+            let Some(at) = job.ended.filter(|at| now.since(*at) >= KEEP_TASKS) else { return true };
+            let keeps = job.has_placed();
+            if !keeps {
+                ended.push(Ended { id: job.job.id, status: job.status(), at });
+            }
+            keeps
+        });
+        ended.retain(|e| now.since(e.at) < REMEMBER_ENDED);
+        ended.sort_unstable_by_key(|e| e.id);
+    }
+
+    /// Moves all times from a clock that shows `there` to one that shows `here`.
+    pub(super) fn rebase(&mut self, there: Millis, here: Millis) {
+        let moved = |at: Millis| here.since(there.since(at));
+        for job in &mut self.jobs {
+            job.seen = moved(job.seen);
+            job.ended = job.ended.map(moved);
+        }
+        for ended in &mut self.ended {
+            ended.at = moved(ended.at);
+        }
     }
 
     fn find(&self, id: Id) -> Result<usize, usize> {
         self.jobs.binary_search_by_key(&id, |j| j.job.id)
     }
 
+    fn find_ended(&self, id: Id) -> Result<usize, usize> {
+        self.ended.binary_search_by_key(&id, |e| e.id)
+    }
+
     fn job_mut(&mut self, id: Id) -> Option<&mut JobState> {
         self.find(id).ok().map(|i| &mut self.jobs[i])
     }
@@ -187,6 +248,9 @@
     fn submit(&mut self, job: Job, now: Millis) -> Change {
         let id = job.id;
         let Err(i) = self.find(id) else { return Change::Nothing };
+        if self.find_ended(id).is_ok() {
+            return Change::Nothing;
+        }
         if job.schedule.is_some()
             && let Err(at) = self.scheduled.binary_search(&id)
         {
--- a/crates/core/src/ledger/shard/book/tests.rs
+++ b/crates/core/src/ledger/shard/book/tests.rs
@@ -181,3 +181,30 @@
     let late = [&entries[..2], &[Entry::Settled { epoch: 1 }], &entries[2..]].concat();
     expect_false!(claims(late).claim().is_alone);
 }
+
+#[gtest]
+fn of_a_job_that_ended_a_while_ago_the_state_is_remembered() {
+    let first = run(0, 0, 1);
+    let ends = vec![started(&[first]), ended(first, 1, Outcome::Done)];
+    let mut book = book(vec![step(1, &[])], ends);
+    book.expire(NOW + Millis::from_secs(29));
+    expect_that!(book.jobs(), len(eq(1)));
+    book.expire(NOW + Millis::from_secs(31));
+    expect_that!(book.jobs(), is_empty());
+    expect_that!(book.status(Id(1)), some(eq(Status::Completed)));
+    // A repeat of its submission or a cancellation changes nothing.
+    let again = Entry::Submitted(Box::new(job(1, vec![step(1, &[])])));
+    expect_that!(book.apply(again, NOW), eq(Change::Nothing));
+    expect_that!(book.apply(Entry::Cancelled(Id(1)), NOW), eq(Change::Nothing));
+    expect_that!(book.status(Id(1)), some(eq(Status::Completed)));
+    book.expire(NOW + Millis::from_secs(241));
+    expect_that!(book.status(Id(1)), none());
+}
+
+#[gtest]
+fn a_job_with_a_run_that_may_be_at_work_keeps_its_tasks() {
+    let entries = vec![started(&[run(0, 0, 1)]), Entry::Cancelled(Id(1))];
+    let mut book = book(vec![step(1, &[])], entries);
+    book.expire(NOW + Millis::from_secs(100));
+    expect_that!(book.placed(), len(eq(1)));
+}
--- /dev/null
+++ b/crates/core/src/ledger/shard/snapshot/tests.rs
@@ -0,0 +1,69 @@
+use super::Snapshot;
+use crate::clock::Millis;
+use crate::contract::work::tests::{job, step};
+use crate::contract::work::{Id, Outcome, Stage, Status, Task};
+use crate::ledger::shard::book::Book;
+use crate::ledger::shard::{End, Entry, Life, Run};
+use googletest::prelude::*;
+
+const WRITTEN: Millis = Millis(9_000_000);
+
+fn run(job: u64, number: u32) -> Run {
+    let stage = Stage { job: Id(job), occurrence: 0, step: 0 };
+    Run { task: Task { stage, index: 0 }, number }
+}
+
+/// A job that is done, one that runs, and one that waits.
+fn entries() -> Vec<Entry> {
+    let on = Life { worker: "worker".into(), born: 7 };
+    let claim = Entry::Claimed { epoch: 3, owner: "a".into(), address: "x".into(), nonce: 1 };
+    let done = End { run: run(1, 1), number: 5, outcome: Outcome::Done, saved: "".into() };
+    let mut entries = vec![claim];
+    entries.extend((1..=3).map(|id| Entry::Submitted(Box::new(job(id, vec![step(1, &[])])))));
+    entries.push(Entry::Started { on: on.clone(), runs: vec![run(1, 1), run(2, 4)] });
+    entries.push(Entry::Ended { on, ends: vec![done] });
+    entries
+}
+
+fn restored() -> Book {
+    let mut book = Book::default();
+    for entry in entries() {
+        book.apply(entry, Millis(8_990_000));
+    }
+    let taken = (3, 2);
+    let snapshot = Snapshot { number: 1, offset: 6, taken, at: WRITTEN, book };
+    let bytes = rmp_serde::to_vec(&snapshot).expect("bytes");
+    let snapshot: Snapshot = rmp_serde::from_slice(&bytes).expect("a snapshot");
+    snapshot.restore(Millis(1_000_000))
+}
+
+#[gtest]
+fn a_restored_book_says_what_the_log_said() {
+    let book = restored();
+    let status = |id| book.job(Id(id)).map(|j| j.status());
+    expect_that!(status(1), some(eq(Status::Completed)));
+    expect_that!(status(2), some(eq(Status::Running)));
+    expect_that!(status(3), some(eq(Status::Queued)));
+    expect_that!(book.claim().epoch, eq(3));
+    expect_that!(book.open(), len(eq(2)));
+    expect_that!(book.placed(), len(eq(1)));
+    let life = Life { worker: "worker".into(), born: 7 };
+    expect_that!(book.noted(&life), eq(5));
+}
+
+#[gtest]
+fn ages_are_kept_on_another_clock() {
+    let book = restored();
+    let job = book.job(Id(1)).expect("the job");
+    expect_that!((job.seen, job.ended), eq((Millis(990_000), Some(Millis(990_000)))));
+}
+
+#[gtest]
+fn a_restored_book_goes_on_with_the_log() {
+    let mut book = restored();
+    let on = Life { worker: "worker".into(), born: 7 };
+    let end = End { run: run(2, 4), number: 6, outcome: Outcome::Done, saved: "".into() };
+    book.apply(Entry::Ended { on, ends: vec![end] }, Millis(1_000_100));
+    expect_that!(book.job(Id(2)).map(|j| j.status()), some(eq(Status::Completed)));
+    expect_that!(book.open(), len(eq(1)));
+}
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -3,10 +3,11 @@
 use super::{End, Life, Run};
 use crate::clock::Millis;
 use crate::contract::work::{Job, Outcome, Status, Step, Task};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// A run that may be at work.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placed {
     /// Number of the run.
     pub number: u32,
@@ -15,7 +16,7 @@
 }
 
 /// A task as the log has it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskState {
     /// Number of the last run, 0 before the first.
     pub last_run: u32,
@@ -37,7 +38,7 @@
 }
 
 /// A step of one pass as the log has it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepState {
     /// The tasks, by index.
     pub tasks: Vec<TaskState>,
@@ -138,7 +139,7 @@
 }
 
 /// One pass through the steps of a job.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pass {
     /// The steps; empty until the pass is due.
     pub steps: Vec<StepState>,
@@ -171,7 +172,7 @@
 }
 
 /// A job as the log has it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobState {
     /// What was handed in.
     pub job: Arc<Job>,
@@ -238,7 +239,12 @@
     /// Returns whether a task has started: a run ended, or may be at work. One that was recorded
     /// and then refused does not count.
     fn has_started(&self) -> bool {
-        self.begun || self.passes.iter().flat_map(|p| &p.steps).any(|s| s.placed > 0)
+        self.begun || self.has_placed()
+    }
+
+    /// Returns whether a run may be at work.
+    pub(super) fn has_placed(&self) -> bool {
+        self.passes.iter().flat_map(|p| &p.steps).any(|s| s.placed > 0)
     }
 
     /// Returns the state of the step of a task.
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -58,6 +58,17 @@
     pub end: u64,
 }
 
+/// A snapshot as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Saved {
+    /// Its number; one that can't be read to its end leaves the one before it whole.
+    pub number: u64,
+    /// Offset of the log up to which it reaches.
+    pub offset: u64,
+    /// The snapshot.
+    pub bytes: Vec<u8>,
+}
+
 /// Another daemon.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Member {
@@ -83,6 +94,12 @@
     /// Reads the shard's log from an offset on.
     fn read(&self, from: u64) -> Pending<'_, Result<Chunk, Failure>>;
 
+    /// Keeps a snapshot of the shard.
+    fn save<'a>(&'a self, saved: &'a Saved) -> Pending<'a, Result<(), Failure>>;
+
+    /// Returns the newest snapshot that is kept whole.
+    fn load(&self) -> Pending<'_, Result<Option<Saved>, Failure>>;
+
     /// Returns the newest configuration, waiting up to `wait` for a change; `None` when nothing
     /// changed.
     fn catalog(&self, wait: Millis) -> Pending<'_, Result<Option<Catalog>, Failure>>;
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod intake;
 mod own;
+mod snapshots;
 
 use super::border::{Failure, Member, Store};
 use super::steward::Event;
@@ -16,6 +17,7 @@
 use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
+use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_wire::codec;
 use pimentovalve_wire::http::Pending;
@@ -98,6 +100,8 @@
     Own(Vec<Record>),
     /// What a caller handed in to this daemon or to a peer.
     Intake(Intake),
+    /// A snapshot that is due.
+    Snapshot(Box<Snapshot>),
 }
 
 /// The duty.
@@ -263,9 +267,23 @@
                 }
             }
             Err(Failure::Gone { first }) => {
-                // What fell out of the log is unknown for good; what follows is still in order.
-                tracing::error!(from, first, "the log was trimmed ahead of this reader");
-                from = first;
+                match snapshots::load(&*store, first).await {
+                    Ok(Some((event, offset))) => {
+                        if steward.push(event).await.is_err() {
+                            return;
+                        }
+                        from = offset;
+                    }
+                    Ok(None) => {
+                        // What fell out of the log is unknown for good; what follows is in order.
+                        tracing::error!(from, first, "the log was trimmed ahead of this reader");
+                        from = first;
+                    }
+                    Err(failure) => {
+                        watch.lost(&failure);
+                        backoff.pause().await;
+                    }
+                }
             }
             Err(failure) => {
                 watch.lost(&failure);
--- a/crates/daemon/src/shard/ledger/own.rs
+++ b/crates/daemon/src/shard/ledger/own.rs
@@ -2,6 +2,7 @@
 
 use super::{
     APPEND_PATIENCE, Append, Backoff, Intake, MAX_GROUP, MAX_GROUP_BYTES, Stored, Watch, encode,
+    snapshots,
 };
 use crate::ring::{Latest, Receiver, Sender};
 use crate::shard::border::{Author, Failure, Store};
@@ -39,7 +40,7 @@
                 self.add(Record::open(item.entry.clone()));
                 self.intake.push(item);
             }
-            Append::Claim { .. } => {}
+            Append::Claim { .. } | Append::Snapshot(_) => {}
         }
     }
 
@@ -92,11 +93,16 @@
                 claimed.notify_one();
                 continue;
             }
+            Some(Append::Snapshot(snapshot)) => {
+                let store = Arc::clone(&store);
+                tokio::spawn(async move { snapshots::save(&*store, &snapshot).await });
+                continue;
+            }
             Some(other) => group.put(other),
         }
         while !group.is_full() && waiting.is_none() {
             match appends.try_next() {
-                Some(claim @ Append::Claim { .. }) => waiting = Some(claim),
+                Some(alone @ (Append::Claim { .. } | Append::Snapshot(_))) => waiting = Some(alone),
                 Some(other) => group.put(other),
                 None => break,
             }
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -74,6 +74,8 @@
     pub bounds: server::Limits,
     /// Figures for the owner.
     pub limits: Limits,
+    /// How long the store keeps a record of the log.
+    pub retention: Millis,
 }
 
 /// The platform, as its adapter implements it.
@@ -163,6 +165,7 @@
             address: settings.peers.to_string().into(),
             nonce: rand::random(),
             limits: settings.limits,
+            retention: settings.retention,
             leave: leave.clone(),
             events,
             ledger: appends_in,
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -20,6 +20,7 @@
 };
 use pimentovalve_core::contract::work::{Id, Status};
 use pimentovalve_core::ledger::shard::book::{Book, Change};
+use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::{Entry, Record, Run};
 use pimentovalve_core::link::pace::Pace;
 use pimentovalve_core::machine::host::Listed;
@@ -51,6 +52,11 @@
 /// Time between two clean-ups of the book.
 const EXPIRE_EVERY: Millis = Millis::from_secs(10);
 
+/// Times that a snapshot is due within the time for which the store keeps the log.
+const SNAPSHOTS_KEPT: u64 = 4;
+/// Part of that time by which daemons differ in when they save one, at most, so that one does.
+const SNAPSHOT_SPREAD: u64 = 4;
+
 /// What the steward takes in.
 pub enum Event {
     /// Records of the log.
@@ -64,6 +70,8 @@
         /// When the read began.
         began: Millis,
     },
+    /// The log no longer has its beginning: a snapshot stands for it.
+    Restored(Box<Snapshot>),
     /// Own records are in the log.
     Recorded(Vec<Record>),
     /// An own append was refused, since a later owner has claimed.
@@ -99,6 +107,8 @@
     pub nonce: u64,
     /// Figures for the owner.
     pub limits: Limits,
+    /// How long the store keeps a record of the log.
+    pub retention: Millis,
     /// A planned stop has begun: the shard is for others.
     pub leave: CancellationToken,
     /// What happens.
@@ -163,6 +173,10 @@
     is_leaving: bool,
     /// Epoch and sequence of the last owner's record that the book has.
     taken: (u64, u64),
+    /// Offset of the next record to read.
+    next: u64,
+    /// When a snapshot was last saved or tried, or this daemon began.
+    saved_at: Millis,
 }
 
 impl State {
@@ -183,6 +197,8 @@
             expired_at: now,
             is_leaving: false,
             taken: (0, 0),
+            next: 0,
+            saved_at: now,
         }
     }
 
@@ -226,6 +242,7 @@
                 self.pace.note(now.since(began));
                 self.read(records, next, caught_up.then_some(began), now);
             }
+            Event::Restored(snapshot) => self.restore(*snapshot, now),
             Event::Recorded(records) => {
                 for record in records {
                     self.apply(record, now);
@@ -241,7 +258,7 @@
             Event::Members(members) => self.meet(members, now),
             Event::Status(id, reply) => {
                 // A caller that has left wants no answer.
-                let _ = reply.send(self.book.job(id).map(|j| j.status()));
+                let _ = reply.send(self.book.status(id));
             }
             Event::Count(queue, reply) => {
                 let _ = reply.send(self.book.pending(&queue));
@@ -281,6 +298,7 @@
         if now.since(self.heard) > DEAF {
             self.sign = now;
         }
+        self.next = next;
         for record in records {
             if record.epoch != 0 {
                 self.sign = now;
@@ -299,6 +317,38 @@
         }
     }
 
+    /// Goes on from a snapshot. What this daemon decided as owner rested on what it had read: it
+    /// owns nothing any more.
+    fn restore(&mut self, snapshot: Snapshot, now: Millis) {
+        (self.taken, self.next, self.saved_at) = (snapshot.taken, snapshot.offset, now);
+        self.book = snapshot.restore(now);
+        self.caught_up = false;
+        self.sign = now;
+        if let Some(tenure) = self.tenure.take() {
+            tracing::warn!(epoch = tenure.epoch, "ownership lost: the log was read too late");
+        }
+        self.publish();
+    }
+
+    /// Saves a snapshot when none was saved for a while. Only what the log alone says is saved: the
+    /// owner, whose book may be ahead of what it read, leaves it to others while there are any.
+    fn consider_snapshot(&mut self, now: Millis) {
+        let every = Millis(self.duty.retention.get() / SNAPSHOTS_KEPT);
+        let stagger = Millis(self.duty.nonce % (1 + every.get() / SNAPSHOT_SPREAD));
+        let due = if self.tenure.is_some() { every + every } else { every + stagger };
+        // A slow store is spared for as long again.
+        let due = if self.pace.is_slow() { due + due } else { due };
+        if !self.caught_up || now.since(self.saved_at) < due {
+            return;
+        }
+        self.saved_at = now;
+        let (number, offset, taken) = (self.book.saves() + 1, self.next, self.taken);
+        let snapshot = Snapshot { number, offset, taken, at: now, book: self.book.clone() };
+        if self.duty.ledger.offer(Append::Snapshot(Box::new(snapshot))).is_err() {
+            tracing::warn!(number, offset, "the ring of appends is full; no snapshot");
+        }
+    }
+
     /// Takes a record into the book, once.
     fn apply(&mut self, record: Record, now: Millis) {
         let Record { epoch, sequence, entry } = record;
@@ -316,6 +366,9 @@
             }
             tenure.owner.changed(change, now);
         }
+        if change == Change::Saved {
+            self.saved_at = now;
+        }
         if change == Change::Claimed {
             self.sign = now;
             self.claimed(now);
@@ -357,6 +410,7 @@
             self.expired_at = now;
             self.book.expire(now);
         }
+        self.consider_snapshot(now);
         if self.tenure.is_none() {
             self.consider_claim(now);
             return;
