Keep to the time and size bounds of the configuration in force

Cause: a queue's time-out and the greatest body were decoded and not applied; the front kept to fixed bounds of its own, so that a version that shortens a time-out changed nothing. Change: what the front waits for is bounded by the queue's time-out as well, and a body over the bound is answered 413. The fronts' errors and binding, and the exporter of metrics, exist once for both daemons now.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,11 +9,11 @@
 use crate::duty::steward::Stewardship;
 use crate::duty::watch::Watch;
 use crate::duty::{self, Duty};
-use crate::front::Front;
 use crate::front::caller::Caller;
 use crate::front::monitor::Monitor;
 use crate::front::operator::Operator;
 use crate::front::peer::Peer;
+use crate::front::{self, Front, bind};
 use crate::journal::Sink;
 use crate::metrics::{self, Metrics};
 use crate::platform::http::{Machine, Service};
@@ -56,13 +56,15 @@
 /// Why a daemon can't start.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// An address can't be listened on.
-    #[snafu(display("{front}: {address} can't be listened on: {source}"))]
-    Listen {
-        /// The front.
-        front: &'static str,
-        /// The address.
-        address: SocketAddr,
+    /// A front can't be had.
+    #[snafu(context(false), display("{source}"))]
+    Front {
+        /// Which, and why.
+        source: front::Error,
+    },
+    /// The addresses of the fronts can't be told.
+    #[snafu(display("the addresses of the fronts can't be told: {source}"))]
+    Addresses {
         /// Why.
         source: std::io::Error,
     },
@@ -157,9 +159,7 @@
         sink: Arc<dyn Sink>,
     ) -> Result<Self, Error> {
         let listeners = Listeners::bind(settings)?;
-        let addresses = listeners
-            .addresses()
-            .context(ListenSnafu { front: "callers", address: settings.listen.callers })?;
+        let addresses = listeners.addresses().context(AddressesSnafu)?;
         let name = settings.name.clone();
         let duty = plain_name("daemon");
         let process = process_name(&name);
@@ -340,10 +340,6 @@
     }
 }
 
-fn bind(front: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).context(ListenSnafu { front, address })
-}
-
 fn peer_keys(settings: &Settings) -> Result<(Option<Keys>, Option<String>), Error> {
     let keys = settings.peer_key.as_deref().map(Keys::read).transpose();
     let keys = keys.map_err(|findings| Error::Keys { findings })?;
@@ -554,10 +550,8 @@
         metrics: Metrics::new(wiring.sources()).context(MetricsSnafu)?,
     };
     let front = |name, listener: TcpListener, handler: Arc<dyn Handler>| {
-        let address = listener.local_addr().unwrap_or(settings.listen.callers);
         let traffic = wiring.traffic(name);
-        let front = Front::new(name, listener, settings.limits, traffic, handler)
-            .context(ListenSnafu { front: name, address })?;
+        let front = Front::new(name, listener, settings.limits, traffic, handler)?;
         Ok::<Box<dyn Duty>, Error>(Box::new(front))
     };
     Ok([
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -14,10 +14,43 @@
 use pimentovalve_wire::http::server::{self, Limits};
 use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::http::{Handler, Pending, Response};
+use snafu::{ResultExt, Snafu};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
+/// Why a front can't be had.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// Its address can't be bound.
+    #[snafu(display("{front}: {address} can't be listened on: {source}"))]
+    Bind {
+        /// The front.
+        front: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Its listener can't be used.
+    #[snafu(display("{front}: the listener can't be used: {source}"))]
+    Listener {
+        /// The front.
+        front: &'static str,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// Binds the address of a front.
+///
+/// # Errors
+///
+/// Returns an error that names the front when the address can't be listened on.
+pub fn bind(front: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).context(BindSnafu { front, address })
+}
+
 /// A front: a listener and who answers there.
 pub struct Front {
     name: &'static str,
@@ -32,15 +65,15 @@
     ///
     /// # Errors
     ///
-    /// Returns the operating system's error when the listener can't be made non-blocking.
+    /// Returns an error that names the front when the listener can't be made non-blocking.
     pub fn new(
         name: &'static str,
         listener: TcpListener,
         limits: Limits,
         traffic: Arc<Traffic>,
         handler: Arc<dyn Handler>,
-    ) -> std::io::Result<Self> {
-        listener.set_nonblocking(true)?;
+    ) -> Result<Self, Error> {
+        listener.set_nonblocking(true).context(ListenerSnafu { front: name })?;
         Ok(Self { name, listener, limits, traffic, handler })
     }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -72,28 +72,58 @@
     }
 }
 
-/// The metrics of one daemon.
-pub struct Metrics {
+/// Instruments, and what they gather.
+pub(crate) struct Export {
     registry: Registry,
     /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
 }
 
-impl Metrics {
-    /// Sets up metrics over their sources.
+impl Export {
+    /// Sets up the exporter.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Setup`] when the exporter can't be set up.
-    pub fn new(sources: Sources) -> Result<Self, Error> {
+    /// Returns [`Error::Setup`] when it can't be set up.
+    pub(crate) fn new() -> Result<Self, Error> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .without_target_info()
             .build()
             .context(SetupSnafu)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter(METER);
+        Ok(Self { registry, provider: SdkMeterProvider::builder().with_reader(exporter).build() })
+    }
+
+    /// Returns the meter of a name, which makes instruments.
+    pub(crate) fn meter(&self, name: &'static str) -> Meter {
+        self.provider.meter(name)
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Text`] when they can't be written.
+    pub(crate) fn text(&self) -> Result<String, Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).context(TextSnafu)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+/// The metrics of one daemon.
+pub struct Metrics(Export);
+
+impl Metrics {
+    /// Sets up metrics over their sources.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Setup`] when the exporter can't be set up.
+    pub fn new(sources: Sources) -> Result<Self, Error> {
+        let export = Export::new()?;
+        let meter = export.meter(METER);
         let Sources { facts, members, held, figures, rings, traffic } = sources;
         observe_ledger(&meter, facts);
         observe_members(&meter, members, held);
@@ -102,7 +132,7 @@
         observe_rings(&meter, rings);
         observe_traffic(&meter, traffic);
         observe_process(&meter);
-        Ok(Self { registry, _provider: provider })
+        Ok(Self(export))
     }
 
     /// Returns all metrics as text.
@@ -111,9 +141,7 @@
     ///
     /// Returns [`Error::Text`] when they can't be written.
     pub fn text(&self) -> Result<String, Error> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text).context(TextSnafu)?;
-        Ok(String::from_utf8_lossy(&text).into_owned())
+        self.0.text()
     }
 }
 
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -146,6 +146,15 @@
     Count(Box<str>),
 }
 
+/// A request as the callers' protocol has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decoded {
+    /// What the caller wants.
+    pub command: Command,
+    /// Longest time for its answer, by the configuration of its queue.
+    pub timeout: Millis,
+}
+
 /// What a caller is answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -161,6 +170,8 @@
     NoJob,
     /// The request can't be understood.
     Malformed(List),
+    /// The body is larger than the configuration allows: the most bytes.
+    TooLarge(usize),
     /// Nothing was done, and the caller may come back after a while.
     NotDone(Millis),
     /// It may have been done.
@@ -174,7 +185,7 @@
     /// # Errors
     ///
     /// Returns the answer to a request that names no queue or can't be understood.
-    fn decode(&self, request: &Request<'_>, catalog: &Catalog) -> Result<Command, Answer>;
+    fn decode(&self, request: &Request<'_>, catalog: &Catalog) -> Result<Decoded, Answer>;
 
     /// Returns how long the caller waits, if it says so.
     fn patience(&self, request: &Request<'_>) -> Option<Millis>;
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -1,6 +1,6 @@
 //! Answers callers. Decoding is the adapter's; what is answered is decided here.
 
-use super::border::{Answer, Callers, Command};
+use super::border::{Answer, Callers, Command, Decoded};
 use super::ledger::{Intake, Stored};
 use super::metrics::Metrics;
 use super::steward::Event;
@@ -67,6 +67,7 @@
         Answer::NoQueue => "no queue",
         Answer::NoJob => "no job",
         Answer::Malformed(_) => "malformed",
+        Answer::TooLarge(_) => "too large",
         Answer::NotDone(_) => "not done",
         Answer::Undecided => "undecided",
     }
@@ -103,21 +104,29 @@
             tracing::info!("request refused: no configuration was read yet");
             return Answer::NotDone(COME_BACK);
         };
-        let patience = self.callers.patience(request).unwrap_or(MAX_PATIENCE);
-        let is_slow = self.facts.borrow().pace.is_slow();
-        let tenths = if is_slow { SLOW_PATIENCE_TENTHS } else { PATIENCE_TENTHS };
-        let patience = MAX_PATIENCE.min(Millis(patience.get() * tenths / 10));
-        let until = view::now() + patience;
-        match self.callers.decode(request, &catalog) {
-            Ok(Command::Submit(job)) => self.submit(job, catalog.version, until).await,
-            Ok(Command::Status(id)) => self.status(id).await,
-            Ok(Command::Cancel(id)) => self.cancel(id, until).await,
-            Ok(Command::Count(queue)) => self.count(queue).await,
+        let most = catalog.bounds.body_bytes;
+        let decoded = match self.callers.decode(request, &catalog) {
+            Ok(_) if request.body.len() > most => Err(Answer::TooLarge(most)),
+            decoded => decoded,
+        };
+        let Decoded { command, timeout } = match decoded {
+            Ok(decoded) => decoded,
             Err(answer) => {
                 let (method, path, version) = (request.method, request.path, catalog.version);
                 tracing::info!(method, path, version, ?answer, "request refused");
-                answer
+                return answer;
             }
+        };
+        let patience = self.callers.patience(request).unwrap_or(MAX_PATIENCE).min(timeout);
+        let is_slow = self.facts.borrow().pace.is_slow();
+        let tenths = if is_slow { SLOW_PATIENCE_TENTHS } else { PATIENCE_TENTHS };
+        let patience = MAX_PATIENCE.min(Millis(patience.get() * tenths / 10));
+        let until = view::now() + patience;
+        match command {
+            Command::Submit(job) => self.submit(job, catalog.version, until).await,
+            Command::Status(id) => self.status(id).await,
+            Command::Cancel(id) => self.cancel(id, until).await,
+            Command::Count(queue) => self.count(queue).await,
         }
     }
 
--- a/crates/daemon/src/shard/metrics.rs
+++ b/crates/daemon/src/shard/metrics.rs
@@ -1,13 +1,11 @@
 //! Counters and latency histograms of a shard's daemon, in the usual text format.
 
 use super::view::{self, Facts};
-use crate::metrics::{Depth, Error, gauge};
+use crate::metrics::{Depth, Error, Export, gauge};
 use crate::ring::Latest;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry::metrics::{Counter, Histogram};
 use pimentovalve_core::clock::Millis;
-use prometheus::{Encoder, Registry, TextEncoder};
 
 /// Name of the meter.
 const METER: &str = "pimentovalve_shard";
@@ -17,14 +15,12 @@
 
 /// The metrics of one daemon.
 pub struct Metrics {
-    registry: Registry,
+    export: Export,
     answers: Counter<u64>,
     answer_ms: Histogram<u64>,
     orders: Counter<u64>,
     order_ms: Histogram<u64>,
     entries: Counter<u64>,
-    /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
 }
 
 impl Metrics {
@@ -37,14 +33,8 @@
         facts: Latest<Facts>,
         rings: Vec<(&'static str, Box<dyn Depth>)>,
     ) -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .map_err(|source| Error::Setup { source })?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter(METER);
+        let export = Export::new()?;
+        let meter = export.meter(METER);
         let epochs = facts.clone();
         let name = "pimentovalve_owned_epoch";
         gauge(&meter, name, "Epoch of the own claim, 0 without one", "shard", move || {
@@ -64,13 +54,12 @@
             builder.with_boundaries(BUCKETS_MS.to_vec()).build()
         };
         Ok(Self {
-            registry,
+            export,
             answers: counter("pimentovalve_answers", "Answers to callers, by kind"),
             answer_ms: histogram("pimentovalve_answer_ms", "Time to answer a caller, in ms"),
             orders: counter("pimentovalve_orders", "Calls to workers, by kind and answer"),
             order_ms: histogram("pimentovalve_order_ms", "Time of a call to a worker, in ms"),
             entries: counter("pimentovalve_entries", "Own entries in the log, by kind"),
-            _provider: provider,
         })
     }
 
@@ -98,9 +87,6 @@
     ///
     /// Returns [`Error::Text`] when they can't be written.
     pub fn text(&self) -> Result<String, Error> {
-        let mut text = Vec::new();
-        let gathered = self.registry.gather();
-        TextEncoder::new().encode(&gathered, &mut text).map_err(|source| Error::Text { source })?;
-        Ok(String::from_utf8_lossy(&text).into_owned())
+        self.export.text()
     }
 }
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -19,8 +19,8 @@
 use pimentovalve_wire::http::Handler;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::server;
-use snafu::{ResultExt, Snafu};
-use std::net::{SocketAddr, TcpListener};
+use snafu::Snafu;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -35,15 +35,11 @@
 /// Why a daemon can't start.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// An address can't be listened on.
-    #[snafu(display("{front}: {address} can't be listened on: {source}"))]
-    Listen {
-        /// The front.
-        front: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// Why.
-        source: std::io::Error,
+    /// A front can't be had.
+    #[snafu(context(false), display("{source}"))]
+    Front {
+        /// Which, and why.
+        source: front::Error,
     },
     /// Metrics can't be set up.
     #[snafu(context(false), display("{source}"))]
@@ -214,9 +210,7 @@
     bounds: server::Limits,
     handler: Arc<dyn Handler>,
 ) -> Result<front::Front, Error> {
-    let listener = TcpListener::bind(address).context(ListenSnafu { front: name, address })?;
-    front::Front::new(name, listener, bounds, Arc::default(), handler)
-        .context(ListenSnafu { front: name, address })
+    Ok(front::Front::new(name, front::bind(name, address)?, bounds, Arc::default(), handler)?)
 }
 
 /// Returns the figures for an owner whose workers grant leases of at most `max_lease`.
