--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -12,20 +12,22 @@
 
 pub mod advice;
 mod answer;
+mod life;
 mod look;
 pub mod order;
 mod place;
+mod stop;
 #[cfg(test)]
 mod tests;
 
 use crate::clock::Millis;
-use crate::contract::work::{Id, Outcome, Stage};
+use crate::contract::work::{Outcome, Stage};
 use crate::ledger::shard::book::{Book, Change};
 use crate::ledger::shard::{Entry, Life, Run};
 use crate::machine::capacity::Capacity;
 use crate::machine::host::{self, Host, Listed};
 use advice::Desk;
-use order::{Order, Start, Stop, Why};
+use order::{Order, Start, Why};
 use std::sync::Arc;
 
 pub use answer::{StartAnswer, StopAnswer};
@@ -267,60 +269,6 @@
         }
     }
 
-    fn host_of(&self, listed: Listed, book: &Book, now: Millis) -> Host {
-        let mut host = Host::new(listed, 0, now, self.clear_at);
-        host.noted = book.noted(&host.life);
-        host.noting = host.noted;
-        let life = Arc::clone(&host.life);
-        self.runs.iter().filter(|r| r.on == life).for_each(|r| host.add(&r.needs));
-        host
-    }
-
-    /// The worker has a new life. What the old one had is settled when the new one answers.
-    fn renew_host(&mut self, i: usize, listed: Listed, book: &Book, now: Millis) {
-        let life = listed.life.clone();
-        self.forget_tickets(&life);
-        self.hosts[i] = self.host_of(listed, book, now);
-        self.is_dirty = true;
-    }
-
-    /// Settles what earlier lives of a worker had, once the new life obeys this epoch: then nothing
-    /// that an earlier owner ordered begins there. An order of this owner that was not answered
-    /// still can: it is stopped in the new life, which bars it for good.
-    fn settle_lives(&mut self, life: &Arc<Life>, now: Millis) {
-        let is_old = |r: &Running| r.on.worker == life.worker && r.on.born < life.born;
-        let mut lost = Vec::new();
-        for i in 0..self.runs.len() {
-            let running = &mut self.runs[i];
-            if !is_old(running) {
-                continue;
-            }
-            if !matches!(running.phase, Phase::Ordered | Phase::Stopping { .. }) {
-                lost.push(running.run);
-                continue;
-            }
-            running.on = Arc::clone(life);
-            running.phase = Phase::Stopping { next: Some(now) };
-            running.why = Why::Unanswered;
-            let needs = running.needs;
-            if let Some(host) = self.host_mut(life) {
-                host.add(&needs);
-            }
-            self.try_stop(i);
-        }
-        self.lose(&lost);
-    }
-
-    /// Records runs on workers that never came back as lost, once no lease can hold any more.
-    fn settle_orphans(&mut self, now: Millis) {
-        if !self.is_clear(now) {
-            return;
-        }
-        let is_orphan = |r: &&Running| self.host_index(&r.on.worker).is_err();
-        let lost: Vec<Run> = self.runs.iter().filter(is_orphan).map(|r| r.run).collect();
-        self.lose(&lost);
-    }
-
     /// Records runs as lost; their room is free at once.
     fn lose(&mut self, lost: &[Run]) {
         let mut recorded = Vec::new();
@@ -374,20 +322,6 @@
         self.break_gang(&run, book, now);
     }
 
-    /// Stops the other members of a gang, one of which has ended or can't run.
-    fn break_gang(&mut self, run: &Run, book: &Book, now: Millis) {
-        if step_of(book, &run.task.stage).is_none_or(|s| !s.gang) {
-            return;
-        }
-        let members: Vec<Run> = self
-            .runs
-            .iter()
-            .filter(|r| r.run.task.stage == run.task.stage && r.run.number == run.number)
-            .map(|r| r.run)
-            .collect();
-        members.iter().for_each(|m| self.stop(m, Why::Gang, now));
-    }
-
     fn react(&mut self, run: &Run, outcome: Outcome, on: &Life, book: &Book, now: Millis) {
         if let Some(host) = self.host_mut(on) {
             match outcome {
@@ -404,45 +338,6 @@
         }
     }
 
-    fn stop_job(&mut self, id: Id, now: Millis) {
-        let runs = self.runs.iter().filter(|r| r.run.task.stage.job == id);
-        let runs: Vec<Run> = runs.map(|r| r.run).collect();
-        runs.iter().for_each(|r| self.stop(r, Why::Over, now));
-    }
-
-    /// Stops a run as soon as that can be done.
-    fn stop(&mut self, run: &Run, why: Why, now: Millis) {
-        let Ok(i) = self.run_index(run) else { return };
-        if !self.runs[i].doomed {
-            self.runs[i].why = why;
-        }
-        match self.runs[i].phase {
-            Phase::Recording | Phase::Ordered => self.runs[i].doomed = true,
-            Phase::Working { .. } => {
-                self.runs[i].phase = Phase::Stopping { next: Some(now) };
-                self.try_stop(i);
-            }
-            Phase::Stopping { .. } | Phase::Stopped { .. } | Phase::Ending => {}
-        }
-    }
-
-    fn retry_stops(&mut self, now: Millis) {
-        for i in 0..self.runs.len() {
-            if matches!(self.runs[i].phase, Phase::Stopping { next: Some(at) } if now >= at) {
-                self.try_stop(i);
-            }
-        }
-    }
-
-    fn try_stop(&mut self, i: usize) {
-        let running = &self.runs[i];
-        let (on, run, why) = (Arc::clone(&running.on), running.run, running.why);
-        let Some(host) = self.host(&on) else { return };
-        let address = host.listed.address.clone();
-        self.runs[i].phase = Phase::Stopping { next: None };
-        self.effects.push(Effect::Order(Order::Stop(Stop { on, address, run, why })));
-    }
-
     fn host_index(&self, worker: &str) -> Result<usize, usize> {
         self.hosts.binary_search_by(|h| (*h.life.worker).cmp(worker))
     }
--- a/crates/core/src/contract/owner/look.rs
+++ b/crates/core/src/contract/owner/look.rs
@@ -208,24 +208,6 @@
         self.insert(Running::adopted(run, Arc::new(on.clone()), needs, now));
         self.stop(&run, Why::Stray, now);
     }
-
-    /// A life of a worker is over: nothing of it runs, and orders that name it do nothing.
-    pub(super) fn end_life(&mut self, on: &Life, book: &Book, now: Millis) {
-        let runs = self.runs.iter().filter(|r| *r.on == *on && r.phase != Phase::Recording);
-        let lost: Vec<Run> = runs.map(|r| r.run).collect();
-        self.lose(&lost);
-        for run in &lost {
-            self.break_gang(run, book, now);
-        }
-    }
-
-    /// Every lease of a worker that does not answer has run out: nothing runs there.
-    fn give_up(&mut self, i: usize) {
-        let life = Arc::clone(&self.hosts[i].life);
-        let runs = self.runs.iter().filter(|r| *r.on == *life);
-        let lost: Vec<Run> = runs.filter(|r| r.phase != Phase::Recording).map(|r| r.run).collect();
-        self.lose(&lost);
-    }
 }
 
 fn is_hung(book: &Book, running: &Running, now: Millis) -> bool {
--- /dev/null
+++ b/crates/core/src/contract/owner/stop.rs
@@ -0,0 +1,64 @@
+//! Stops of runs, tried until their workers took them.
+
+use super::order::{Order, Stop, Why};
+use super::{Effect, Owner, Phase, step_of};
+use crate::clock::Millis;
+use crate::contract::work::Id;
+use crate::ledger::shard::Run;
+use crate::ledger::shard::book::Book;
+use std::sync::Arc;
+
+impl Owner {
+    /// Stops the other members of a gang, one of which has ended or can't run.
+    pub(super) fn break_gang(&mut self, run: &Run, book: &Book, now: Millis) {
+        if step_of(book, &run.task.stage).is_none_or(|s| !s.gang) {
+            return;
+        }
+        let members: Vec<Run> = self
+            .runs
+            .iter()
+            .filter(|r| r.run.task.stage == run.task.stage && r.run.number == run.number)
+            .map(|r| r.run)
+            .collect();
+        members.iter().for_each(|m| self.stop(m, Why::Gang, now));
+    }
+
+    pub(super) fn stop_job(&mut self, id: Id, now: Millis) {
+        let runs = self.runs.iter().filter(|r| r.run.task.stage.job == id);
+        let runs: Vec<Run> = runs.map(|r| r.run).collect();
+        runs.iter().for_each(|r| self.stop(r, Why::Over, now));
+    }
+
+    /// Stops a run as soon as that can be done.
+    pub(super) fn stop(&mut self, run: &Run, why: Why, now: Millis) {
+        let Ok(i) = self.run_index(run) else { return };
+        if !self.runs[i].doomed {
+            self.runs[i].why = why;
+        }
+        match self.runs[i].phase {
+            Phase::Recording | Phase::Ordered => self.runs[i].doomed = true,
+            Phase::Working { .. } => {
+                self.runs[i].phase = Phase::Stopping { next: Some(now) };
+                self.try_stop(i);
+            }
+            Phase::Stopping { .. } | Phase::Stopped { .. } | Phase::Ending => {}
+        }
+    }
+
+    pub(super) fn retry_stops(&mut self, now: Millis) {
+        for i in 0..self.runs.len() {
+            if matches!(self.runs[i].phase, Phase::Stopping { next: Some(at) } if now >= at) {
+                self.try_stop(i);
+            }
+        }
+    }
+
+    pub(super) fn try_stop(&mut self, i: usize) {
+        let running = &self.runs[i];
+        let (on, run, why) = (Arc::clone(&running.on), running.run, running.why);
+        let Some(host) = self.host(&on) else { return };
+        let address = host.listed.address.clone();
+        self.runs[i].phase = Phase::Stopping { next: None };
+        self.effects.push(Effect::Order(Order::Stop(Stop { on, address, run, why })));
+    }
+}
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -4,6 +4,10 @@
 //! names it. Its own records are taken into the book when they are acknowledged or read back,
 //! whichever is first, each once and in order.
 
+mod act;
+mod peers;
+mod snapshots;
+
 use super::advice::Ask;
 use super::border::Member;
 use super::ledger::Append;
@@ -12,16 +16,16 @@
 use super::view::{self, Facts};
 use crate::duty::Duty;
 use crate::ring::{Publisher, Receiver, Reply, Sender};
+use act::{log_entry, log_start};
+use peers::Peer;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::{Allowed, Question};
-use pimentovalve_core::contract::owner::order::{Look, Order, Start, Stop};
-use pimentovalve_core::contract::owner::{
-    Effect, Limits, Miss, Owner, Report, StartAnswer, StopAnswer,
-};
+use pimentovalve_core::contract::owner::order::{Look, Start, Stop};
+use pimentovalve_core::contract::owner::{Limits, Miss, Owner, Report, StartAnswer, StopAnswer};
 use pimentovalve_core::contract::work::{Id, Status};
 use pimentovalve_core::ledger::shard::book::{Book, Change};
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
-use pimentovalve_core::ledger::shard::{Entry, Record, Run};
+use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_core::link::pace::Pace;
 use pimentovalve_core::machine::host::Listed;
 use pimentovalve_wire::http::Pending;
@@ -31,10 +35,6 @@
 
 /// Time between two decisions while nothing happens.
 const TICK: Duration = Duration::from_millis(20);
-/// Shortest time between two placements: what arrives meanwhile is placed together.
-const SCHEDULE_EVERY: Millis = Millis(20);
-/// Time between two placements as a multiple of what one takes, so that answers are taken in too.
-const SCHEDULE_REST: u64 = 4;
 /// Time without an own record after which the owner shows that it still works.
 const ALIVE_EVERY: Millis = Millis(300);
 /// Time without a record of the owner after which another daemon claims the shard.
@@ -47,16 +47,9 @@
 const CLAIM_PAUSE: Millis = Millis(500);
 /// A gap between two reads of the log after which silence is measured afresh.
 const DEAF: Millis = Millis(1200);
-/// A member that was not announced anew for so long is not asked anything.
-const MEMBER_SILENCE: Millis = Millis::from_secs(10);
 /// Time between two clean-ups of the book.
 const EXPIRE_EVERY: Millis = Millis::from_secs(10);
 
-/// Times that a snapshot is due within the time for which the store keeps the log.
-const SNAPSHOTS_KEPT: u64 = 4;
-/// Part of that time by which daemons differ in when they save one, at most, so that one does.
-const SNAPSHOT_SPREAD: u64 = 4;
-
 /// What the steward takes in.
 pub enum Event {
     /// Records of the log.
@@ -147,12 +140,6 @@
     next_schedule: Millis,
 }
 
-/// A member and when it was last announced anew.
-struct Peer {
-    member: Member,
-    seen: Millis,
-}
-
 struct State {
     duty: Steward,
     book: Book,
@@ -317,38 +304,6 @@
         }
     }
 
-    /// Goes on from a snapshot. What this daemon decided as owner rested on what it had read: it
-    /// owns nothing any more.
-    fn restore(&mut self, snapshot: Snapshot, now: Millis) {
-        (self.taken, self.next, self.saved_at) = (snapshot.taken, snapshot.offset, now);
-        self.book = snapshot.restore(now);
-        self.caught_up = false;
-        self.sign = now;
-        if let Some(tenure) = self.tenure.take() {
-            tracing::warn!(epoch = tenure.epoch, "ownership lost: the log was read too late");
-        }
-        self.publish();
-    }
-
-    /// Saves a snapshot when none was saved for a while. Only what the log alone says is saved: the
-    /// owner, whose book may be ahead of what it read, leaves it to others while there are any.
-    fn consider_snapshot(&mut self, now: Millis) {
-        let every = Millis(self.duty.retention.get() / SNAPSHOTS_KEPT);
-        let stagger = Millis(self.duty.nonce % (1 + every.get() / SNAPSHOT_SPREAD));
-        let due = if self.tenure.is_some() { every + every } else { every + stagger };
-        // A slow store is spared for as long again.
-        let due = if self.pace.is_slow() { due + due } else { due };
-        if !self.caught_up || now.since(self.saved_at) < due {
-            return;
-        }
-        self.saved_at = now;
-        let (number, offset, taken) = (self.book.saves() + 1, self.next, self.taken);
-        let snapshot = Snapshot { number, offset, taken, at: now, book: self.book.clone() };
-        if self.duty.ledger.offer(Append::Snapshot(Box::new(snapshot))).is_err() {
-            tracing::warn!(number, offset, "the ring of appends is full; no snapshot");
-        }
-    }
-
     /// Takes a record into the book, once.
     fn apply(&mut self, record: Record, now: Millis) {
         let Record { epoch, sequence, entry } = record;
@@ -452,103 +407,6 @@
         }
     }
 
-    fn carry_out(&mut self) {
-        let now = view::now();
-        let Some(tenure) = &mut self.tenure else { return };
-        let epoch = tenure.epoch;
-        tenure.owner.tick(&self.book, now, self.covers);
-        if now >= tenure.next_schedule {
-            tenure.owner.schedule(&self.book, now, view::wall());
-            let took = view::now().since(now);
-            tenure.next_schedule = now + SCHEDULE_EVERY.max(took.times(SCHEDULE_REST));
-        }
-        let effects = tenure.owner.effects();
-        let mut entries = Vec::new();
-        for effect in effects {
-            match effect {
-                Effect::Record(entry) => entries.push(entry),
-                Effect::Ask(question) => self.ask(epoch, question),
-                Effect::Order(order) => self.send(Call { epoch, order }),
-            }
-        }
-        if !entries.is_empty() {
-            self.record(entries);
-        }
-    }
-
-    fn record(&mut self, entries: Vec<Entry>) {
-        let Some(tenure) = &mut self.tenure else { return };
-        tenure.last_sent = view::now();
-        let mut records = Vec::with_capacity(entries.len());
-        for entry in entries {
-            tenure.sent += 1;
-            records.push(Record { epoch: tenure.epoch, sequence: tenure.sent, entry });
-        }
-        if self.duty.ledger.offer(Append::Own(records)).is_err() {
-            // The decisions rest on these records: without them this daemon can't go on as owner.
-            tracing::error!("the ring of appends is full; ownership is given up");
-            self.tenure = None;
-            self.publish();
-        }
-    }
-
-    fn send(&mut self, call: Call) {
-        if let Order::Stop(Stop { on, run, why, .. }) = &call.order {
-            let (task, number, worker, epoch) = (run.task, run.number, &on.worker, call.epoch);
-            tracing::info!(job = %task.stage.job, %task, number, %worker, ?why, epoch, "stop ordered");
-        }
-        if let Err(Call { epoch, order }) = self.duty.orders.offer_back(call) {
-            let now = view::now();
-            tracing::warn!("the ring of orders is full");
-            let Some(owner) = owner_of(&mut self.tenure, epoch) else { return };
-            match order {
-                Order::Start(start) => {
-                    let (refused, Start { on, run, .. }) = (StartAnswer::Refused, &*start);
-                    owner.start_answered(on, run, refused, None, &self.book, now);
-                }
-                Order::Stop(Stop { on, run, .. }) => {
-                    owner.stop_answered(&on, &run, StopAnswer::Unknown, None, &self.book, now);
-                }
-                Order::Look(Look { on, number, .. }) => {
-                    owner.looked(&on, number, Err(Miss::Silent), &self.book, now);
-                }
-            }
-        }
-    }
-
-    fn ask(&mut self, epoch: u64, question: Question) {
-        let own = *question.through == *self.duty.name;
-        let peer = self.peers.binary_search_by(|p| p.member.name.cmp(&question.through));
-        let through = peer.ok().filter(|_| !own).map(|i| self.peers[i].member.address.clone());
-        let ask = Ask { epoch, question, through };
-        if let Err(ask) = self.duty.advice.offer_back(ask) {
-            let now = view::now();
-            if let Some(owner) = owner_of(&mut self.tenure, epoch) {
-                owner.advised(&ask.question, None, &self.book, now);
-            }
-        }
-    }
-
-    fn meet(&mut self, members: Vec<Member>, now: Millis) {
-        for member in members {
-            match self.peers.binary_search_by(|p| p.member.name.cmp(&member.name)) {
-                Ok(i) if self.peers[i].member == member => {}
-                Ok(i) => self.peers[i] = Peer { member, seen: now },
-                Err(i) => self.peers.insert(i, Peer { member, seen: now }),
-            }
-        }
-        self.peers.retain(|p| now.since(p.seen) < MEMBER_SILENCE);
-        self.set_askers(now);
-    }
-
-    fn set_askers(&mut self, now: Millis) {
-        let Some(tenure) = &mut self.tenure else { return };
-        let mut names = vec![self.duty.name.clone()];
-        let live = self.peers.iter().filter(|p| now.since(p.seen) < MEMBER_SILENCE);
-        names.extend(live.map(|p| p.member.name.clone()).filter(|n| *n != self.duty.name));
-        tenure.owner.desk_mut().set_askers(&names);
-    }
-
     fn publish(&self) {
         let epoch = self.tenure.as_ref().map(|t| t.epoch);
         let owner = self.book.claim().address.clone();
@@ -558,44 +416,6 @@
     }
 }
 
-fn log_start(run: &Run, answer: StartAnswer) {
-    if answer != StartAnswer::Taken {
-        let (task, number) = (run.task, run.number);
-        tracing::info!(job = %task.stage.job, %task, number, ?answer, "start not taken");
-    }
-}
-
 fn owner_of(tenure: &mut Option<Tenure>, epoch: u64) -> Option<&mut Owner> {
     tenure.as_mut().filter(|t| t.epoch == epoch).map(|t| &mut t.owner)
 }
-
-/// Logs and counts what was decided of runs, once it is recorded.
-fn log_entry(entry: &Entry, epoch: u64, metrics: &Metrics) {
-    match entry {
-        Entry::Started { on, runs } => {
-            metrics.recorded("start", runs.len());
-            for run in runs {
-                let (task, number, worker) = (run.task, run.number, &on.worker);
-                tracing::info!(job = %task.stage.job, %task, number, %worker, epoch, "start recorded");
-            }
-        }
-        Entry::Ended { on, ends } => {
-            metrics.recorded("end", ends.len());
-            for end in ends {
-                let (task, number, outcome) = (end.run.task, end.run.number, end.outcome);
-                let worker = &on.worker;
-                tracing::info!(
-                    job = %task.stage.job, %task, number, %worker, ?outcome, epoch, "end recorded"
-                );
-            }
-        }
-        Entry::Lost(runs) => {
-            metrics.recorded("loss", runs.len());
-            for run in runs {
-                let (task, number) = (run.task, run.number);
-                tracing::info!(job = %task.stage.job, %task, number, epoch, "loss recorded");
-            }
-        }
-        _ => {}
-    }
-}
