Explain a job's fate from the logs, and write log lines that stay whole

The three ways of OPERATIONS.md are tests on lines. It found that lines did not parse where processes share a pipe: writes of 32 KiB were split and mixed. The line on dropped lines has a time. The new test fails on the old code.

--- a/crates/daemon/src/log/lines.rs
+++ b/crates/daemon/src/log/lines.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TryRecvError, sync_channel};
+use std::time::SystemTime;
 use tracing::{Level, Metadata};
 use tracing_subscriber::fmt::MakeWriter;
 
@@ -17,8 +18,9 @@
 const PLACES: usize = 4096;
 /// Places that only warnings and errors may take.
 const KEPT: usize = PLACES / 4;
-/// Most bytes that are written at once.
-const BATCH_BYTES: usize = 32 * 1024;
+/// Most bytes that are written at once: POSIX keeps a write to a pipe whole up to here, so that the
+/// lines of processes that share one are not mixed.
+const BATCH_BYTES: usize = 4096;
 
 /// Makes writers that put lines in the ring.
 #[derive(Clone, Debug)]
@@ -105,11 +107,15 @@
     mut out: impl Write,
 ) {
     let mut reported = 0;
-    while let Ok(first) = receiver.recv() {
-        let mut batch = first;
+    let mut next: Option<Vec<u8>> = None;
+    while let Some(mut batch) = next.take().or_else(|| receiver.recv().ok()) {
         let mut count = 1;
-        while batch.len() < BATCH_BYTES {
+        loop {
             match receiver.try_recv() {
+                Ok(line) if batch.len() + line.len() > BATCH_BYTES => {
+                    next = Some(line);
+                    break;
+                }
                 Ok(line) => {
                     batch.extend_from_slice(&line);
                     count += 1;
@@ -119,13 +125,15 @@
         }
         depth.fetch_sub(count, Ordering::Relaxed);
         let total = dropped.load(Ordering::Relaxed);
+        // Nobody is left to be told when the output is closed.
+        let _ = out.write_all(&batch).and_then(|()| out.flush());
         if total > reported {
-            let line =
-                format!("{{\"level\":\"WARN\",\"message\":\"lines dropped\",\"total\":{total}}}\n");
-            batch.extend_from_slice(line.as_bytes());
+            let at = humantime::format_rfc3339_micros(SystemTime::now());
+            let line = format!(
+                "{{\"timestamp\":\"{at}\",\"level\":\"WARN\",\"message\":\"lines dropped\",\"total\":{total}}}\n"
+            );
+            let _ = out.write_all(line.as_bytes()).and_then(|()| out.flush());
             reported = total;
         }
-        // Nobody is left to be told when the output is closed.
-        let _ = out.write_all(&batch).and_then(|()| out.flush());
     }
 }
--- a/crates/daemon/src/log/lines/tests.rs
+++ b/crates/daemon/src/log/lines/tests.rs
@@ -67,3 +67,37 @@
     let kept = text.matches("routine ").count() as u64;
     expect_that!(kept + before, eq(2 * PLACES as u64));
 }
+
+/// An output that keeps what each write brought.
+struct Writes(Sender<Vec<u8>>);
+
+impl Write for Writes {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.send(bytes.to_vec()).map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Regression: writes of 32 KiB were split by the pipe, and the lines of several processes mixed.
+#[gtest]
+fn a_write_holds_whole_lines_and_stays_whole_in_a_pipe() {
+    let (sender, writes) = channel();
+    let lines = Lines::start(Writes(sender)).unwrap();
+    for i in 0..500 {
+        lines.put(format!("line {i:0100}\n").into_bytes(), PLACES);
+    }
+    let long = "x".repeat(6000);
+    lines.put(format!("{long}\n").into_bytes(), PLACES);
+    let mut seen = 0;
+    while seen < 501 {
+        let write = writes.recv_timeout(PATIENCE).expect("a write");
+        let count = write.iter().filter(|b| **b == b'\n').count();
+        expect_that!(write.last(), some(eq(&b'\n')));
+        expect_true!(write.len() <= 4096 || count == 1);
+        seen += count;
+    }
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod demo;
 pub mod error;
+pub mod explain;
 pub mod input;
 pub mod patch;
 pub mod reader;
@@ -67,6 +68,8 @@
     Release(release::Arguments),
     /// Merge the time lines of several processes
     Timeline(timeline::Arguments),
+    /// Show why a job was refused, late or never done
+    Explain(explain::Arguments),
     /// Show the main job on embedded stand-ins
     Demo(demo::Arguments),
     /// State of each promise whether it was kept
@@ -85,6 +88,7 @@
             Self::Config(arguments) => arguments,
             Self::Release(arguments) => arguments,
             Self::Timeline(arguments) => arguments,
+            Self::Explain(arguments) => arguments,
             Self::Demo(arguments) => arguments,
             Self::Audit(arguments) => arguments,
             Self::CheckSettings(arguments) => arguments,
--- /dev/null
+++ b/src/commands/explain/cause.rs
@@ -0,0 +1,154 @@
+//! What the lines of all daemons say of the cause of a job's fate.
+
+use super::line::Line;
+use pimentovalve_core::clock::Millis;
+
+/// Time around a takeover in which submissions find no owner: its silence, and a claim.
+const TAKEOVER: Millis = Millis(3000);
+/// Most outages that are told of one wait: further ones are mostly the same seen by others.
+const MAX_OUTAGES: usize = 3;
+/// Shortest wait that is worth telling.
+const LONG_WAIT: Millis = Millis(1000);
+
+/// Returns the causes, the first one first; `lines` are sorted by time.
+pub(super) fn causes(lines: &[Line], job: &str) -> Vec<String> {
+    let own: Vec<&Line> = lines.iter().filter(|l| l.field("job") == Some(job)).collect();
+    if own.is_empty() {
+        return vec![unheard(lines)];
+    }
+    let handed_in = || own.iter().filter(|l| l.message == "job handed in");
+    let mut causes: Vec<String> = handed_in().filter_map(|line| refusal(lines, line)).collect();
+    if handed_in().any(|l| l.field("outcome") == Some("Yes")) {
+        causes.extend(unstarted(&own));
+        causes.extend(troubles(&own));
+        causes.extend(longest_wait(lines, &own));
+    }
+    causes
+}
+
+fn unheard(lines: &[Line]) -> String {
+    let dropped = lines.iter().filter(|l| l.message == "lines dropped").count();
+    match dropped {
+        0 => "no line names the job: it was not handed in to any of these daemons".into(),
+        n => format!("no line names the job, but lines were dropped {n} times"),
+    }
+}
+
+/// Says why a submission was not stored, or may not have been.
+fn refusal(lines: &[Line], line: &Line) -> Option<String> {
+    let what = match line.field("outcome")? {
+        "No" => "was not stored",
+        "Unknown" => "may have been stored",
+        _ => return None,
+    };
+    let when = format!("at {} the submission to {} {what}", line.time(), line.process);
+    let outages = outages(lines, Some(&line.process), line.at, line.at);
+    let (from, to) = (line.at.since(TAKEOVER), line.at + TAKEOVER);
+    let mut found = outages;
+    if found.is_empty() {
+        found.extend(takeovers(lines, from, to));
+        found.extend(slowness(lines, from, to));
+    }
+    let nothing = "these logs name no outage, takeover or slow store around that time";
+    let why = if found.is_empty() { nothing.into() } else { found.join("; ") };
+    Some(format!("{when}: {why}"))
+}
+
+/// Says what a job that was stored and never started was waiting for.
+fn unstarted(own: &[&Line]) -> Option<String> {
+    if own.iter().any(|l| l.message == "start recorded") {
+        return None;
+    }
+    let last = own.iter().rev().find(|l| l.message == "advice");
+    Some(match last.map(|l| (l.time(), l.field("allowed").unwrap_or("None"))) {
+        None => "no run was started: nobody asked the advisor, for want of room or turn".into(),
+        Some((at, "None")) => format!("no run was started: the advisor gave no answer at {at}"),
+        Some((at, allowed)) => {
+            format!("no run was started: of the workers allowed at {at}, {allowed}, none had room")
+        }
+    })
+}
+
+/// Counts what went wrong with its runs.
+fn troubles(own: &[&Line]) -> Vec<String> {
+    let mut counts: Vec<(String, usize)> = Vec::new();
+    for line in own {
+        let what = match (line.message.as_str(), line.field("outcome")) {
+            ("end recorded", Some(outcome)) if outcome != "Done" => format!("ended {outcome}"),
+            ("loss recorded", _) => "were lost with their worker, or never began".into(),
+            ("start not taken", _) => {
+                format!("were not taken: {}", line.field("answer").unwrap_or("no answer"))
+            }
+            ("stop ordered", _) => format!("were stopped: {}", line.field("why").unwrap_or("?")),
+            _ => continue,
+        };
+        match counts.iter_mut().find(|(w, _)| *w == what) {
+            Some((_, count)) => *count += 1,
+            None => counts.push((what, 1)),
+        }
+    }
+    counts.into_iter().map(|(what, count)| format!("{count} runs {what}")).collect()
+}
+
+/// Names the longest wait between two of its lines, and what else happened meanwhile.
+fn longest_wait(lines: &[Line], own: &[&Line]) -> Option<String> {
+    let wait = |pair: &[&Line]| pair[1].at.since(pair[0].at);
+    let pair = own.windows(2).max_by_key(|pair| wait(pair)).filter(|p| wait(p) >= LONG_WAIT)?;
+    let (from, to) = (pair[0], pair[1]);
+    let mut meanwhile = takeovers(lines, from.at, to.at);
+    meanwhile.extend(outages(lines, None, from.at, to.at).into_iter().take(MAX_OUTAGES));
+    let told = match meanwhile.is_empty() {
+        true => String::new(),
+        false => format!("; meanwhile {}", meanwhile.join("; ")),
+    };
+    Some(format!(
+        "the longest wait, {} ms, lies between \"{}\" and \"{}\" at {}{told}",
+        wait(pair).get(),
+        from.message,
+        to.message,
+        to.time()
+    ))
+}
+
+/// Returns who took the shard over in a span of time.
+fn takeovers(lines: &[Line], from: Millis, to: Millis) -> Vec<String> {
+    let taken = lines.iter().filter(|l| l.message == "ownership taken");
+    let within = taken.filter(|l| from <= l.at && l.at <= to);
+    let tell = |l: &Line| {
+        let epoch = l.number("epoch").unwrap_or_default();
+        format!("{} took the shard over at {} as epoch {epoch}", l.process, l.time())
+    };
+    within.map(tell).collect()
+}
+
+/// Returns the slowest append in a span of time, if there was a slow one.
+fn slowness(lines: &[Line], from: Millis, to: Millis) -> Option<String> {
+    let slow = lines.iter().filter(|l| l.message == "slow append" && from <= l.at && l.at <= to);
+    let slowest = slow.max_by_key(|l| l.number("took_ms"))?;
+    let took = slowest.number("took_ms")?;
+    Some(format!("the store was slow: an append took {took} ms at {}", slowest.time()))
+}
+
+/// Returns the outages that overlap a span of time, as one daemon or all of them saw them.
+fn outages(lines: &[Line], process: Option<&str>, from: Millis, to: Millis) -> Vec<String> {
+    let is_of = |l: &&Line| process.is_none_or(|p| l.process == p);
+    let lost = lines.iter().filter(is_of).filter(|l| l.message == "dependency lost");
+    let mut outages = Vec::new();
+    for line in lost.filter(|l| l.at <= to) {
+        let of = line.field("of").unwrap_or("?");
+        let back = lines.iter().find(|l| {
+            let is_back = l.message == "dependency regained" && l.field("of") == Some(of);
+            // A process that has begun anew has lost nothing yet.
+            let has_begun = l.message == "daemon started";
+            l.process == line.process && l.at >= line.at && (is_back || has_begun)
+        });
+        if back.is_some_and(|b| b.at < from) {
+            continue;
+        }
+        let until = back.map_or_else(|| "the end of these logs".into(), Line::time);
+        let error = line.field("error").unwrap_or("no error");
+        let (by, since) = (&line.process, line.time());
+        outages.push(format!("{by} was without its {of} from {since} to {until} ({error})"));
+    }
+    outages
+}
--- /dev/null
+++ b/src/commands/explain/tests.rs
@@ -0,0 +1,90 @@
+//! The three ways of docs/OPERATIONS.md, on lines as daemons wrote them.
+
+use super::cause::causes;
+use super::line::Line;
+use googletest::prelude::*;
+
+fn lines(texts: &[&str]) -> Vec<Line> {
+    texts.iter().map(|t| Line::parse(t, "file").expect("a line")).collect()
+}
+
+const OUTAGE: [&str; 3] = [
+    r#"2.5403 front-a {"timestamp":"2026-09-02T20:53:42.540300Z","level":"WARN","message":"dependency lost","of":"log","error":"/log-read was answered 429","target":"x"}"#,
+    r#"11.6802 front-a {"timestamp":"2026-09-02T20:53:51.680200Z","level":"INFO","message":"dependency regained","of":"log","lost_ms":9103,"target":"x"}"#,
+    r#"4.1 front-a {"timestamp":"2026-09-02T20:53:44.100000Z","level":"INFO","message":"job handed in","job":"889437b27aef8a96","queue":"q","version":2,"outcome":"No","target":"x"}"#,
+];
+
+const TAKEOVER: [&str; 4] = [
+    r#"{"timestamp":"2026-09-02T20:53:44.336000Z","level":"INFO","message":"ownership taken","epoch":2,"jobs":155,"runs":206,"target":"x"}"#,
+    r#"{"timestamp":"2026-09-02T20:53:44.611600Z","level":"INFO","message":"job handed in","job":"16cfbbbb4ac26d3c","queue":"q","version":2,"outcome":"Unknown","target":"x"}"#,
+    r#"{"timestamp":"2026-09-02T20:53:44.767500Z","level":"INFO","message":"job handed in","job":"16cfbbbb4ac26d3c","queue":"q","version":2,"outcome":"Yes","target":"x"}"#,
+    r#"{"timestamp":"2026-09-02T20:53:48.584800Z","level":"INFO","message":"start recorded","job":"16cfbbbb4ac26d3c","task":"16cfbbbb4ac26d3c.0.0.0","number":1,"worker":"i-1","epoch":2,"target":"x"}"#,
+];
+
+#[gtest]
+fn a_refusal_is_put_down_to_the_outage_that_the_daemon_saw() {
+    let told = causes(&lines(&OUTAGE), "889437b27aef8a96");
+    let told = told.join("\n");
+    expect_that!(told, contains_substring("the submission to front-a was not stored"));
+    expect_that!(
+        told,
+        contains_substring("front-a was without its log from 2026-09-02T20:53:42.540Z")
+    );
+    expect_that!(told, contains_substring("answered 429"));
+}
+
+#[gtest]
+fn doubt_is_put_down_to_the_takeover_around_it_and_the_wait_is_named() {
+    let told = causes(&lines(&TAKEOVER), "16cfbbbb4ac26d3c");
+    expect_that!(told, len(eq(2)));
+    expect_that!(told[0], contains_substring("may have been stored: file took the shard over"));
+    expect_that!(told[0], contains_substring("as epoch 2"));
+    let wait = "the longest wait, 3817 ms, lies between \"job handed in\" and \"start recorded\"";
+    expect_that!(told[1], contains_substring(wait));
+}
+
+#[gtest]
+fn doubt_is_put_down_to_a_slow_store() {
+    let slow = r#"{"timestamp":"2026-09-02T20:53:44.500000Z","level":"INFO","message":"slow append","number":7,"entries":9,"bytes":99,"took_ms":612,"target":"x"}"#;
+    let told = causes(&lines(&[slow, TAKEOVER[1]]), "16cfbbbb4ac26d3c");
+    expect_that!(
+        told,
+        elements_are![contains_substring("the store was slow: an append took 612 ms")]
+    );
+}
+
+#[gtest]
+fn a_job_that_never_started_says_what_it_waited_for() {
+    let accepted = TAKEOVER[2];
+    let job = "16cfbbbb4ac26d3c";
+    let told = causes(&lines(&[accepted]), job);
+    expect_that!(told, elements_are![contains_substring("nobody asked the advisor")]);
+    let advice = accepted.replace("job handed in", "advice").replace(
+        r#""outcome":"Yes""#,
+        r#""step":"16cfbbbb4ac26d3c.0.0","through":"front-b","named":9,"allowed":"Some(3)""#,
+    );
+    let told = causes(&lines(&[accepted, &advice]), job);
+    expect_that!(told, elements_are![contains_substring("Some(3), none had room")]);
+}
+
+#[gtest]
+fn what_went_wrong_with_runs_is_counted() {
+    let end = TAKEOVER[3].replace("start recorded", "end recorded");
+    let failed = end.replace(r#""worker""#, r#""outcome":"Failed","worker""#);
+    let done = end.replace(r#""worker""#, r#""outcome":"Done","worker""#);
+    let all = [TAKEOVER[2], TAKEOVER[3], &failed, &failed, &done];
+    let told = causes(&lines(&all), "16cfbbbb4ac26d3c");
+    expect_that!(told[0], eq("2 runs ended Failed"));
+}
+
+#[gtest]
+fn a_job_that_no_line_names_is_said_so() {
+    let told = causes(&lines(&OUTAGE), "00000000000000ff");
+    expect_that!(told, elements_are![contains_substring("no line names the job")]);
+}
+
+#[gtest]
+fn a_line_that_is_cut_off_is_a_finding() {
+    expect_that!(Line::parse(&OUTAGE[0][..90], "file"), err(contains_substring("not a log line")));
+    expect_that!(Line::parse("{}", "file"), err(contains_substring("timestamp")));
+}
