Give up runs of an old life as soon as that is certain

Cause, found by reading: since orders are barred in a worker's next life, everything of the old life waited for the new one to answer. A worker that restarted behind a cut and stayed listed would have kept its tasks waiting until the cut healed. Ruled out: giving all of them up when the list shows the new life, as before; an order that was not answered may still come there. Change: runs whose order was answered are lost when the list shows a younger life; those that an earlier owner recorded, when that life answers or no lease of an earlier owner can hold; only own orders without answer wait for the answer of the new life. Both new tests fail on the code before.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -53,6 +53,9 @@
     pub retry: Millis,
 }
 
+/// Number of the look before a run that an earlier owner recorded; own looks begin at 1.
+const ADOPTED: u64 = 0;
+
 /// Where a run is on its way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -405,7 +408,7 @@
             run,
             on,
             needs,
-            phase: Phase::Working { since: 0 },
+            phase: Phase::Working { since: ADOPTED },
             ticket: None,
             valid_until: Millis::MAX,
             doomed: false,
--- a/crates/core/src/contract/owner/life.rs
+++ b/crates/core/src/contract/owner/life.rs
@@ -1,7 +1,7 @@
 //! Lives of workers: what begins with a new one, and what is over with an old one.
 
 use super::order::Why;
-use super::{Owner, Phase, Running};
+use super::{ADOPTED, Owner, Phase, Running};
 use crate::clock::Millis;
 use crate::ledger::shard::book::Book;
 use crate::ledger::shard::{Life, Run};
@@ -53,12 +53,21 @@
         self.lose(&lost);
     }
 
-    /// Records runs on workers that never came back as lost, once no lease can hold any more.
+    /// Records runs as lost that are over for certain: on workers that never came back, once no lease
+    /// can hold any more; and in an earlier life of a worker, unless an order may still be on its
+    /// way that the new life would obey: one of this owner, or while it may grant leases one of an
+    /// earlier owner.
     pub(super) fn settle_orphans(&mut self, now: Millis) {
-        if !self.is_clear(now) {
-            return;
-        }
-        let is_orphan = |r: &&Running| self.host_index(&r.on.worker).is_err();
+        let is_clear = self.is_clear(now);
+        let is_orphan = |r: &&Running| match self.host_index(&r.on.worker) {
+            Err(_) => is_clear,
+            Ok(i) if self.hosts[i].life.born > r.on.born => match r.phase {
+                Phase::Working { since } => since > ADOPTED || is_clear,
+                Phase::Recording | Phase::Stopped { .. } => true,
+                Phase::Ordered | Phase::Stopping { .. } | Phase::Ending => false,
+            },
+            Ok(_) => false,
+        };
         let lost: Vec<Run> = self.runs.iter().filter(is_orphan).map(|r| r.run).collect();
         self.lose(&lost);
     }
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -349,6 +349,35 @@
     expect_that!(second.starts, len(eq(1)));
 }
 
+/// The new life may be out of reach: what surely ended with the old one does not wait for it.
+#[gtest]
+fn what_surely_ended_with_a_life_starts_elsewhere_before_the_new_one_answers() {
+    let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    world.answer_looks();
+    let first = world.started()[0];
+    world.answer_start(&first, StartAnswer::Taken);
+    world.looks.clear();
+    world.list(&[listed("a", 2), listed("b", 1)]);
+    world.looks.retain(|l| &*l.on.worker == "b");
+    world.answer_looks();
+    expect_that!(world.starts[1].run, eq(Run { number: 2, ..first }));
+    expect_that!(&*world.starts[1].on.worker, eq("b"));
+}
+
+/// An order of the owner before could still begin in a new life that has not seen this epoch.
+#[gtest]
+fn what_an_earlier_owner_ordered_in_an_old_life_waits_for_the_new_one_or_the_last_lease() {
+    let mut first = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    first.answer_looks();
+    let mut second = World::over(first.book, &["b"]);
+    second.answer_looks();
+    second.list(&[listed("a", 2), listed("b", 1)]);
+    second.pass(18_500);
+    expect_that!(second.starts, is_empty());
+    second.pass(100);
+    expect_that!(second.starts, len(eq(1)));
+}
+
 /// An order without answer can be carried out seconds later by a worker that has restarted under
 /// its old name: the new life obeys the same epoch.
 #[gtest]
