Log the owner's load and the age of a count

The owner now logs its load once a second, and each count is logged with the age of the replica and the jobs whose start is recorded and not known to have happened.

--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -26,6 +26,15 @@
     at: Millis,
 }
 
+/// Jobs of a queue that have not ended and of which no run has ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Backlog {
+    /// Jobs without a run that may be active.
+    pub queued: usize,
+    /// Jobs with a recorded start. Their workers may not have received the order yet.
+    pub starting: usize,
+}
+
 /// The current claim of the shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -131,11 +140,17 @@
             .map_or(0, |i| self.recorded_ends[i].1)
     }
 
-    /// Returns the number of jobs of a queue that have not started.
-    pub fn pending(&self, queue: &str) -> usize {
-        let is_queued =
-            |j: &&JobState| j.status() == Status::Queued && &*j.job.policy.queue == queue;
-        self.jobs.iter().filter(is_queued).count()
+    /// Counts the jobs of a queue that have not ended and of which no run has ended.
+    pub fn backlog(&self, queue: &str) -> Backlog {
+        let mut backlog = Backlog::default();
+        for job in self.jobs.iter().filter(|j| &*j.job.policy.queue == queue) {
+            match job.status() {
+                Status::Queued => backlog.queued += 1,
+                Status::Running if !job.begun => backlog.starting += 1,
+                _ => {}
+            }
+        }
+        backlog
     }
 
     /// Returns the runs that may be active, each with the worker incarnation it was started on.
--- a/crates/core/src/ledger/shard/replica/tests.rs
+++ b/crates/core/src/ledger/shard/replica/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the replay of shard entries.
 
-use super::{Applied, Replica};
+use super::{Applied, Backlog, Replica};
 use crate::clock::Millis;
 use crate::contract::work::tests::{job, step};
 use crate::contract::work::{Id, Outcome, Status, Step, StepId, Task};
@@ -126,9 +126,9 @@
 #[gtest]
 fn a_recorded_start_that_was_refused_leaves_the_job_queued() {
     let mut replica = replica(vec![step(2, &[])], vec![started(&[run(0, 0, 1)])]);
-    expect_that!(replica.pending("deeds"), eq(0));
+    expect_that!(replica.backlog("deeds"), eq(Backlog { queued: 0, starting: 1 }));
     replica.apply(Entry::Lost(vec![run(0, 0, 1)]), NOW);
-    expect_that!(replica.pending("deeds"), eq(1));
+    expect_that!(replica.backlog("deeds"), eq(Backlog { queued: 1, starting: 0 }));
     expect_that!(status(&replica), eq(Status::Queued));
 }
 
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -11,6 +11,7 @@
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::ledger::shard::Entry;
+use pimentovalve_core::ledger::shard::replica::Backlog;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
 use std::sync::Arc;
 
@@ -196,8 +197,14 @@
     }
 
     async fn count(&self, queue: Box<str>) -> Answer {
-        match ring::ask(&self.steward, |reply| Event::Count(queue, reply)).await {
-            Ok(count) => Answer::Waiting(count),
+        let of = queue.clone();
+        match ring::ask(&self.steward, |reply| Event::Count(of, reply)).await {
+            Ok(Backlog { queued, starting }) => {
+                let ShardStatus { caught_up, covered_until, .. } = *self.shard_status.borrow();
+                let age_ms = view::now().since(covered_until).get();
+                tracing::info!(%queue, queued, starting, caught_up, age_ms, "queued jobs counted");
+                Answer::Waiting(queued)
+            }
             Err(_) => Answer::NotDone(RETRY_AFTER),
         }
     }
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -6,6 +6,7 @@
 //! them or when they are read back, whichever comes first; each is applied once and in order.
 
 mod effects;
+mod load;
 mod peers;
 mod snapshots;
 
@@ -18,6 +19,7 @@
 use crate::duty::Duty;
 use crate::ring::{Publisher, Receiver, Reply, Sender};
 use effects::{log_entry, log_start};
+use load::Load;
 use peers::Peer;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::{Allowed, Query};
@@ -26,14 +28,14 @@
     Limits, Owner, PollError, Report, StartAnswer, StopAnswer,
 };
 use pimentovalve_core::contract::work::{Id, Status};
-use pimentovalve_core::ledger::shard::replica::{Applied, Replica};
+use pimentovalve_core::ledger::shard::replica::{Applied, Backlog, Replica};
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_core::link::response_time::ResponseTime;
 use pimentovalve_core::machine::host::WorkerEntry;
 use pimentovalve_wire::http::Pending;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Interval between scheduling passes when no event arrives.
@@ -94,7 +96,7 @@
     /// A caller requests the state of a job.
     Status(Id, Reply<Option<Status>>),
     /// A caller requests the number of jobs of a queue that have not started.
-    Count(Box<str>, Reply<usize>),
+    Count(Box<str>, Reply<Backlog>),
 }
 
 /// The steward duty.
@@ -174,6 +176,7 @@
     next_offset: u64,
     /// When a snapshot was last saved or attempted, or this daemon started.
     snapshot_at: Millis,
+    load: Load,
 }
 
 impl State {
@@ -196,6 +199,7 @@
             last_applied: (0, 0),
             next_offset: 0,
             snapshot_at: now,
+            load: Load::default(),
         }
     }
 
@@ -211,11 +215,15 @@
                 _ = tick.tick() => self.on_tick(),
                 event = self.duty.events.next() => {
                     let Some(event) = event else { break };
+                    let (began, mut events) = (Instant::now(), 1);
                     self.handle(event);
                     while let Some(event) = self.duty.events.try_next() {
                         self.handle(event);
+                        events += 1;
                     }
                     self.run_owner();
+                    self.load.add_work(events, began);
+                    self.log_load();
                 }
             }
         }
@@ -258,7 +266,7 @@
                 let _ = reply.send(self.replica.status(id));
             }
             Event::Count(queue, reply) => {
-                let _ = reply.send(self.replica.pending(&queue));
+                let _ = reply.send(self.replica.backlog(&queue));
             }
             Event::Started(epoch, start, answer, clock) => {
                 let Start { on, run, .. } = *start;
@@ -394,7 +402,10 @@
             self.consider_claim(now);
             return;
         }
+        let began = Instant::now();
         self.run_owner();
+        self.load.add_work(0, began);
+        self.log_load();
         let Some(tenure) = &self.tenure else { return };
         if tenure.owner.earlier_leases_expired(now) && !self.replica.old_leases_expired() {
             let epoch = tenure.epoch;
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -12,6 +12,7 @@
 use pimentovalve_core::contract::owner::order::{Order, Poll, Start, Stop};
 use pimentovalve_core::contract::owner::{Effect, PollError, StartAnswer, StopAnswer};
 use pimentovalve_core::ledger::shard::{Entry, Record, Run};
+use std::time::Instant;
 
 /// Minimum time between two placement passes; jobs that arrive in between are placed together.
 const MIN_PLACEMENT_INTERVAL: Millis = Millis(20);
@@ -28,7 +29,9 @@
         let epoch = tenure.epoch;
         tenure.owner.tick(&self.replica, now, self.covered_until);
         if now >= tenure.next_placement {
+            let began = Instant::now();
             tenure.owner.schedule(&self.replica, now, view::wall());
+            self.load.add_pass(began);
             let took = view::now().since(now);
             tenure.next_placement =
                 now + MIN_PLACEMENT_INTERVAL.max(took.times(PLACEMENT_INTERVAL_FACTOR));
--- /dev/null
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -0,0 +1,63 @@
+//! Load of the owner, logged at a fixed interval: how much of its time goes to placement passes and
+//! how much to events, and the sizes on which both depend.
+
+use super::State;
+use crate::shard::view;
+use pimentovalve_core::clock::Millis;
+use std::time::{Duration, Instant};
+
+/// Interval between two log lines.
+const LOG_INTERVAL: Millis = Millis::from_secs(1);
+
+/// Work of the owner since the last log line.
+#[derive(Debug, Default)]
+pub(super) struct Load {
+    logged_at: Millis,
+    events: u64,
+    passes: u64,
+    /// Time spent in the steward, placement passes included.
+    busy: Duration,
+    placing: Duration,
+    longest_pass: Duration,
+}
+
+impl Load {
+    /// Adds a batch of events and the scheduling that followed it.
+    pub(super) fn add_work(&mut self, events: u64, began: Instant) {
+        self.events += events;
+        self.busy += began.elapsed();
+    }
+
+    /// Adds a placement pass.
+    pub(super) fn add_pass(&mut self, began: Instant) {
+        let took = began.elapsed();
+        self.passes += 1;
+        self.placing += took;
+        self.longest_pass = self.longest_pass.max(took);
+    }
+}
+
+impl State {
+    /// Logs the load of the owner if a line is due, and starts the next interval. Does nothing while
+    /// another daemon owns the shard.
+    pub(super) fn log_load(&mut self) {
+        let now = view::now();
+        let over = now.since(self.load.logged_at);
+        let Some(tenure) = self.tenure.as_ref().filter(|_| over >= LOG_INTERVAL) else { return };
+        let Load { events, passes, busy, placing, longest_pass, .. } =
+            std::mem::replace(&mut self.load, Load { logged_at: now, ..Load::default() });
+        tracing::info!(
+            epoch = tenure.epoch,
+            over_ms = over.get(),
+            events,
+            busy_ms = busy.as_millis(),
+            passes,
+            placing_ms = placing.as_millis(),
+            longest_pass_ms = longest_pass.as_millis(),
+            open_steps = self.replica.open().len(),
+            runs = tenure.owner.run_count(),
+            workers = tenure.owner.hosts().len(),
+            "owner load"
+        );
+    }
+}
