Let the largest live daemon own the shard

The owner was front-lima-a-5, one of 17 daemons with a link of 10 Mbit/s: appends of 50 KB took over 200 ms, of 500 KB over a second (19 of `slow append` in ten seconds), and start orders of about 1 KB each timed out. The claim was decided by a random delay only, and never revised.

The cause is that an owner was chosen without regard to what owning costs. A daemon now waits before a claim for the time that a takeover would take it, from its processor share and its link, so the largest live one claims first; and an owner hands the shard over to a live daemon that needs at most half of its time.

The new test fails without the change: the small daemon keeps the shard.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -3,9 +3,10 @@
 //! [`worker`], [`runner`], [`capacity`] and [`lease`] define the data. [`arbiter`] is the worker's
 //! side of ownership, [`controller`] and [`adoption`] that of the instance that controls it.
 //! [`view`], [`placement`], [`health`] and [`estimate`] serve placement, and [`host`] the owner of
-//! a shard.
+//! a shard. [`allotment`] is the share of a machine that a daemon may use.
 
 pub mod adoption;
+pub mod allotment;
 pub mod arbiter;
 pub mod capacity;
 pub mod controller;
--- /dev/null
+++ b/crates/core/src/machine/allotment.rs
@@ -0,0 +1,34 @@
+//! Share of a machine that a daemon may use, and what it means for owning a shard.
+
+#[cfg(test)]
+mod tests;
+
+use crate::clock::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Processor time of a takeover: one status poll for each of 350 workers.
+const TAKEOVER_CPU: Millis = Millis(30);
+/// Size of the answers to these polls, in kilobits.
+const TAKEOVER_KBIT: u64 = 2000;
+/// Upper bound of the estimate, so that a shard whose larger instances are all gone gets an owner
+/// soon.
+const MAX_TAKEOVER: Millis = Millis(800);
+
+/// Processor share and link bandwidth of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Allotment {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Bandwidth of the machine's link, in kilobits per second.
+    pub link_kbps: u64,
+}
+
+impl Allotment {
+    /// Returns the estimated time that this daemon needs to take over a shard. A daemon waits for as
+    /// long before it claims, so that the one which can serve the shard best claims first.
+    pub fn takeover(&self) -> Millis {
+        let computing = TAKEOVER_CPU.get() * 1000 / self.cpu_milli.max(1);
+        let receiving = TAKEOVER_KBIT * 1000 / self.link_kbps.max(1);
+        MAX_TAKEOVER.min(Millis(computing + receiving))
+    }
+}
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -80,6 +80,14 @@
     pub address: Box<str>,
     /// Counter that each announcement of a process increments.
     pub beat: u64,
+    /// Estimated time that the daemon needs to take over the shard. Builds before this field do not
+    /// announce it, and the shard is not handed to them.
+    #[serde(default = "unknown_takeover")]
+    pub takeover: Millis,
+}
+
+const fn unknown_takeover() -> Millis {
+    Millis::MAX
 }
 
 /// The platform's store: the shard's log, snapshots, configuration, and the lists of workers and
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -16,6 +16,7 @@
 use crate::ring;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::Limits;
+use pimentovalve_core::machine::allotment::Allotment;
 use pimentovalve_wire::http::Handler;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::server;
@@ -72,6 +73,8 @@
     pub limits: Limits,
     /// Retention time of the store's log.
     pub retention: Millis,
+    /// Share of the machine that the daemon may use.
+    pub allotment: Allotment,
 }
 
 /// The interfaces of a platform adapter.
@@ -126,6 +129,7 @@
             name: settings.name.clone(),
             address: settings.peers.to_string().into(),
             beat: 0,
+            takeover: settings.allotment.takeover(),
         };
         let ready = Ready {
             shard_status: shard_status.clone(),
@@ -166,6 +170,7 @@
             nonce: rand::random(),
             limits: settings.limits,
             retention: settings.retention,
+            takeover: settings.allotment.takeover(),
             drain: drain.clone(),
             events,
             ledger: appends_in,
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -47,9 +47,9 @@
 /// Typical log read times that are added to [`OWNER_TIMEOUT`]: a slow store delays both the owner's
 /// records and their delivery to this daemon.
 const OWNER_TIMEOUT_READS: u64 = 3;
-/// Upper bound of the per-daemon claim delay, in milliseconds. Delays differ between daemons so that
-/// one of them claims first.
-const MAX_CLAIM_STAGGER_MS: u64 = 400;
+/// Upper bound of the random part of a daemon's claim delay, in milliseconds. Delays differ between
+/// daemons of the same size so that one of them claims first.
+const MAX_CLAIM_STAGGER_MS: u64 = 120;
 /// Minimum time between two claim attempts of this daemon.
 const CLAIM_INTERVAL: Millis = Millis(500);
 /// Maximum time since the last read to the end of the log for owner-failure detection. After a
@@ -111,6 +111,8 @@
     pub limits: Limits,
     /// Retention time of the store's log.
     pub retention: Millis,
+    /// Estimated time that this daemon needs to take over the shard.
+    pub takeover: Millis,
     /// Cancelled when a planned stop begins; the steward then releases the shard.
     pub drain: CancellationToken,
     /// Events from the other duties.
@@ -141,6 +143,8 @@
 struct Tenure {
     epoch: u64,
     owner: Owner,
+    /// When it began.
+    since: Millis,
     /// Sequence number of the last record passed to the ledger duty.
     last_sequence: u64,
     /// When a record was last passed to the ledger duty.
@@ -162,8 +166,8 @@
     /// Latency estimate of log reads.
     response_time: ResponseTime,
     caught_up: bool,
-    /// When this daemon last tried to claim the shard.
-    claim_tried_at: Millis,
+    /// Earliest time of this daemon's next claim.
+    next_claim: Millis,
     workers: Vec<WorkerEntry>,
     /// Sorted by name.
     peers: Vec<Peer>,
@@ -191,7 +195,7 @@
             covered_until: Millis::ZERO,
             response_time: ResponseTime::default(),
             caught_up: false,
-            claim_tried_at: Millis::ZERO,
+            next_claim: Millis::ZERO,
             workers: Vec::new(),
             peers: Vec::new(),
             book_expired_at: now,
@@ -211,7 +215,7 @@
             tokio::select! {
                 biased;
                 () = stop.cancelled() => break,
-                () = drain.cancelled(), if !self.is_draining => self.release(),
+                () = drain.cancelled(), if !self.is_draining => self.drain(),
                 _ = tick.tick() => self.on_tick(),
                 event = self.duty.events.next() => {
                     let Some(event) = event else { break };
@@ -229,9 +233,14 @@
         }
     }
 
+    /// Stops owning the shard for good, because a planned stop has begun.
+    fn drain(&mut self) {
+        self.is_draining = true;
+        self.release();
+    }
+
     /// Releases the shard, so that another daemon can claim it without waiting for the timeout.
     fn release(&mut self) {
-        self.is_draining = true;
         if let Some(epoch) = self.tenure.as_ref().map(|t| t.epoch) {
             self.record(vec![Entry::Released { epoch }]);
             tracing::info!(epoch, "ownership released");
@@ -371,6 +380,7 @@
             self.tenure = Some(Tenure {
                 epoch,
                 owner,
+                since: now,
                 last_sequence: 0,
                 last_record_at: now,
                 next_placement: now,
@@ -406,6 +416,7 @@
         self.run_owner();
         self.load.add_work(0, began);
         self.log_load();
+        self.consider_handover(now);
         let Some(tenure) = &self.tenure else { return };
         if tenure.owner.earlier_leases_expired(now) && !self.replica.old_leases_expired() {
             let epoch = tenure.epoch;
@@ -420,7 +431,7 @@
     /// last complete read of the log, not to the present.
     fn consider_claim(&mut self, now: Millis) {
         let is_current = self.caught_up && now.since(self.log_read_at) < MAX_READ_GAP;
-        if !is_current || self.is_draining || now.since(self.claim_tried_at) < CLAIM_INTERVAL {
+        if !is_current || self.is_draining || now < self.next_claim {
             return;
         }
         let claim = self.replica.claim();
@@ -430,10 +441,11 @@
         let is_vacant = claim.owner.is_empty() || claim.owner == self.duty.name;
         let timeout = if is_vacant { Millis::ZERO } else { timeout };
         let stagger = Millis(self.duty.nonce % MAX_CLAIM_STAGGER_MS);
-        if self.log_read_at.since(self.owner_seen_at) < timeout + stagger {
+        let delay = self.duty.takeover + stagger;
+        if self.log_read_at.since(self.owner_seen_at) < timeout + delay {
             return;
         }
-        self.claim_tried_at = now;
+        self.next_claim = now + CLAIM_INTERVAL;
         let epoch = claim.epoch + 1;
         let (owner, address) = (self.duty.name.clone(), self.duty.address.clone());
         let entry = Entry::Claimed { epoch, owner, address, nonce: self.duty.nonce };
