Give no count of waiting jobs from an old replica

Callers were told that 0 jobs of a queue wait while 148 did, by a daemon that had not read the log to its end since its restart, and by daemons that the store refused. A query for a job that does not exist was answered only after a log read that began after the query; the count was taken from the replica whatever its age.

One module, shard::freshness, now says how old the replica may be for what a caller is told: 2 s for a count, as the protocol allows, and a read after the query for the absence of a job. The front waits while a newer read is expected, and answers 503 at once when the daemon has not caught up or its reads fail; before, a query for an unknown job waited 600 ms in that case.

--- a/crates/daemon/src/shard.rs
+++ b/crates/daemon/src/shard.rs
@@ -15,6 +15,7 @@
 
 pub mod advice;
 pub mod border;
+pub mod freshness;
 pub mod front;
 pub mod ledger;
 pub mod metrics;
--- /dev/null
+++ b/crates/daemon/src/shard/freshness.rs
@@ -0,0 +1,63 @@
+//! How old the replica may be for what callers are told.
+//!
+//! The replica lags behind the log, by seconds or without bound while the log can't be read. What may
+//! have changed since is stated to callers only if the replica is recent enough for it.
+
+#[cfg(test)]
+mod tests;
+
+use super::view::ShardStatus;
+use pimentovalve_core::clock::Millis;
+
+/// Maximum age of the number of queued jobs that the callers' protocol allows.
+const MAX_COUNT_AGE: Millis = Millis(2000);
+/// Maximum time without a complete log read while the next one is still expected: one read that times
+/// out, and another one. After it the log counts as unreadable.
+const MAX_READ_GAP: Millis = Millis(1500);
+/// Maximum wait for a log read, on top of the duration of two reads: one may have begun too early.
+/// Daemons that are not the owner read the log every 200 ms.
+const READ_WAIT: Millis = Millis(600);
+
+/// What a caller is told from the replica and may have changed since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// The number of queued jobs.
+    Count,
+    /// That a job does not exist. Another daemon may just have accepted it.
+    Absence,
+}
+
+/// Whether a statement can be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The replica is recent enough.
+    Current,
+    /// The next log read may make it recent enough; it is not worth waiting beyond this time.
+    Wait(Millis),
+    /// The replica is too old, and no log read is expected in time.
+    TooOld,
+}
+
+impl Statement {
+    /// Judges the statement to a caller that asked at `asked` and waits until `deadline`. The replica
+    /// it is made from is at least as recent as `status`.
+    pub fn judge(
+        self,
+        status: &ShardStatus,
+        asked: Millis,
+        deadline: Millis,
+        now: Millis,
+    ) -> Verdict {
+        let is_current = match self {
+            Self::Count => now.since(status.covered_until) <= MAX_COUNT_AGE,
+            Self::Absence => status.covered_until > asked,
+        };
+        if is_current {
+            return Verdict::Current;
+        }
+        let read_time = status.response_time.typical();
+        let next_read = status.log_read_at + MAX_READ_GAP + read_time;
+        let limit = deadline.min(next_read).min(asked + READ_WAIT + read_time.times(2));
+        if status.caught_up && now < limit { Verdict::Wait(limit) } else { Verdict::TooOld }
+    }
+}
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -2,20 +2,23 @@
 //! a request gets is decided here.
 
 use super::border::{Answer, Callers, Command, Decoded};
+use super::freshness::{Statement, Verdict};
 use super::ledger::{Intake, Stored};
 use super::metrics::Metrics;
 use super::steward::Event;
 use super::view::{self, ShardStatus};
-use crate::ring::{self, Latest, Sender, Unanswered};
+use crate::ring::{self, Latest, Reply, Sender, Unanswered};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::ledger::shard::Entry;
 use pimentovalve_core::ledger::shard::replica::Backlog;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
+use snafu::Snafu;
 use std::sync::Arc;
 
-/// Retry delay that a refused caller is told.
+/// Retry delay that a refused caller is told. A retry reaches another daemon, which may well serve it,
+/// so this is the shortest delay that HTTP can express.
 const RETRY_AFTER: Millis = Millis::from_secs(1);
 /// Maximum time for storing a request. A caller that states a shorter timeout gets its answer within
 /// that timeout.
@@ -25,12 +28,24 @@
 const STORE_TIMEOUT_TENTHS: u64 = 4;
 /// The same while the store is slow: waiting longer then succeeds more often than a retry.
 const SLOW_STORE_TIMEOUT_TENTHS: u64 = 8;
-/// Maximum age of the replica for answering that a job does not exist. It is half of the time within
-/// which an accepted job must be visible at every daemon.
-const MAX_BOOK_AGE: Millis = Millis(1500);
-/// Maximum wait for a log read that began after the request. Daemons that are not the owner read the
-/// log every 200 ms.
-const LOG_READ_WAIT: Millis = Millis(600);
+/// Why the steward's answer can't be given to a caller.
+#[derive(Debug, Snafu)]
+enum Unknown {
+    /// The steward did not answer.
+    #[snafu(context(false), display("{source}"))]
+    Steward {
+        /// Error of the ring.
+        source: Unanswered,
+    },
+    /// The replica is too old for the answer.
+    #[snafu(display("the replica is {age} old, caught up: {caught_up}"))]
+    TooOld {
+        /// Time since the last complete log read was sent.
+        age: Millis,
+        /// Whether the log was read to its end since the start.
+        caught_up: bool,
+    },
+}
 
 /// HTTP handler for callers.
 pub struct Front {
@@ -126,9 +141,9 @@
         let until = view::now() + store_timeout;
         match command {
             Command::Submit(job) => self.submit(job, catalog.version, until).await,
-            Command::Status(id) => self.status(id).await,
+            Command::Status(id) => self.status(id, until).await,
             Command::Cancel(id) => self.cancel(id, until).await,
-            Command::Count(queue) => self.count(queue).await,
+            Command::Count(queue) => self.count(queue, until).await,
         }
     }
 
@@ -149,7 +164,7 @@
     }
 
     async fn cancel(&self, id: Id, until: Millis) -> Answer {
-        match self.find(id).await {
+        match self.find(id, until).await {
             Ok(Some(_)) => {}
             Ok(None) => return Answer::NoJob,
             Err(answer) => return answer,
@@ -163,49 +178,67 @@
         }
     }
 
-    async fn status(&self, id: Id) -> Answer {
-        match self.find(id).await {
+    async fn status(&self, id: Id, until: Millis) -> Answer {
+        match self.find(id, until).await {
             Ok(Some(status)) => Answer::State(status),
             Ok(None) => Answer::NoJob,
             Err(answer) => answer,
         }
     }
 
-    /// Returns the state of a job, `None` when it does not exist. `None` is returned only after a log
-    /// read that began after the request, since another daemon may just have accepted the job.
-    async fn find(&self, id: Id) -> Result<Option<Status>, Answer> {
-        let asked = view::now();
-        loop {
-            match self.look_up(id).await {
-                Ok(Some(status)) => return Ok(Some(status)),
-                Ok(None) => {}
-                Err(_) => return Err(Answer::NotDone(RETRY_AFTER)),
-            }
-            let ShardStatus { log_read_at, covered_until, .. } = *self.shard_status.borrow();
-            if covered_until > asked {
-                return Ok(None);
-            }
-            let mut shard_status = self.shard_status.clone();
-            let newer = shard_status.wait_for(|f| f.covered_until > asked);
-            if tokio::time::timeout(LOG_READ_WAIT.into(), newer).await.is_err()
-                && view::now().since(log_read_at) > MAX_BOOK_AGE
-            {
-                tracing::info!(job = %id, "job state unknown: log not readable");
-                return Err(Answer::NotDone(RETRY_AFTER));
-            }
-        }
+    /// Returns the state of a job, `None` when it does not exist.
+    async fn find(&self, id: Id, until: Millis) -> Result<Option<Status>, Answer> {
+        let statement = |status: &Option<Status>| status.is_none().then_some(Statement::Absence);
+        self.ask(|reply| Event::Status(id, reply), statement, until).await.map_err(|error| {
+            tracing::info!(job = %id, %error, "job state unknown");
+            Answer::NotDone(RETRY_AFTER)
+        })
     }
 
-    async fn count(&self, queue: Box<str>) -> Answer {
-        let of = queue.clone();
-        match ring::ask(&self.steward, |reply| Event::Count(of, reply)).await {
+    async fn count(&self, queue: Box<str>, until: Millis) -> Answer {
+        let event = |reply| Event::Count(queue.clone(), reply);
+        match self.ask(event, |_| Some(Statement::Count), until).await {
             Ok(Backlog { queued, starting }) => {
                 let ShardStatus { caught_up, covered_until, .. } = *self.shard_status.borrow();
                 let age_ms = view::now().since(covered_until).get();
                 tracing::info!(%queue, queued, starting, caught_up, age_ms, "queued jobs counted");
                 Answer::Waiting(queued)
             }
-            Err(_) => Answer::NotDone(RETRY_AFTER),
+            Err(error) => {
+                tracing::info!(%queue, %error, "number of queued jobs unknown");
+                Answer::NotDone(RETRY_AFTER)
+            }
+        }
+    }
+
+    /// Asks the steward, again after each log read, until the replica is recent enough for its answer.
+    /// `statement` returns what the answer states, `None` if that holds at any age.
+    async fn ask<T>(
+        &self,
+        event: impl Fn(Reply<T>) -> Event,
+        statement: impl Fn(&T) -> Option<Statement>,
+        until: Millis,
+    ) -> Result<T, Unknown> {
+        let asked = view::now();
+        let mut shard_status = self.shard_status.clone();
+        loop {
+            // Read before the answer, whose replica is then at least as recent.
+            let status = shard_status.borrow_and_update().clone();
+            let answer = ring::ask(&self.steward, &event).await?;
+            let Some(statement) = statement(&answer) else { return Ok(answer) };
+            let now = view::now();
+            match statement.judge(&status, asked, until, now) {
+                Verdict::Current => return Ok(answer),
+                Verdict::Wait(limit) => {
+                    let newer = shard_status.wait_for(|s| s.covered_until > status.covered_until);
+                    // Whether a read came in time is judged again.
+                    let _ = tokio::time::timeout(limit.since(now).into(), newer).await;
+                }
+                Verdict::TooOld => {
+                    let age = now.since(status.covered_until);
+                    return TooOldSnafu { age, caught_up: status.caught_up }.fail();
+                }
+            }
         }
     }
 
