Keep the number of waiting jobs of each queue as entries are applied

Each query for the number of waiting jobs walked all jobs of the replica, on the thread that also places tasks: the more jobs wait, the longer each answer takes from it.

--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -1,6 +1,7 @@
 //! State of the shard as replayed from its log. Replay is deterministic: daemons that have read the
 //! same entries have the same state.
 
+pub mod backlog;
 #[cfg(test)]
 mod tests;
 
@@ -8,6 +9,7 @@
 use super::{End, Entry, Incarnation, Run};
 use crate::clock::Millis;
 use crate::contract::work::{Id, Job, Status, StepId, Task};
+use backlog::{Backlog, Backlogs};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -26,15 +28,6 @@
     at: Millis,
 }
 
-/// Jobs of a queue that have not ended and of which no run has ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Backlog {
-    /// Jobs without a run that may be active.
-    pub queued: usize,
-    /// Jobs with a recorded start. Their workers may not have received the order yet.
-    pub starting: usize,
-}
-
 /// The current claim of the shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -89,6 +82,9 @@
     /// Number of the last snapshot, 0 before the first.
     #[serde(rename = "saves")]
     snapshot_number: u64,
+    /// Counted anew when a snapshot is restored.
+    #[serde(skip)]
+    backlogs: Backlogs,
 }
 
 impl Replica {
@@ -140,17 +136,9 @@
             .map_or(0, |i| self.recorded_ends[i].1)
     }
 
-    /// Counts the jobs of a queue that have not ended and of which no run has ended.
+    /// Returns the backlog of a queue.
     pub fn backlog(&self, queue: &str) -> Backlog {
-        let mut backlog = Backlog::default();
-        for job in self.jobs.iter().filter(|j| &*j.job.policy.queue == queue) {
-            match job.status() {
-                Status::Queued => backlog.queued += 1,
-                Status::Running if !job.begun => backlog.starting += 1,
-                _ => {}
-            }
-        }
-        backlog
+        self.backlogs.of(queue)
     }
 
     /// Returns the runs that may be active, each with the worker incarnation it was started on.
@@ -218,6 +206,7 @@
                     {
                         step.clear_run(run);
                     }
+                    self.update_backlog(run.task.step_id.job);
                 }
                 Applied::Progress
             }
@@ -247,7 +236,8 @@
         ended.sort_unstable_by_key(|e| e.id);
     }
 
-    /// Converts all times from a clock that reads `there` to one that reads `here`.
+    /// Completes a replica that was read from a snapshot: converts all times from a clock that reads
+    /// `there` to one that reads `here`, and counts the backlogs.
     pub(super) fn rebase(&mut self, there: Millis, here: Millis) {
         let moved = |at: Millis| here.since(there.since(at));
         for job in &mut self.jobs {
@@ -257,6 +247,14 @@
         for ended in &mut self.ended {
             ended.at = moved(ended.at);
         }
+        self.backlogs = Backlogs::count(&mut self.jobs);
+    }
+
+    /// Adjusts the backlog of a job's queue after the job has changed.
+    fn update_backlog(&mut self, id: Id) {
+        if let Ok(i) = self.find(id) {
+            self.backlogs.update(&mut self.jobs[i]);
+        }
     }
 
     fn find(&self, id: Id) -> Result<usize, usize> {
@@ -284,6 +282,7 @@
         }
         self.jobs.insert(i, JobState::new(job, now));
         self.update_open_steps(id, now);
+        self.update_backlog(id);
         Applied::Accepted(id)
     }
 
@@ -293,6 +292,7 @@
                 job.cancelled = true;
                 job.ended = Some(now);
                 self.remove_open_steps(id);
+                self.update_backlog(id);
                 Applied::Over(id)
             }
             _ => Applied::Nothing,
@@ -307,6 +307,7 @@
         let added = Occurrence::new(&state.job);
         state.occurrences.push(added);
         self.update_open_steps(id, Millis::ZERO);
+        self.update_backlog(id);
         Applied::Progress
     }
 
@@ -316,6 +317,7 @@
         {
             step.start(run, on);
         }
+        self.update_backlog(run.task.step_id.job);
     }
 
     fn end(&mut self, on: &Incarnation, ends: &[End], now: Millis) -> Applied {
@@ -341,6 +343,7 @@
                 self.update_open_steps(id, now);
             }
         }
+        ends.iter().for_each(|end| self.update_backlog(end.run.task.step_id.job));
         applied
     }
 
--- a/crates/core/src/ledger/shard/replica/tests.rs
+++ b/crates/core/src/ledger/shard/replica/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the replay of shard entries.
 
-use super::{Applied, Backlog, Replica};
+use super::backlog::Backlog;
+use super::{Applied, Replica};
 use crate::clock::Millis;
 use crate::contract::work::tests::{job, step};
 use crate::contract::work::{Id, Outcome, Status, Step, StepId, Task};
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -1,5 +1,6 @@
 //! State of one job as replayed from the shard log: its occurrences, steps and tasks.
 
+use super::replica::backlog::Stage;
 use super::{End, Incarnation, Run};
 use crate::clock::Millis;
 use crate::contract::work::{Job, Outcome, Status, Step, Task};
@@ -195,6 +196,9 @@
     /// The occurrences that are due, by number.
     #[serde(rename = "passes")]
     pub occurrences: Vec<Occurrence>,
+    /// Stage as which the backlog of the queue counts it.
+    #[serde(skip)]
+    pub(super) counted_as: Stage,
 }
 
 impl JobState {
@@ -211,6 +215,7 @@
             failed: false,
             ended: None,
             occurrences,
+            counted_as: Stage::default(),
         }
     }
 
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -12,7 +12,7 @@
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::ledger::shard::Entry;
-use pimentovalve_core::ledger::shard::replica::Backlog;
+use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
 use snafu::Snafu;
 use std::sync::Arc;
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -28,7 +28,8 @@
     Limits, Owner, PollError, Report, StartAnswer, StopAnswer,
 };
 use pimentovalve_core::contract::work::{Id, Status};
-use pimentovalve_core::ledger::shard::replica::{Applied, Backlog, Replica};
+use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
+use pimentovalve_core::ledger::shard::replica::{Applied, Replica};
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_core::link::response_time::ResponseTime;
