Show no job as queued or running from an old replica

A daemon that replays the log after a restart knew a job as queued that was completed long before, and told callers so; so did a daemon that could not read the log any more, for as long as that lasted. A caller that asks the same daemon again then waits for a job that has ended.

The status of a job that has not ended now needs a replica of at most 3 s, the time within which an accepted job must be visible at every daemon; otherwise the answer is 503, and the retry reaches another daemon. The status of a job that has ended does not change, so it is shown at any age. Cancelling needs only that the job is known.

--- a/crates/core/src/contract/work.rs
+++ b/crates/core/src/contract/work.rs
@@ -295,3 +295,10 @@
     /// Cancelled by its caller.
     Cancelled,
 }
+
+impl Status {
+    /// Returns whether the job has ended. Its status does not change any more.
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
--- a/crates/daemon/src/shard/freshness.rs
+++ b/crates/daemon/src/shard/freshness.rs
@@ -11,6 +11,9 @@
 
 /// Maximum age of the number of queued jobs that the callers' protocol allows.
 const MAX_COUNT_AGE: Millis = Millis(2000);
+/// Maximum age of the status of a job that has not ended: the time within which an accepted job must be
+/// visible at every daemon.
+const MAX_STATUS_AGE: Millis = Millis(3000);
 /// Maximum time without a complete log read while the next one is still expected: one read that times
 /// out, and another one. After it the log counts as unreadable.
 const MAX_READ_GAP: Millis = Millis(1500);
@@ -23,6 +26,8 @@
 pub enum Statement {
     /// The number of queued jobs.
     Count,
+    /// That a job has not ended.
+    Unended,
     /// That a job does not exist. Another daemon may just have accepted it.
     Absence,
 }
@@ -50,6 +55,7 @@
     ) -> Verdict {
         let is_current = match self {
             Self::Count => now.since(status.covered_until) <= MAX_COUNT_AGE,
+            Self::Unended => now.since(status.covered_until) <= MAX_STATUS_AGE,
             Self::Absence => status.covered_until > asked,
         };
         if is_current {
--- a/crates/daemon/src/shard/freshness/tests.rs
+++ b/crates/daemon/src/shard/freshness/tests.rs
@@ -24,6 +24,12 @@
     expect_that!(judge(Statement::Count, &read(2001), 0), eq(Verdict::TooOld));
 }
 
+#[gtest]
+fn the_status_of_a_job_that_has_not_ended_may_be_three_seconds_old() {
+    expect_that!(judge(Statement::Unended, &read(3000), 0), eq(Verdict::Current));
+    expect_that!(judge(Statement::Unended, &read(3001), 0), eq(Verdict::TooOld));
+}
+
 #[gtest]
 fn absence_needs_a_read_that_began_after_the_question() {
     expect_that!(judge(Statement::Absence, &read(50), 51), eq(Verdict::Current));
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -164,7 +164,8 @@
     }
 
     async fn cancel(&self, id: Id, until: Millis) -> Answer {
-        match self.find(id, until).await {
+        let statement = |status: &Option<Status>| status.is_none().then_some(Statement::Absence);
+        match self.find(id, statement, until).await {
             Ok(Some(_)) => {}
             Ok(None) => return Answer::NoJob,
             Err(answer) => return answer,
@@ -179,16 +180,25 @@
     }
 
     async fn status(&self, id: Id, until: Millis) -> Answer {
-        match self.find(id, until).await {
+        let statement = |status: &Option<Status>| match status {
+            Some(status) if status.is_final() => None,
+            Some(_) => Some(Statement::Unended),
+            None => Some(Statement::Absence),
+        };
+        match self.find(id, statement, until).await {
             Ok(Some(status)) => Answer::State(status),
             Ok(None) => Answer::NoJob,
             Err(answer) => answer,
         }
     }
 
-    /// Returns the state of a job, `None` when it does not exist.
-    async fn find(&self, id: Id, until: Millis) -> Result<Option<Status>, Answer> {
-        let statement = |status: &Option<Status>| status.is_none().then_some(Statement::Absence);
+    /// Returns the state of a job, `None` when it does not exist. `statement` is as for [`Self::ask`].
+    async fn find(
+        &self,
+        id: Id,
+        statement: impl Fn(&Option<Status>) -> Option<Statement>,
+        until: Millis,
+    ) -> Result<Option<Status>, Answer> {
         self.ask(|reply| Event::Status(id, reply), statement, until).await.map_err(|error| {
             tracing::info!(job = %id, %error, "job state unknown");
             Answer::NotDone(RETRY_AFTER)
