--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -3,13 +3,14 @@
 //! These modules make all decisions about a request, without sockets or threads: allocation of
 //! runner slots ([`dispatcher`], [`slot`]), admission and queueing ([`permit`], [`queue`]), and
 //! retries and hedging ([`tries`], [`budget`], [`latency`]). [`response_time`] adapts time-outs to
-//! the latency of a dependency.
+//! the latency of a dependency, [`read_size`] reads to what a link carries.
 
 pub mod budget;
 pub mod dispatcher;
 pub mod latency;
 pub mod permit;
 pub mod queue;
+pub mod read_size;
 pub mod response_time;
 pub mod slot;
 pub mod tries;
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -10,7 +10,7 @@
 mod own;
 mod snapshots;
 
-use super::border::{Failure, Member, Store};
+use super::border::{Chunk, Failure, Member, Store};
 use super::steward::Event;
 use super::view::{self, ShardStatus};
 use crate::duty::Duty;
@@ -248,6 +248,33 @@
     }
 }
 
+/// What a daemon has read of the log since it started, until it has caught up.
+struct Replay {
+    began: Millis,
+    reads: usize,
+    records: usize,
+    bytes: usize,
+}
+
+impl Replay {
+    fn new() -> Self {
+        Self { began: view::now(), reads: 0, records: 0, bytes: 0 }
+    }
+
+    /// Adds a chunk. Logs the sums and returns `None` when it is the last one.
+    fn add(self, chunk: &Chunk, caught_up: bool) -> Option<Self> {
+        let reads = self.reads + 1;
+        let records = self.records + chunk.records.len();
+        let bytes = self.bytes + chunk.records.iter().map(Vec::len).sum::<usize>();
+        if caught_up {
+            let took_ms = view::now().since(self.began).get();
+            tracing::info!(reads, records, bytes, took_ms, "log replayed");
+            return None;
+        }
+        Some(Self { reads, records, bytes, ..self })
+    }
+}
+
 /// Reads the log from its start and follows it. When the store has trimmed unread records, resumes
 /// from the newest snapshot.
 async fn tail(
@@ -258,6 +285,7 @@
 ) {
     let mut from = 0;
     let (mut outage, mut backoff) = (OutageLog::new("log"), Backoff::new());
+    let mut replay = Some(Replay::new());
     loop {
         let began = view::now();
         match store.read(from).await {
@@ -268,6 +296,7 @@
                 let records = chunk.records.iter().filter_map(|bytes| decode(bytes)).collect();
                 from += count;
                 let caught_up = from >= chunk.end;
+                replay = replay.and_then(|r| r.add(&chunk, caught_up));
                 let event = Event::Read { records, next: from, caught_up, began };
                 if steward.push(event).await.is_err() {
                     return;
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -244,7 +244,10 @@
         let now = view::now();
         match event {
             Event::Read { records, next, caught_up, began } => {
-                self.response_time.record(now.since(began));
+                // How long a part of a long log takes depends on its size and not on the store.
+                if self.caught_up {
+                    self.response_time.record(now.since(began));
+                }
                 self.apply_read(records, next, caught_up.then_some(began), now);
             }
             Event::Restored(snapshot) => self.restore(*snapshot, now),
