--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -45,8 +45,8 @@
 const APPEND_TIMEOUT: Millis = Millis(1000);
 /// Maximum number of records of one append.
 const MAX_GROUP_RECORDS: usize = 1024;
-/// Maximum size of one append in bytes: half of what the store accepts per call.
-const MAX_GROUP_BYTES: usize = 1 << 20;
+/// Maximum size of one append in bytes: a link of 2 Mbit/s sends it within the timeout.
+const MAX_GROUP_BYTES: usize = 128 * 1024;
 /// Maximum time that a planned stop waits for appends in flight.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Initial retry delay after a failed call.
