Keep an owner's runs by worker and by due stop

With 2,500 open runs, each poll answer compared the worker of every run, and each tick looked up the worker of every run by name and scanned all of them for due stops.

A host now lists its runs, runs without a known incarnation are in a list of their own, and stops that are due are kept in order of time. Runs of a job, a step or a gang are a range of the sorted runs. The owner counts the objects it examines, and "owner load" logs them.

The new tests count runs and so can't run on the code before; there a tick looked at all runs twice.

--- a/crates/core/benches/owner.rs
+++ b/crates/core/benches/owner.rs
@@ -31,6 +31,8 @@
 fn operations(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("owner");
     group.sample_size(10);
+    group.warm_up_time(Duration::from_millis(5));
+    group.measurement_time(Duration::from_millis(50));
     let parts = [
         ("a pass without room", Part::Pass, 0),
         ("a pass with the room of 20 ends", Part::Pass, ENDS),
--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -17,6 +17,7 @@
 pub mod order;
 mod place;
 mod poll;
+mod runs;
 mod stop;
 #[cfg(test)]
 mod tests;
@@ -29,6 +30,7 @@
 use crate::machine::host::{self, Host, WorkerEntry};
 use advice::Queries;
 use order::{Order, Start, StopReason};
+use runs::Runs;
 use std::sync::Arc;
 
 pub use answer::{StartAnswer, StopAnswer};
@@ -115,14 +117,26 @@
     QueryAdvisor(advice::Query),
 }
 
+/// Work of an owner since it was created, in objects that it has examined.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Effort {
+    /// Steps with waiting tasks that a placement pass tried to place.
+    pub steps: u64,
+    /// Workers that a placement pass considered, once for each step.
+    pub hosts: u64,
+    /// Runs that a poll answer, a retry of stops or a search for lost runs looked at.
+    pub runs: u64,
+}
+
 /// Scheduling state of a shard, held by the daemon that owns the shard.
 #[derive(Debug)]
 pub struct Owner {
     limits: Limits,
     /// Sorted by the worker's name.
     hosts: Vec<Host>,
-    /// Sorted by run.
-    runs: Vec<Running>,
+    runs: Runs,
+    /// Runs whose worker is not known in the incarnation that they were started on, sorted.
+    strays: Vec<Run>,
     queries: Queries,
     /// Number of the last poll that was sent.
     last_poll: u64,
@@ -131,6 +145,7 @@
     /// When every lease that earlier owners granted has certainly expired.
     earlier_leases_expire_at: Millis,
     effects: Vec<Effect>,
+    effort: Effort,
     /// Whether an input since the last placement pass may allow new placements.
     is_dirty: bool,
 }
@@ -144,12 +159,14 @@
         let mut owner = Self {
             limits,
             hosts: Vec::new(),
-            runs: Vec::new(),
+            runs: Runs::default(),
+            strays: Vec::new(),
             queries: Queries::default(),
             last_poll: 0,
             record_delay: Millis::ZERO,
             earlier_leases_expire_at: now + granting + host::max_lease_lifetime(limits.lease),
             effects: Vec::new(),
+            effort: Effort::default(),
             is_dirty: true,
         };
         for (run, on) in replica.placed() {
@@ -184,7 +201,7 @@
                 }
             }
         }
-        self.hosts.retain(|h| h.is_listed || h.runs > 0);
+        self.hosts.retain(|h| h.is_listed || !h.runs.is_empty());
     }
 
     /// Handles an entry of this owner that is recorded in the log and applied to `replica`.
@@ -268,6 +285,11 @@
         self.runs.len()
     }
 
+    /// Returns the work since the owner was created.
+    pub const fn effort(&self) -> Effort {
+        self.effort
+    }
+
     fn record_due(&mut self, replica: &Replica, wall: Millis) {
         for state in replica.scheduled() {
             let Some(schedule) = state.job.schedule else { continue };
@@ -374,19 +396,19 @@
     }
 
     fn run_index(&self, run: &Run) -> Result<usize, usize> {
-        self.runs.binary_search_by(|r| r.run.cmp(run))
+        self.runs.position(run)
     }
 
     /// Returns whether the task has a run whose end or loss is not recorded yet.
     fn is_running(&self, task: &crate::contract::work::Task) -> bool {
-        let i = self.runs.partition_point(|r| r.run.task < *task);
-        self.runs.get(i).is_some_and(|r| r.run.task == *task)
+        self.runs.has(task)
     }
 
     fn insert(&mut self, running: Running) {
         if let Err(i) = self.run_index(&running.run) {
-            if let Some(host) = self.host_mut(&running.on) {
-                host.add(&running.needs);
+            match self.host_mut(&running.on) {
+                Some(host) => host.add(running.run, &running.needs),
+                None => self.add_stray(running.run),
             }
             self.runs.insert(i, running);
         }
@@ -405,8 +427,21 @@
     fn drop_run(&mut self, i: usize) {
         self.release_capacity(i);
         let running = self.runs.remove(i);
-        if let Some(host) = self.host_mut(&running.on) {
-            host.remove(&Capacity::ZERO);
+        match self.host_mut(&running.on) {
+            Some(host) => host.remove(&running.run, &Capacity::ZERO),
+            None => self.remove_stray(&running.run),
+        }
+    }
+
+    fn add_stray(&mut self, run: Run) {
+        if let Err(at) = self.strays.binary_search(&run) {
+            self.strays.insert(at, run);
+        }
+    }
+
+    fn remove_stray(&mut self, run: &Run) {
+        if let Ok(at) = self.strays.binary_search(run) {
+            self.strays.remove(at);
         }
     }
 
--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -76,7 +76,7 @@
             }
             StartAnswer::Unknown => {
                 // The order may still arrive. Only an acknowledged stop rules that out.
-                self.runs[i].phase = Phase::Stopping { next: Some(now) };
+                self.stop_at(i, now);
                 self.runs[i].reason = StopReason::Unanswered;
                 if let Some(host) = self.host_mut(on) {
                     host.exclude_until(now + UNHEALTHY_BACKOFF);
@@ -111,7 +111,7 @@
             StopAnswer::OtherLife => self.end_incarnation(on, replica, now),
             StopAnswer::Fenced | StopAnswer::Unknown => {
                 let next = now + self.limits.retry;
-                self.runs[i].phase = Phase::Stopping { next: Some(next) };
+                self.stop_at(i, next);
                 self.poll_by(on, now);
             }
         }
--- a/crates/core/src/contract/owner/incarnation.rs
+++ b/crates/core/src/contract/owner/incarnation.rs
@@ -9,12 +9,17 @@
 use std::sync::Arc;
 
 impl Owner {
-    pub(super) fn new_host(&self, entry: WorkerEntry, replica: &Replica, now: Millis) -> Host {
+    pub(super) fn new_host(&mut self, entry: WorkerEntry, replica: &Replica, now: Millis) -> Host {
         let mut host = Host::new(entry, 0, now, self.earlier_leases_expire_at);
         host.recorded_end = replica.recorded_end(&host.incarnation);
         host.submitted_end = host.recorded_end;
         let incarnation = Arc::clone(&host.incarnation);
-        self.runs.iter().filter(|r| r.on == incarnation).for_each(|r| host.add(&r.needs));
+        for run in self.runs_on(&incarnation) {
+            if let Ok(i) = self.run_index(&run) {
+                host.add(run, &self.runs[i].needs);
+                self.remove_stray(&run);
+            }
+        }
         host
     }
 
@@ -29,10 +34,21 @@
     ) {
         let incarnation = entry.incarnation.clone();
         self.expire_tickets(&incarnation);
-        self.hosts[i] = self.new_host(entry, replica, now);
+        let host = self.new_host(entry, replica, now);
+        let old = std::mem::replace(&mut self.hosts[i], host);
+        old.runs.into_iter().for_each(|run| self.add_stray(run));
         self.is_dirty = true;
     }
 
+    /// Returns the runs that were started on an incarnation, sorted.
+    fn runs_on(&self, on: &Incarnation) -> Vec<Run> {
+        if let Some(host) = self.host(on) {
+            return host.runs.clone();
+        }
+        let is_there = |run: &&Run| self.run_index(run).is_ok_and(|i| *self.runs[i].on == *on);
+        self.strays.iter().filter(is_there).copied().collect()
+    }
+
     /// Resolves the runs of a worker's earlier incarnations once the new one has accepted this
     /// owner's epoch: it then rejects the orders of earlier owners. An unanswered order of this
     /// owner can still arrive there, so its run is stopped in the new incarnation; a run whose stop
@@ -45,7 +61,8 @@
         let is_old =
             |r: &Running| r.on.worker == incarnation.worker && r.on.born < incarnation.born;
         let mut lost = Vec::new();
-        for i in 0..self.runs.len() {
+        for run in self.strays.clone() {
+            let Ok(i) = self.run_index(&run) else { continue };
             let running = &mut self.runs[i];
             if !is_old(running) {
                 continue;
@@ -55,12 +72,13 @@
                 continue;
             }
             running.on = Arc::clone(incarnation);
-            running.phase = Phase::Stopping { next: Some(now) };
             running.reason = StopReason::Unanswered;
             let needs = running.needs;
             if let Some(host) = self.host_mut(incarnation) {
-                host.add(&needs);
+                host.add(run, &needs);
             }
+            self.remove_stray(&run);
+            self.stop_at(i, now);
             self.try_stop(i);
         }
         self.record_lost(&lost);
@@ -73,8 +91,9 @@
     ///   their start order. That holds for an unanswered order of this owner, and for an order of
     ///   an earlier owner until that owner's leases have expired.
     pub(super) fn record_lost_orphans(&mut self, now: Millis) {
+        self.effort.runs += u64::try_from(self.strays.len()).unwrap_or(u64::MAX);
         let earlier_leases_expired = self.earlier_leases_expired(now);
-        let is_orphan = |r: &&Running| match self.host_index(&r.on.worker) {
+        let is_orphan = |r: &Running| match self.host_index(&r.on.worker) {
             Err(_) => earlier_leases_expired,
             Ok(i) if self.hosts[i].incarnation.born > r.on.born => match r.phase {
                 Phase::Working { since } => since > BEFORE_FIRST_POLL || earlier_leases_expired,
@@ -83,16 +102,16 @@
             },
             Ok(_) => false,
         };
-        let lost: Vec<Run> = self.runs.iter().filter(is_orphan).map(|r| r.run).collect();
+        let strays = self.strays.iter().copied();
+        let is_lost = |run: &Run| self.run_index(run).is_ok_and(|i| is_orphan(&self.runs[i]));
+        let lost: Vec<Run> = strays.filter(is_lost).collect();
         self.record_lost(&lost);
     }
 
     /// Handles the end of a worker's incarnation: none of its runs executes, and orders addressed
     /// to it have no effect.
     pub(super) fn end_incarnation(&mut self, on: &Incarnation, replica: &Replica, now: Millis) {
-        let runs = self.runs.iter().filter(|r| *r.on == *on && r.phase != Phase::Recording);
-        let lost: Vec<Run> = runs.map(|r| r.run).collect();
-        self.record_lost(&lost);
+        let lost = self.record_lost_of(self.runs_on(on));
         for run in &lost {
             self.break_gang(run, replica, now);
         }
@@ -101,9 +120,14 @@
     /// Records the runs of a silent worker as lost. All its leases must have expired, so that
     /// nothing executes there.
     pub(super) fn record_lost_on(&mut self, i: usize) {
-        let incarnation = Arc::clone(&self.hosts[i].incarnation);
-        let runs = self.runs.iter().filter(|r| *r.on == *incarnation);
-        let lost: Vec<Run> = runs.filter(|r| r.phase != Phase::Recording).map(|r| r.run).collect();
-        self.record_lost(&lost);
+        self.record_lost_of(self.hosts[i].runs.clone());
+    }
+
+    /// Records those of `runs` as lost whose start is recorded, and returns them.
+    fn record_lost_of(&mut self, mut runs: Vec<Run>) -> Vec<Run> {
+        let phase = |run: &Run| self.run_index(run).map(|i| self.runs[i].phase);
+        runs.retain(|run| phase(run).is_ok_and(|p| p != Phase::Recording));
+        self.record_lost(&runs);
+        runs
     }
 }
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -102,6 +102,7 @@
                 break;
             }
             let Some(waiting) = waiting(replica, rank.step_id) else { continue };
+            self.effort.steps += 1;
             if waiting.step.gang {
                 self.place_gang(&waiting, &mut round, now);
             } else {
@@ -133,6 +134,7 @@
         if tasks.len() != waiting.state.tasks.len() {
             return;
         }
+        self.examine_all();
         let assignments = self.gang_assignments(waiting, tasks.len(), round, now);
         if let Some(assignments) = assignments {
             let number = 1 + waiting.state.tasks.iter().map(|t| t.last_run).max().unwrap_or(0);
@@ -143,6 +145,7 @@
         }
         let timing = waiting.job.policy.advisor_timing;
         let is_next = round.reserving < round.max_reserving;
+        self.examine_all();
         if is_next {
             self.reserve(waiting, tasks.len(), round, now);
         }
@@ -201,6 +204,7 @@
         let tasks = self.startable_tasks(waiting);
         let mut left = tasks.len();
         for task in &tasks {
+            self.examine_all();
             let Some(assignment) = self.single_assignment(waiting, &needs, round, now) else {
                 break;
             };
@@ -218,6 +222,11 @@
         waiting.state.tasks.get(index).map_or(0, |t| t.last_run)
     }
 
+    /// Counts all workers as examined.
+    fn examine_all(&mut self) {
+        self.effort.hosts += u64::try_from(self.hosts.len()).unwrap_or(u64::MAX);
+    }
+
     /// Returns the best fit for a task: a worker on the rack of its data if possible, then the one
     /// with the least free processor time. Tasks that fill spare processor time go where most is
     /// free.
@@ -297,10 +306,8 @@
         if spread == 0 {
             return true;
         }
-        let from = self.runs.partition_point(|r| r.run.task.step_id < waiting.step_id);
-        let of_step =
-            self.runs[from..].iter().take_while(|r| r.run.task.step_id == waiting.step_id);
-        of_step.filter(|r| r.on.worker == host.incarnation.worker).count() < spread
+        let of_step = self.runs.of_step(&waiting.step_id).iter();
+        of_step.filter(|(_, r)| r.on.worker == host.incarnation.worker).count() < spread
     }
 
     /// Returns the waiting tasks of a step that have no open run.
@@ -410,6 +417,7 @@
         if !self.queries.may_ask(&waiting.step_id, now) {
             return;
         }
+        self.examine_all();
         let needs = counted(waiting.step);
         let (mut expired, mut valid, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
         let (mut allowed_free, mut allowed_total, mut unasked_free) = (0_usize, 0_usize, 0_usize);
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -57,13 +57,13 @@
     pub(super) fn poll(&mut self, replica: &Replica, now: Millis) {
         for i in 0..self.hosts.len() {
             let host = &self.hosts[i];
-            let is_needed = host.runs > 0 || (!host.is_responsive && host.is_listed);
+            let is_needed = !host.runs.is_empty() || (!host.is_responsive && host.is_listed);
             if !is_needed || host.poll_in_flight.is_some() || now < host.next_poll {
                 continue;
             }
             if host.leases_expired(now) && host.failed_polls > MAX_FAILED_POLLS {
                 self.record_lost_on(i);
-                if self.hosts[i].runs == 0 && !self.hosts[i].is_listed {
+                if self.hosts[i].runs.is_empty() && !self.hosts[i].is_listed {
                     continue;
                 }
             }
@@ -72,8 +72,11 @@
             let host = &mut self.hosts[i];
             host.poll_in_flight = Some(number);
             let is_recording = host.submitted_end > host.recorded_end;
-            let wait =
-                if host.runs == 0 || is_recording { Millis::ZERO } else { self.limits.poll_wait };
+            let wait = if host.runs.is_empty() || is_recording {
+                Millis::ZERO
+            } else {
+                self.limits.poll_wait
+            };
             // Renewing the lease of a silent worker would keep its runs from ever being given up.
             let lease_end =
                 if host.failed_polls > MAX_FAILED_POLLS { None } else { host.grant(lease, now) };
@@ -178,7 +181,11 @@
         let mut listed: Vec<&Progress> = report.running.iter().collect();
         listed.sort_by_key(|w| w.run);
         let (mut lost, mut hung) = (Vec::new(), Vec::new());
-        for running in self.runs.iter_mut().filter(|r| *r.on == *on) {
+        let Some(host) = self.host(on) else { return };
+        for run in host.runs.clone() {
+            self.effort.runs += 1;
+            let Ok(i) = self.run_index(&run) else { continue };
+            let running = &mut self.runs[i];
             let found = listed.binary_search_by(|w| w.run.cmp(&running.run));
             match (found, running.phase) {
                 (Ok(_), Phase::Working { .. }) if running.stop_requested => {
--- a/crates/core/src/contract/owner/stop.rs
+++ b/crates/core/src/contract/owner/stop.rs
@@ -14,18 +14,13 @@
         if step_of(replica, &run.task.step_id).is_none_or(|s| !s.gang) {
             return;
         }
-        let members: Vec<Run> = self
-            .runs
-            .iter()
-            .filter(|r| r.run.task.step_id == run.task.step_id && r.run.number == run.number)
-            .map(|r| r.run)
-            .collect();
+        let runs = self.runs.of_step(&run.task.step_id).iter().map(|(r, _)| *r);
+        let members: Vec<Run> = runs.filter(|r| r.number == run.number).collect();
         members.iter().for_each(|m| self.stop(m, StopReason::Gang, now));
     }
 
     pub(super) fn stop_job(&mut self, id: Id, now: Millis) {
-        let runs = self.runs.iter().filter(|r| r.run.task.step_id.job == id);
-        let runs: Vec<Run> = runs.map(|r| r.run).collect();
+        let runs: Vec<Run> = self.runs.of_job(id).iter().map(|(r, _)| *r).collect();
         runs.iter().for_each(|r| self.stop(r, StopReason::Over, now));
     }
 
@@ -38,7 +33,7 @@
         match self.runs[i].phase {
             Phase::Recording | Phase::Ordered => self.runs[i].stop_requested = true,
             Phase::Working { .. } => {
-                self.runs[i].phase = Phase::Stopping { next: Some(now) };
+                self.stop_at(i, now);
                 self.try_stop(i);
             }
             Phase::Stopping { .. } | Phase::Stopped { .. } | Phase::Ending => {}
@@ -46,13 +41,27 @@
     }
 
     pub(super) fn retry_stops(&mut self, now: Millis) {
-        for i in 0..self.runs.len() {
-            if matches!(self.runs[i].phase, Phase::Stopping { next: Some(at) } if now >= at) {
+        for run in self.runs.due_stops(now) {
+            self.effort.runs += 1;
+            let Ok(i) = self.run_index(&run) else { continue };
+            if !matches!(self.runs[i].phase, Phase::Stopping { next: Some(at) } if now >= at) {
+                continue;
+            }
+            // Without a host the order has no address. The worker may be listed again.
+            if self.host(&self.runs[i].on).is_some() {
                 self.try_stop(i);
+            } else {
+                self.stop_at(i, now + self.limits.retry);
             }
         }
     }
 
+    /// Puts a run into the phase in which its next stop order is due at `at`.
+    pub(super) fn stop_at(&mut self, i: usize, at: Millis) {
+        self.runs[i].phase = Phase::Stopping { next: Some(at) };
+        self.runs.add_stop(at, self.runs[i].run);
+    }
+
     pub(super) fn try_stop(&mut self, i: usize) {
         let running = &self.runs[i];
         let (on, run, reason) = (Arc::clone(&running.on), running.run, running.reason);
--- /dev/null
+++ b/crates/core/src/contract/owner/tests/effort.rs
@@ -0,0 +1,73 @@
+//! Tests that the work of the owner depends on what has changed, not on the size of the fleet or of
+//! the backlog.
+
+use super::*;
+use crate::contract::owner::Effort;
+
+/// Names of workers, in order.
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|i| format!("worker-{i:03}")).collect()
+}
+
+/// Returns the work since `before`.
+fn since(world: &World, before: Effort) -> Effort {
+    let Effort { steps, hosts, runs } = world.owner.effort();
+    Effort { steps: steps - before.steps, hosts: hosts - before.hosts, runs: runs - before.runs }
+}
+
+/// Returns a world with as many workers, full with runs that were accepted.
+fn full(workers: usize, waiting: Vec<Job>) -> World {
+    let names = names(workers);
+    let names: Vec<&str> = names.iter().map(|n| &**n).collect();
+    let tasks = u32::try_from(4 * workers).unwrap();
+    let mut world = World::new(&names, vec![job(1, vec![step(tasks, &[])])]);
+    world.answer_polls();
+    while world.started().len() < 4 * workers {
+        world.pass(20);
+    }
+    for start in std::mem::take(&mut world.starts) {
+        let (on, now) = (&start.on, world.now);
+        let (answer, clock) = (StartAnswer::Taken, Some(now.get()));
+        world.owner.start_answered(on, &start.run, answer, clock, &world.replica, now);
+    }
+    for job in waiting {
+        let change = world.replica.apply(Entry::Submitted(Box::new(job)), world.now);
+        world.owner.entry_applied(change, world.now);
+    }
+    world
+}
+
+#[gtest]
+fn a_tick_without_due_stops_examines_no_run() {
+    let mut world = full(100, vec![]);
+    let before = world.owner.effort();
+    world.pass(20);
+    expect_that!(since(&world, before).runs, eq(0));
+}
+
+#[gtest]
+fn a_poll_answer_examines_the_runs_of_its_worker_only() {
+    let mut world = full(100, vec![]);
+    world.pass(100);
+    let poll = world.polls.pop().expect("a poll");
+    let before = world.owner.effort();
+    let report = Report { born: Some(1), clock: world.now.get(), ..Report::default() };
+    world.owner.poll_answered(&poll.on, poll.number, Ok(&report), &world.replica, world.now);
+    expect_that!(since(&world, before).runs, all![gt(0), le(4)]);
+}
+
+#[gtest]
+fn a_stop_order_without_answer_is_repeated_when_it_is_due_only() {
+    let mut world = full(10, vec![]);
+    let change = world.replica.apply(Entry::Cancelled(Id(1)), world.now);
+    world.owner.entry_applied(change, world.now);
+    world.settle();
+    expect_that!(world.stops, len(eq(40)));
+    let first = world.stops[0];
+    world.answer_stop(&first, StopAnswer::Unknown);
+    world.pass(240);
+    expect_that!(world.stops, len(eq(40)));
+    world.pass(20);
+    expect_that!(world.stops, len(eq(41)));
+    expect_that!(world.stops[40], eq(first));
+}
--- a/crates/core/src/machine/host.rs
+++ b/crates/core/src/machine/host.rs
@@ -5,7 +5,7 @@
 //! hold runs whose start was never confirmed to a previous owner.
 
 use crate::clock::Millis;
-use crate::ledger::shard::Incarnation;
+use crate::ledger::shard::{Incarnation, Run};
 use crate::machine::capacity::Capacity;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -70,8 +70,8 @@
     pub is_responsive: bool,
     /// Capacity used by its runs, including those being stopped.
     pub used: Capacity,
-    /// Number of its runs, including those being stopped.
-    pub runs: usize,
+    /// Its runs, including those being stopped; sorted.
+    pub runs: Vec<Run>,
     /// Number of the status poll in flight, if any.
     pub poll_in_flight: Option<u64>,
     /// Time of the next status poll.
@@ -107,7 +107,7 @@
             is_listed: true,
             is_responsive: false,
             used: Capacity::ZERO,
-            runs: 0,
+            runs: Vec::new(),
             poll_in_flight: None,
             next_poll: now,
             failed_polls: 0,
@@ -137,15 +137,19 @@
     }
 
     /// Adds a run to the worker's usage.
-    pub const fn add(&mut self, needs: &Capacity) {
+    pub fn add(&mut self, run: Run, needs: &Capacity) {
         self.used = self.used.plus(needs);
-        self.runs += 1;
+        if let Err(at) = self.runs.binary_search(&run) {
+            self.runs.insert(at, run);
+        }
     }
 
     /// Subtracts a run from the worker's usage.
-    pub const fn remove(&mut self, needs: &Capacity) {
+    pub fn remove(&mut self, run: &Run, needs: &Capacity) {
         self.used = self.used.saturating_sub(needs);
-        self.runs = self.runs.saturating_sub(1);
+        if let Ok(at) = self.runs.binary_search(run) {
+            self.runs.remove(at);
+        }
     }
 
     /// Updates the clock reference from the worker's clock reading in a response. Readings older
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -4,6 +4,7 @@
 use super::State;
 use crate::shard::view;
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::owner::Effort;
 use std::time::{Duration, Instant};
 
 /// Interval between two log lines.
@@ -19,6 +20,8 @@
     busy: Duration,
     placing: Duration,
     longest_pass: Duration,
+    /// Work of the present owner up to the last log line.
+    effort: Effort,
 }
 
 impl Load {
@@ -44,8 +47,10 @@
         let now = view::now();
         let over = now.since(self.load.logged_at);
         let Some(tenure) = self.tenure.as_ref().filter(|_| over >= LOG_INTERVAL) else { return };
-        let Load { events, passes, busy, placing, longest_pass, .. } =
-            std::mem::replace(&mut self.load, Load { logged_at: now, ..Load::default() });
+        let effort = tenure.owner.effort();
+        let next = Load { logged_at: now, effort, ..Load::default() };
+        let Load { events, passes, busy, placing, longest_pass, effort: before, .. } =
+            std::mem::replace(&mut self.load, next);
         tracing::info!(
             epoch = tenure.epoch,
             over_ms = over.get(),
@@ -54,6 +59,9 @@
             passes,
             placing_ms = placing.as_millis(),
             longest_pass_ms = longest_pass.as_millis(),
+            steps_examined = effort.steps.saturating_sub(before.steps),
+            hosts_examined = effort.hosts.saturating_sub(before.hosts),
+            runs_examined = effort.runs.saturating_sub(before.runs),
             open_steps = self.replica.open().len(),
             runs = tenure.owner.run_count(),
             workers = tenure.owner.hosts().len(),
