Deny no queue from an old configuration

A daemon that could not read the operator's configuration went on with the last version without a limit, and answered 404 for a queue that had been added since. 404 is final for a caller, so the caller gave up on a queue that exists.

The ledger duty now publishes when the configuration was last read along with it. A configuration that was not read for 3 s, the time within which a new version must apply, denies no queue: the answer is 503 instead. Known queues are served as before.

--- a/crates/daemon/src/shard/freshness.rs
+++ b/crates/daemon/src/shard/freshness.rs
@@ -1,7 +1,8 @@
-//! How old the replica may be for what callers are told.
+//! How old a daemon's view of the store may be for what it does and for what callers are told.
 //!
 //! The replica lags behind the log, by seconds or without bound while the log can't be read. What may
-//! have changed since is stated to callers only if the replica is recent enough for it.
+//! have changed since is stated to callers only if the replica is recent enough for it. The same holds
+//! for the configuration.
 
 #[cfg(test)]
 mod tests;
@@ -14,6 +15,9 @@
 /// Maximum age of the status of a job that has not ended: the time within which an accepted job must be
 /// visible at every daemon.
 const MAX_STATUS_AGE: Millis = Millis(3000);
+/// Maximum age of the configuration for denying that a queue exists: the time within which a daemon must
+/// apply a new version.
+pub const MAX_CONFIGURATION_AGE: Millis = Millis(3000);
 /// Maximum time without a complete log read while the next one is still expected: one read that times
 /// out, and another one. After it the log counts as unreadable.
 const MAX_READ_GAP: Millis = Millis(1500);
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -2,14 +2,13 @@
 //! a request gets is decided here.
 
 use super::border::{Answer, Callers, Command, Decoded};
-use super::freshness::{Statement, Verdict};
+use super::freshness::{MAX_CONFIGURATION_AGE, Statement, Verdict};
 use super::ledger::{Intake, Stored};
 use super::metrics::Metrics;
 use super::steward::Event;
-use super::view::{self, ShardStatus};
+use super::view::{self, Configuration, ShardStatus};
 use crate::ring::{self, Latest, Reply, Sender, Unanswered};
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::ledger::shard::Entry;
 use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
@@ -51,8 +50,8 @@
 pub struct Front {
     /// Platform adapter for the callers' protocol.
     pub callers: Arc<dyn Callers>,
-    /// Configuration in force, `None` until the first one is read.
-    pub catalog: Latest<Option<Arc<Catalog>>>,
+    /// Configuration in force.
+    pub configuration: Latest<Configuration>,
     /// Ring to the ledger duty, for entries to append.
     pub intake: Sender<Intake>,
     /// Ring to the steward, for queries of job states.
@@ -117,7 +116,8 @@
 
 impl Front {
     async fn answer(&self, request: &Request<'_>) -> Answer {
-        let Some(catalog) = self.catalog.borrow().clone() else {
+        let Configuration { catalog, covered_until } = self.configuration.borrow().clone();
+        let Some(catalog) = catalog else {
             tracing::info!("request refused: no configuration loaded yet");
             return Answer::NotDone(RETRY_AFTER);
         };
@@ -129,6 +129,12 @@
         let Decoded { command, timeout } = match decoded {
             Ok(decoded) => decoded,
             Err(answer) => {
+                // The queue may have been added since.
+                let is_old = view::now().since(covered_until) > MAX_CONFIGURATION_AGE;
+                let answer = match answer {
+                    Answer::NoQueue if is_old => Answer::NotDone(RETRY_AFTER),
+                    answer => answer,
+                };
                 let (method, path, version) = (request.method, request.path, catalog.version);
                 tracing::info!(method, path, version, ?answer, "request refused");
                 return answer;
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -12,11 +12,10 @@
 
 use super::border::{Failure, Member, Store};
 use super::steward::Event;
-use super::view::{self, ShardStatus};
+use super::view::{self, Configuration, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_wire::codec;
@@ -125,7 +124,7 @@
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
     /// Publishes the newest configuration to the other duties.
-    pub catalog: Publisher<Option<Arc<Catalog>>>,
+    pub configuration: Publisher<Configuration>,
     /// Whether the last fenced append attempt of this daemon succeeded; `true` before the first one.
     pub appends_succeed: Arc<AtomicBool>,
 }
@@ -146,7 +145,7 @@
                 client,
                 steward,
                 shard_status,
-                catalog,
+                configuration,
                 appends_succeed,
             } = *self;
             let (direct, direct_intake) = ring::ring(DIRECT_RING_CAPACITY);
@@ -181,7 +180,7 @@
                     shard_status.clone(),
                     claimed,
                 )),
-                tokio::spawn(follow::catalog(Arc::clone(&store), catalog)),
+                tokio::spawn(follow::catalog(Arc::clone(&store), configuration)),
                 tokio::spawn(follow::workers(
                     Arc::clone(&store),
                     steward.clone(),
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -4,9 +4,8 @@
 use crate::ring::{Latest, Publisher, Sender};
 use crate::shard::border::{Member, Store};
 use crate::shard::steward::Event;
-use crate::shard::view::ShardStatus;
+use crate::shard::view::{self, Configuration, ShardStatus};
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::contract::catalog::Catalog;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -21,21 +20,26 @@
 /// Interval between two announcements of this daemon.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Publishes each new version of the configuration; older versions are ignored.
-pub(super) async fn catalog(store: Arc<dyn Store>, catalog: Publisher<Option<Arc<Catalog>>>) {
+/// Publishes each new version of the configuration, and when it was last read; older versions are
+/// ignored.
+pub(super) async fn catalog(store: Arc<dyn Store>, configuration: Publisher<Configuration>) {
     let (mut outage, mut backoff) = (OutageLog::new("configuration"), Backoff::new());
     loop {
+        let began = view::now();
         match store.catalog(CATALOG_WAIT).await {
             Ok(newest) => {
                 outage.regained();
                 backoff.reset();
-                let Some(newest) = newest else { continue };
-                let current = catalog.borrow().as_ref().map_or(0, |c| c.version);
-                if newest.version > current {
-                    let (version, queues) = (newest.version, newest.queues().len());
-                    tracing::info!(version, queues, "configuration in force");
-                    catalog.send_replace(Some(Arc::new(newest)));
-                }
+                let current = configuration.borrow().catalog.as_ref().map_or(0, |c| c.version);
+                let newer = newest.filter(|n| n.version > current);
+                configuration.send_modify(|configuration| {
+                    configuration.covered_until = began;
+                    if let Some(newer) = newer {
+                        let (version, queues) = (newer.version, newer.queues().len());
+                        tracing::info!(version, queues, "configuration in force");
+                        configuration.catalog = Some(Arc::new(newer));
+                    }
+                });
             }
             Err(failure) => {
                 outage.lost(&failure);
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -9,7 +9,7 @@
 use super::peer::Peer;
 use super::ready::Ready;
 use super::steward::Steward;
-use super::view::ShardStatus;
+use super::view::{Configuration, ShardStatus};
 use crate::daemon::stage::ShutdownStage;
 use crate::duty;
 use crate::front;
@@ -109,7 +109,7 @@
         let (orders_in, orders) = ring::ring(RING_CAPACITY);
         let (asks_in, asks) = ring::ring(RING_CAPACITY);
         let (facts_in, shard_status) = ring::latest(ShardStatus::default());
-        let (catalog_in, catalog) = ring::latest(None);
+        let (configuration_in, configuration) = ring::latest(Configuration::default());
         let metrics = Arc::new(Metrics::new(
             shard_status.clone(),
             vec![
@@ -129,12 +129,12 @@
         };
         let ready = Ready {
             shard_status: shard_status.clone(),
-            catalog: catalog.clone(),
+            configuration: configuration.clone(),
             draining: drain.clone(),
         };
         let callers = Front {
             callers: Arc::clone(&platform.callers),
-            catalog,
+            configuration,
             intake: intake_in,
             steward: events_in.clone(),
             metrics: Arc::clone(&metrics),
@@ -157,7 +157,7 @@
             client: Arc::new(Client::new()),
             steward: events_in.clone(),
             shard_status,
-            catalog: catalog_in,
+            configuration: configuration_in,
             appends_succeed,
         }))?;
         duties.start(Box::new(Steward {
--- a/crates/daemon/src/shard/ready.rs
+++ b/crates/daemon/src/shard/ready.rs
@@ -1,11 +1,9 @@
 //! Readiness check for the load balancer.
 
-use super::view::{self, ShardStatus};
+use super::view::{self, Configuration, ShardStatus};
 use crate::ring::Latest;
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
-use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
 /// Time since the last complete log read after which the daemon reports that it is not ready.
@@ -15,8 +13,8 @@
 pub struct Ready {
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
-    /// Configuration in force, `None` until the first one is read.
-    pub catalog: Latest<Option<Arc<Catalog>>>,
+    /// Configuration in force.
+    pub configuration: Latest<Configuration>,
     /// Cancelled when a planned stop begins.
     pub draining: CancellationToken,
 }
@@ -27,7 +25,7 @@
         let shard_status = self.shard_status.borrow().clone();
         if self.draining.is_cancelled() {
             Some("the daemon drains")
-        } else if self.catalog.borrow().is_none() {
+        } else if self.configuration.borrow().catalog.is_none() {
             Some("no configuration was read yet")
         } else if !shard_status.caught_up {
             Some("the log was not read to its end yet")
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -1,8 +1,9 @@
-//! Status that the steward publishes to the other duties, and the clocks.
+//! What the steward and the ledger duty publish to the other duties, and the clocks.
 
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::link::response_time::ResponseTime;
-use std::sync::OnceLock;
+use std::sync::{Arc, OnceLock};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// First reading of the steady clock, in milliseconds. It is above zero so that times before the
@@ -33,6 +34,15 @@
     }
 }
 
+/// The configuration, published by the ledger duty to the other duties.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    /// The version in force, `None` until the first one is read.
+    pub catalog: Option<Arc<Catalog>>,
+    /// When the last successful read was sent: no newer version was accepted before.
+    pub covered_until: Millis,
+}
+
 /// Returns the reading of the steady clock, which is monotonic.
 pub fn now() -> Millis {
     static EPOCH: OnceLock<Instant> = OnceLock::new();
