Start nothing by an old list of workers

The owner placed tasks by the last list of workers that it had read, however old. While reads of the list failed, or right after a takeover, when the list may be 3 s old, it could start tasks on a worker that had been draining for longer than that: a breach of DRAIN, and work that is lost when the worker exits.

The list now carries the time at which its read was sent. The owner leaves out placement passes while the list is older than 2.5 s, which leaves half a second of the 3 s to record and send a start. The line `owner load` counts the passes left out.

--- a/crates/daemon/src/shard/freshness.rs
+++ b/crates/daemon/src/shard/freshness.rs
@@ -2,7 +2,7 @@
 //!
 //! The replica lags behind the log, by seconds or without bound while the log can't be read. What may
 //! have changed since is stated to callers only if the replica is recent enough for it. The same holds
-//! for the configuration.
+//! for the configuration, and for the list of workers on which the owner starts tasks.
 
 #[cfg(test)]
 mod tests;
@@ -18,6 +18,9 @@
 /// Maximum age of the configuration for denying that a queue exists: the time within which a daemon must
 /// apply a new version.
 pub const MAX_CONFIGURATION_AGE: Millis = Millis(3000);
+/// Maximum age of the list of workers for starting tasks. A worker must get no start 3 s after it has
+/// reported that it drains, and recording and sending a start takes a part of that time.
+pub const MAX_LIST_AGE: Millis = Millis(2500);
 /// Maximum time without a complete log read while the next one is still expected: one read that times
 /// out, and another one. After it the log counts as unreadable.
 const MAX_READ_GAP: Millis = Millis(1500);
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -57,11 +57,12 @@
 ) {
     let (mut outage, mut backoff) = (OutageLog::new("list of workers"), Backoff::new());
     loop {
+        let began = view::now();
         match store.workers().await {
-            Ok(list) => {
+            Ok(workers) => {
                 outage.regained();
                 backoff.reset();
-                if steward.push(Event::Listed(list)).await.is_err() {
+                if steward.push(Event::Listed { workers, began }).await.is_err() {
                     return;
                 }
                 let pause =
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -82,8 +82,13 @@
         /// Epoch of the append.
         epoch: u64,
     },
-    /// The complete list of workers, as the store has it now.
-    Listed(Vec<WorkerEntry>),
+    /// The complete list of workers was read.
+    Listed {
+        /// The workers.
+        workers: Vec<WorkerEntry>,
+        /// When the read was sent, on the steady clock.
+        began: Millis,
+    },
     /// The newest announcement of each daemon.
     Members(Vec<Member>),
     /// Answer to a start order: epoch, order, answer, and the reading of the worker's clock.
@@ -166,6 +171,8 @@
     /// When this daemon last tried to claim the shard.
     claim_tried_at: Millis,
     workers: Vec<WorkerEntry>,
+    /// When the read of that list was sent.
+    workers_listed_at: Millis,
     /// Sorted by name.
     peers: Vec<Peer>,
     /// When expired entries were last removed from the replica.
@@ -194,6 +201,7 @@
             caught_up: false,
             claim_tried_at: Millis::ZERO,
             workers: Vec::new(),
+            workers_listed_at: Millis::ZERO,
             peers: Vec::new(),
             book_expired_at: now,
             is_draining: false,
@@ -255,8 +263,8 @@
                 }
             }
             Event::Fenced { epoch } => self.fenced(epoch),
-            Event::Listed(list) => {
-                self.workers = list;
+            Event::Listed { workers, began } => {
+                (self.workers, self.workers_listed_at) = (workers, began);
                 if let Some(tenure) = &mut self.tenure {
                     tenure.owner.update_workers(&self.workers, &self.replica, now);
                 }
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -3,6 +3,7 @@
 
 use super::{State, owner_of};
 use crate::shard::advice::Ask;
+use crate::shard::freshness::MAX_LIST_AGE;
 use crate::shard::ledger::Append;
 use crate::shard::metrics::Metrics;
 use crate::shard::orders::Call;
@@ -28,7 +29,11 @@
         let Some(tenure) = &mut self.tenure else { return };
         let epoch = tenure.epoch;
         tenure.owner.tick(&self.replica, now, self.covered_until);
-        if now >= tenure.next_placement {
+        // By an older list, tasks might start on a worker that drains.
+        let is_listed = now.since(self.workers_listed_at) <= MAX_LIST_AGE;
+        if !is_listed {
+            self.load.add_held_pass();
+        } else if now >= tenure.next_placement {
             let began = Instant::now();
             tenure.owner.schedule(&self.replica, now, view::wall());
             self.load.add_pass(began);
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -15,6 +15,8 @@
     logged_at: Millis,
     events: u64,
     passes: u64,
+    /// Turns of the steward without placement, since the list of workers was too old.
+    held_passes: u64,
     /// Time spent in the steward, placement passes included.
     busy: Duration,
     placing: Duration,
@@ -28,6 +30,11 @@
         self.busy += began.elapsed();
     }
 
+    /// Adds a turn in which the list of workers was too old for a placement pass.
+    pub(super) const fn add_held_pass(&mut self) {
+        self.held_passes += 1;
+    }
+
     /// Adds a placement pass.
     pub(super) fn add_pass(&mut self, began: Instant) {
         let took = began.elapsed();
@@ -44,7 +51,7 @@
         let now = view::now();
         let over = now.since(self.load.logged_at);
         let Some(tenure) = self.tenure.as_ref().filter(|_| over >= LOG_INTERVAL) else { return };
-        let Load { events, passes, busy, placing, longest_pass, .. } =
+        let Load { events, passes, held_passes, busy, placing, longest_pass, .. } =
             std::mem::replace(&mut self.load, Load { logged_at: now, ..Load::default() });
         tracing::info!(
             epoch = tenure.epoch,
@@ -52,6 +59,7 @@
             events,
             busy_ms = busy.as_millis(),
             passes,
+            held_passes,
             placing_ms = placing.as_millis(),
             longest_pass_ms = longest_pass.as_millis(),
             open_steps = self.replica.open().len(),
