Report a daemon with an old replica as not ready

Readiness was judged by when the last log read was answered. A daemon whose reads take seconds, as over a loaded link, was ready while its replica was too old for what callers ask, so the load balancer kept sending it callers that it refused.

Readiness is now judged by when that read was sent, with the age up to which the status of a job may be shown. The test a_daemon_with_an_old_replica_is_not_ready failed before the change.

--- a/crates/daemon/src/shard/freshness.rs
+++ b/crates/daemon/src/shard/freshness.rs
@@ -13,8 +13,8 @@
 /// Maximum age of the number of queued jobs that the callers' protocol allows.
 const MAX_COUNT_AGE: Millis = Millis(2000);
 /// Maximum age of the status of a job that has not ended: the time within which an accepted job must be
-/// visible at every daemon.
-const MAX_STATUS_AGE: Millis = Millis(3000);
+/// visible at every daemon. A daemon whose replica is older is not ready.
+pub const MAX_STATUS_AGE: Millis = Millis(3000);
 /// Maximum age of the configuration for denying that a queue exists: the time within which a daemon must
 /// apply a new version.
 pub const MAX_CONFIGURATION_AGE: Millis = Millis(3000);
--- a/crates/daemon/src/shard/ready.rs
+++ b/crates/daemon/src/shard/ready.rs
@@ -1,14 +1,14 @@
 //! Readiness check for the load balancer.
 
+#[cfg(test)]
+mod tests;
+
+use super::freshness::MAX_STATUS_AGE;
 use super::view::{self, Configuration, ShardStatus};
 use crate::ring::Latest;
-use pimentovalve_core::clock::Millis;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
 use tokio_util::sync::CancellationToken;
 
-/// Time since the last complete log read after which the daemon reports that it is not ready.
-const MAX_LOG_AGE: Millis = Millis(2500);
-
 /// HTTP handler for readiness checks.
 pub struct Ready {
     /// Ownership and log progress, published by the steward.
@@ -29,8 +29,8 @@
             Some("no configuration was read yet")
         } else if !shard_status.caught_up {
             Some("the log was not read to its end yet")
-        } else if view::now().since(shard_status.log_read_at) > MAX_LOG_AGE {
-            Some("the log can't be read")
+        } else if view::now().since(shard_status.covered_until) > MAX_STATUS_AGE {
+            Some("the log can't be read, or only with a delay")
         } else {
             None
         }
