Export the age that readiness is judged by

The gauge pimentovalve_log_age_ms counted from the answer to the last log read, and readiness counts from its start, as the ages of answers do.

--- a/crates/daemon/src/shard/metrics.rs
+++ b/crates/daemon/src/shard/metrics.rs
@@ -41,8 +41,8 @@
             vec![("0", epochs.borrow().epoch.unwrap_or_default())]
         });
         let name = "pimentovalve_log_age_ms";
-        gauge(&meter, name, "Time since the log was read to its end, in ms", "shard", move || {
-            vec![("0", view::now().since(shard_status.borrow().log_read_at).get())]
+        gauge(&meter, name, "Age of the replica, in ms", "shard", move || {
+            vec![("0", view::now().since(shard_status.borrow().covered_until).get())]
         });
         let name = "pimentovalve_ring_depth";
         gauge(&meter, name, "Taken places of a ring", "duty", move || {
