--- a/crates/daemon/src/shard/ready.rs
+++ b/crates/daemon/src/shard/ready.rs
@@ -1,22 +1,20 @@
 //! Readiness check for the load balancer.
 
-use super::view::{self, ShardStatus};
+#[cfg(test)]
+mod tests;
+
+use super::freshness::MAX_STATUS_AGE;
+use super::view::{self, Configuration, ShardStatus};
 use crate::ring::Latest;
-use pimentovalve_core::clock::Millis;
-use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
-use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
-/// Time since the last complete log read after which the daemon reports that it is not ready.
-const MAX_LOG_AGE: Millis = Millis(2500);
-
 /// HTTP handler for readiness checks.
 pub struct Ready {
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
-    /// Configuration in force, `None` until the first one is read.
-    pub catalog: Latest<Option<Arc<Catalog>>>,
+    /// Configuration in force.
+    pub configuration: Latest<Configuration>,
     /// Cancelled when a planned stop begins.
     pub draining: CancellationToken,
 }
@@ -27,12 +25,12 @@
         let shard_status = self.shard_status.borrow().clone();
         if self.draining.is_cancelled() {
             Some("the daemon drains")
-        } else if self.catalog.borrow().is_none() {
+        } else if self.configuration.borrow().catalog.is_none() {
             Some("no configuration was read yet")
         } else if !shard_status.caught_up {
             Some("the log was not read to its end yet")
-        } else if view::now().since(shard_status.log_read_at) > MAX_LOG_AGE {
-            Some("the log can't be read")
+        } else if view::now().since(shard_status.covered_until) > MAX_STATUS_AGE {
+            Some("the log can't be read, or only with a delay")
         } else {
             None
         }
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -16,6 +16,8 @@
     logged_at: Millis,
     events: u64,
     passes: u64,
+    /// Turns of the steward without placement, since the list of workers was too old.
+    held_passes: u64,
     /// Time spent in the steward, placement passes included.
     busy: Duration,
     placing: Duration,
@@ -31,6 +33,11 @@
         self.busy += began.elapsed();
     }
 
+    /// Adds a turn in which the list of workers was too old for a placement pass.
+    pub(super) const fn add_held_pass(&mut self) {
+        self.held_passes += 1;
+    }
+
     /// Adds a placement pass.
     pub(super) fn add_pass(&mut self, began: Instant) {
         let took = began.elapsed();
@@ -49,7 +56,7 @@
         let Some(tenure) = self.tenure.as_ref().filter(|_| over >= LOG_INTERVAL) else { return };
         let effort = tenure.owner.effort();
         let next = Load { logged_at: now, effort, ..Load::default() };
-        let Load { events, passes, busy, placing, longest_pass, effort: before, .. } =
+        let Load { events, passes, held_passes, busy, placing, longest_pass, effort: before, .. } =
             std::mem::replace(&mut self.load, next);
         tracing::info!(
             epoch = tenure.epoch,
@@ -57,6 +64,7 @@
             events,
             busy_ms = Millis::from(busy).get(),
             passes,
+            held_passes,
             placing_ms = Millis::from(placing).get(),
             longest_pass_ms = Millis::from(longest_pass).get(),
             steps_examined = effort.steps.saturating_sub(before.steps),
