--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -291,7 +291,7 @@
         match self.job_mut(id) {
             Some(job) if !job.has_ended() => {
                 job.cancelled = true;
-                job.ended = Some(now);
+                job.end(now);
                 self.remove_open_steps(id);
                 Applied::Over(id)
             }
@@ -334,7 +334,7 @@
             let is_done = step_state.is_done();
             if is_exhausted && !state.has_ended() {
                 state.failed = true;
-                state.ended = Some(now);
+                state.end(now);
                 self.remove_open_steps(id);
                 applied = Applied::Over(id);
             } else if is_done {
@@ -363,7 +363,7 @@
             return;
         }
         if state.is_done() {
-            state.ended = Some(now);
+            state.end(now);
             return;
         }
         let mut open = Vec::new();
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -214,6 +214,12 @@
         }
     }
 
+    /// Ends the job. Its payload is dropped: no task of it starts any more.
+    pub(super) fn end(&mut self, now: Millis) {
+        self.ended = Some(now);
+        Arc::make_mut(&mut self.job).payload = Box::default();
+    }
+
     /// Returns whether the job has ended, so that none of its tasks may start.
     pub const fn has_ended(&self) -> bool {
         self.ended.is_some()
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -98,6 +98,10 @@
     /// the returned records.
     fn read(&self, from: u64) -> Pending<'_, Result<Chunk, Failure>>;
 
+    /// Reserves the right to save the snapshot with this number, so that only one daemon does.
+    /// Returns `false` when another daemon has it; a retry takes it from a daemon that may have ended.
+    fn reserve(&self, number: u64, is_retry: bool) -> Pending<'_, Result<bool, Failure>>;
+
     /// Saves a snapshot of the shard.
     fn save<'a>(&'a self, saved: &'a StoredSnapshot) -> Pending<'a, Result<(), Failure>>;
 
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -103,7 +103,12 @@
     /// An entry that a caller submitted to this daemon or to a peer, batched with the owner's records.
     Intake(Intake),
     /// A snapshot of the replica to save.
-    Snapshot(Box<Snapshot>),
+    Snapshot {
+        /// The snapshot.
+        snapshot: Box<Snapshot>,
+        /// Whether this daemon tried to save one of this number before.
+        is_retry: bool,
+    },
 }
 
 /// The ledger duty.
@@ -275,8 +280,8 @@
     }
 }
 
-/// Reads the log from its start and follows it. When the store has trimmed unread records, resumes
-/// from the newest snapshot.
+/// Reads the log from the newest snapshot, or from its start, and follows it. When the store has
+/// trimmed unread records, resumes from the newest snapshot.
 async fn tail(
     store: Arc<dyn Store>,
     steward: Sender<Event>,
@@ -286,18 +291,34 @@
     let mut from = 0;
     let (mut outage, mut backoff) = (OutageLog::new("log"), Backoff::new());
     let mut replay = Some(Replay::new());
+    let mut has_started = false;
     loop {
+        if !has_started {
+            match snapshots::load(&*store, from).await {
+                Ok(Some((event, offset))) => {
+                    if steward.push(event).await.is_err() {
+                        return;
+                    }
+                    (from, has_started) = (offset, true);
+                }
+                Ok(None) => has_started = true,
+                // The log may be readable nevertheless.
+                Err(failure) => outage.lost(&failure),
+            }
+        }
         let began = view::now();
         match store.read(from).await {
             Ok(chunk) => {
                 outage.regained();
                 backoff.reset();
+                has_started = true;
                 let count = u64::try_from(chunk.records.len()).unwrap_or_default();
+                let bytes = chunk.records.iter().map(Vec::len).sum();
                 let records = chunk.records.iter().filter_map(|bytes| decode(bytes)).collect();
                 from += count;
                 let caught_up = from >= chunk.end;
                 replay = replay.and_then(|r| r.add(&chunk, caught_up));
-                let event = Event::Read { records, next: from, caught_up, began };
+                let event = Event::Read { records, bytes, next: from, caught_up, began };
                 if steward.push(event).await.is_err() {
                     return;
                 }
--- a/crates/daemon/src/shard/ledger/own.rs
+++ b/crates/daemon/src/shard/ledger/own.rs
@@ -40,7 +40,7 @@
                 self.add(Record::open(item.entry.clone()));
                 self.intake.push(item);
             }
-            Append::Claim { .. } | Append::Snapshot(_) => {}
+            Append::Claim { .. } | Append::Snapshot { .. } => {}
         }
     }
 
@@ -96,16 +96,16 @@
                 claimed.notify_one();
                 continue;
             }
-            Some(Append::Snapshot(snapshot)) => {
+            Some(Append::Snapshot { snapshot, is_retry }) => {
                 let store = Arc::clone(&store);
-                tokio::spawn(async move { snapshots::save(&*store, &snapshot).await });
+                tokio::spawn(async move { snapshots::save(&*store, &snapshot, is_retry).await });
                 continue;
             }
             Some(other) => group.put(other),
         }
         while !group.is_full() && deferred.is_none() {
             match appends.try_next() {
-                Some(single @ (Append::Claim { .. } | Append::Snapshot(_))) => {
+                Some(single @ (Append::Claim { .. } | Append::Snapshot { .. })) => {
                     deferred = Some(single)
                 }
                 Some(other) => group.put(other),
--- a/crates/daemon/src/shard/ledger/snapshots.rs
+++ b/crates/daemon/src/shard/ledger/snapshots.rs
@@ -1,4 +1,4 @@
-//! Snapshots of the shard, for daemons that start after the store has trimmed the log.
+//! Snapshots of the shard, from which daemons start instead of the start of the log.
 
 use super::{APPEND_TIMEOUT, encode};
 use crate::shard::border::{Failure, Store, StoredSnapshot};
@@ -8,10 +8,21 @@
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_wire::codec;
 
-/// Saves a snapshot and records it in the log. There is no retry: after a failure the next snapshot
-/// falls due after the usual interval.
-pub(super) async fn save(store: &dyn Store, snapshot: &Snapshot) {
+/// Saves a snapshot and records it in the log, unless another daemon does. There is no retry: after a
+/// failure the next snapshot falls due after the usual interval.
+pub(super) async fn save(store: &dyn Store, snapshot: &Snapshot, is_retry: bool) {
     let (number, offset, began) = (snapshot.number, snapshot.offset, view::now());
+    match store.reserve(number, is_retry).await {
+        Ok(true) => {}
+        Ok(false) => {
+            tracing::debug!(number, offset, "snapshot left to another daemon");
+            return;
+        }
+        Err(error) => {
+            tracing::warn!(number, offset, %error, "snapshot not reserved");
+            return;
+        }
+    }
     let bytes = match codec::pack(snapshot) {
         Ok(bytes) => bytes,
         Err(error) => {
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -64,6 +64,8 @@
     Read {
         /// The records, in log order.
         records: Vec<Record>,
+        /// Encoded size of the records.
+        bytes: usize,
         /// Offset of the record after the batch.
         next: u64,
         /// Whether the batch reached the end of the log.
@@ -71,7 +73,8 @@
         /// When the read was sent, on the steady clock.
         began: Millis,
     },
-    /// The store has trimmed records that were not read yet; this snapshot replaces them.
+    /// This snapshot replaces the records before its offset, at the start or because they were
+    /// trimmed before they were read.
     Restored(Box<Snapshot>),
     /// Records of this daemon were acknowledged by the store.
     Recorded(Vec<Record>),
@@ -176,6 +179,10 @@
     next_offset: u64,
     /// When a snapshot was last saved or attempted, or this daemon started.
     snapshot_at: Millis,
+    /// Number of the last snapshot that this daemon tried to save.
+    snapshot_tried: u64,
+    /// Size of the log after the last snapshot, or after the last attempt.
+    unsaved_bytes: usize,
     load: Load,
 }
 
@@ -199,6 +206,8 @@
             last_applied: (0, 0),
             next_offset: 0,
             snapshot_at: now,
+            snapshot_tried: 0,
+            unsaved_bytes: 0,
             load: Load::default(),
         }
     }
@@ -243,7 +252,8 @@
     fn handle(&mut self, event: Event) {
         let now = view::now();
         match event {
-            Event::Read { records, next, caught_up, began } => {
+            Event::Read { records, bytes, next, caught_up, began } => {
+                self.unsaved_bytes += bytes;
                 // How long a part of a long log takes depends on its size and not on the store.
                 if self.caught_up {
                     self.response_time.record(now.since(began));
@@ -349,7 +359,7 @@
             tenure.owner.entry_applied(applied, now);
         }
         if applied == Applied::Saved {
-            self.snapshot_at = now;
+            (self.snapshot_at, self.unsaved_bytes) = (now, 0);
         }
         if applied == Applied::Claimed {
             self.owner_seen_at = now;
--- a/crates/daemon/src/shard/steward/snapshots.rs
+++ b/crates/daemon/src/shard/steward/snapshots.rs
@@ -1,4 +1,4 @@
-//! Schedules snapshots, and restores the replica from one after the store has trimmed the log.
+//! Schedules snapshots, and restores the replica from one.
 
 use super::State;
 use crate::shard::ledger::Append;
@@ -7,6 +7,12 @@
 
 /// Number of snapshots that fall due within the retention time of the log.
 const SNAPSHOTS_PER_RETENTION: u64 = 4;
+/// Size of the log after the last snapshot at which the next one falls due. A link of 10 Mbit/s
+/// carries it in less than 2 s.
+const SNAPSHOT_LOG_BYTES: usize = 2 << 20;
+/// Largest per-daemon addition to [`SNAPSHOT_LOG_BYTES`], so that most daemons learn that another one
+/// has saved before they would.
+const STAGGER_BYTES: usize = SNAPSHOT_LOG_BYTES;
 /// Divides the snapshot interval to give the largest per-daemon delay. Delays differ between daemons
 /// so that usually only one of them saves.
 const STAGGER_DIVISOR: u64 = 4;
@@ -18,6 +24,7 @@
         (self.last_applied, self.next_offset, self.snapshot_at) =
             (snapshot.taken, snapshot.offset, now);
         self.replica = snapshot.restore(now);
+        self.unsaved_bytes = 0;
         self.caught_up = false;
         self.owner_seen_at = now;
         if let Some(tenure) = self.tenure.take() {
@@ -26,23 +33,36 @@
         self.publish();
     }
 
-    /// Saves a snapshot when one is due. The owner's replica may be ahead of its log offset, since
-    /// acknowledged records are applied before they are read back. It therefore waits twice the
-    /// interval, so that another daemon saves first if there is one.
+    /// Saves a snapshot when one is due, by time or by the growth of the log. The owner's replica may
+    /// be ahead of its log offset, since acknowledged records are applied before they are read back.
+    /// It therefore waits twice as long, so that another daemon saves first if there is one.
     pub(super) fn consider_snapshot(&mut self, now: Millis) {
         let every = Millis(self.duty.retention.get() / SNAPSHOTS_PER_RETENTION);
         let stagger = Millis(self.duty.nonce % (1 + every.get() / STAGGER_DIVISOR));
-        let due = if self.tenure.is_some() { every + every } else { every + stagger };
+        let stagger_bytes =
+            STAGGER_BYTES * usize::from(self.duty.nonce.to_be_bytes()[0]) / usize::from(u8::MAX);
+        let (due, due_bytes) = if self.tenure.is_some() {
+            (every + every, SNAPSHOT_LOG_BYTES * 2)
+        } else {
+            (every + stagger, SNAPSHOT_LOG_BYTES + stagger_bytes)
+        };
         // Snapshots are half as frequent while the store is slow.
-        let due = if self.response_time.is_slow() { due + due } else { due };
-        if !self.caught_up || now.since(self.snapshot_at) < due {
+        let (due, due_bytes) = if self.response_time.is_slow() {
+            (due + due, due_bytes * 2)
+        } else {
+            (due, due_bytes)
+        };
+        let is_due = now.since(self.snapshot_at) >= due || self.unsaved_bytes >= due_bytes;
+        if !self.caught_up || !is_due {
             return;
         }
-        self.snapshot_at = now;
+        (self.snapshot_at, self.unsaved_bytes) = (now, 0);
         let (number, offset, taken) =
             (self.replica.snapshot_number() + 1, self.next_offset, self.last_applied);
+        let is_retry = std::mem::replace(&mut self.snapshot_tried, number) == number;
         let snapshot = Snapshot { number, offset, taken, at: now, replica: self.replica.clone() };
-        if self.duty.ledger.offer(Append::Snapshot(Box::new(snapshot))).is_err() {
+        let append = Append::Snapshot { snapshot: Box::new(snapshot), is_retry };
+        if self.duty.ledger.offer(append).is_err() {
             tracing::warn!(number, offset, "append ring full; snapshot not saved");
         }
     }
