--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -56,8 +56,9 @@
         let Some(tenure) = self.tenure.as_ref().filter(|_| over >= LOG_INTERVAL) else { return };
         let effort = tenure.owner.effort();
         let next = Load { logged_at: now, effort, ..Load::default() };
-        let Load { events, passes, held_passes, busy, placing, longest_pass, effort: before, .. } =
-            std::mem::replace(&mut self.load, next);
+        let Load {
+            events, passes, held_passes, busy, placing, longest_pass, effort: before, ..
+        } = std::mem::replace(&mut self.load, next);
         tracing::info!(
             epoch = tenure.epoch,
             over_ms = over.get(),
