Look up a step's advice once for a query

With a full fleet, most of a pass went to the choice of workers for queries, which searched the step's advice anew for each worker. It now walks workers and advice together.

--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -170,6 +170,33 @@
         }
     }
 
+    /// Returns each of `hosts`, which are sorted, with what the advisor has said about it for a step.
+    pub(super) fn permissions<'a>(
+        &'a self,
+        step_id: &StepId,
+        hosts: &'a [usize],
+        record_delay: Millis,
+        now: Millis,
+    ) -> impl Iterator<Item = (usize, Permission<'a>)> {
+        let step = self.step(step_id);
+        let mut asked = step.map_or(&[][..], |s| &s.asked);
+        let mut allowed = step.map_or(&[][..], |s| &s.allowed);
+        hosts.iter().map(move |host| {
+            while asked.first().is_some_and(|a| a < host) {
+                asked = &asked[1..];
+            }
+            while allowed.first().is_some_and(|t| t.host < *host) {
+                allowed = &allowed[1..];
+            }
+            let permission = match (allowed.first(), asked.first()) {
+                (Some(ticket), _) if ticket.host == *host => ticket.permission(record_delay, now),
+                (_, Some(other)) if other == host => Permission::Denied,
+                _ => Permission::Unknown,
+            };
+            (*host, permission)
+        })
+    }
+
     /// Returns the newest tickets for a step, sorted by host.
     pub(super) fn tickets(&self, step_id: &StepId) -> &[Ticket] {
         self.step(step_id).map_or(&[], |step| &step.allowed)
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -437,13 +437,14 @@
         self.examine(&hosts);
         let (mut expired, mut valid, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
         let (mut allowed_free, mut allowed_total, mut unasked_free) = (0_usize, 0_usize, 0_usize);
-        for i in hosts.iter().copied() {
+        let said = self.queries.permissions(&waiting.step_id, &hosts, self.record_delay, now);
+        for (i, permission) in said {
             let host = &self.hosts[i];
             let free = self.fits(waiting.step, i, &needs);
             let whole = host.entry.capacity.times_held(&needs);
             let whole = usize::try_from(whole).unwrap_or(usize::MAX);
             let entry = (free.min(count), host.free().cpu_milli, &*host.incarnation.worker);
-            match self.queries.permission(&waiting.step_id, i, self.record_delay, now) {
+            match permission {
                 Permission::Unknown if free > 0 || (whole > 0 && waiting.step.gang) => {
                     unasked_free += free;
                     unknown.push(entry);
