Send no further query in a pass in which all daemons are busy

Once a quick query finds every daemon busy, no other query of the same pass can be sent, but each waiting step still selected workers for one. A worker without room costs no division any more, and the open steps of a job are removed as a range instead of by a scan of all open steps, which every daemon does for each entry.

--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -111,6 +111,8 @@
     last_number: u64,
     /// Whether a query could not be sent because all daemons are busy.
     is_saturated: bool,
+    /// Whether that was a quick query, so that no other one can be sent either.
+    is_full: bool,
     /// Earliest time-out of the queries in flight.
     next_timeout: Option<Millis>,
 }
@@ -223,6 +225,7 @@
     /// Returns whether a query about a step may be sent now.
     pub fn may_ask(&self, step_id: &StepId, now: Millis) -> bool {
         !self.relays.is_empty()
+            && !self.is_full
             && self.step(step_id).is_none_or(|s| s.in_flight.is_none() && now >= s.not_before)
     }
 
@@ -252,6 +255,7 @@
         let relays = self.relays.iter_mut().skip(first).filter(free);
         let Some(relay) = relays.min_by_key(|r| r.busy_until.max(now)) else {
             self.is_saturated = true;
+            self.is_full |= !is_slow;
             return None;
         };
         relay.busy_until = relay.busy_until.max(now) + takes;
@@ -329,7 +333,7 @@
 
     /// Abandons queries that have timed out.
     pub fn expire(&mut self, now: Millis) {
-        self.is_saturated = false;
+        (self.is_saturated, self.is_full) = (false, false);
         if self.next_timeout.is_none_or(|t| now < t) {
             return;
         }
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -324,6 +324,9 @@
 
     /// Returns how many tasks of a step fit into the free capacity of a worker.
     fn fits(&self, step: &Step, i: usize, needs: &Capacity) -> usize {
+        if !self.hosts[i].free().holds(needs) {
+            return 0;
+        }
         let fits = usize::try_from(self.hosts[i].free().times_held(needs)).unwrap_or(usize::MAX);
         let spread = usize::try_from(step.spread).unwrap_or(usize::MAX);
         let limit = if spread == 0 { usize::MAX } else { spread };
@@ -441,23 +444,24 @@
         for (i, permission) in said {
             let host = &self.hosts[i];
             let free = self.fits(waiting.step, i, &needs);
-            let whole = host.entry.capacity.times_held(&needs);
-            let whole = usize::try_from(whole).unwrap_or(usize::MAX);
+            let can_hold = host.entry.capacity.holds(&needs);
+            let whole =
+                || usize::try_from(host.entry.capacity.times_held(&needs)).unwrap_or(usize::MAX);
             let entry = (free.min(count), host.free().cpu_milli, &*host.incarnation.worker);
             match permission {
-                Permission::Unknown if free > 0 || (whole > 0 && waiting.step.gang) => {
+                Permission::Unknown if free > 0 || (can_hold && waiting.step.gang) => {
                     unasked_free += free;
                     unknown.push(entry);
                 }
-                Permission::Expired if whole > 0 => {
-                    allowed_total += whole;
+                Permission::Expired if can_hold => {
+                    allowed_total += whole();
                     if free > 0 {
                         allowed_free += free;
                         expired.push(entry);
                     }
                 }
                 Permission::Allowed(..) => {
-                    allowed_total += whole;
+                    allowed_total += whole();
                     allowed_free += free;
                     if free > 0 {
                         valid.push(entry);
--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -352,7 +352,9 @@
     }
 
     fn remove_open_steps(&mut self, id: Id) {
-        self.open.retain(|s| s.job != id);
+        let from = self.open.partition_point(|s| s.job < id);
+        let count = self.open[from..].partition_point(|s| s.job == id);
+        self.open.drain(from..from + count);
     }
 
     /// Recomputes the open steps of a job, and marks the job as ended if every occurrence is done.
