--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -64,7 +64,7 @@
     /// Free capacity of all workers.
     free: Capacity,
     /// Indices of the workers that accept work, by pool and required label.
-    eligible: Vec<Eligible>,
+    eligible: Vec<Rc<Eligible>>,
     /// Runs to record as started, grouped by worker.
     starts: Vec<(Arc<Incarnation>, Vec<Run>)>,
     /// Number of runs in `starts`.
@@ -76,7 +76,9 @@
     pool: Box<str>,
     label: Option<Box<str>>,
     /// Indices in `Owner::hosts`.
-    hosts: Rc<[usize]>,
+    hosts: Vec<usize>,
+    /// For each of `Owner::hosts`, whether `hosts` has it.
+    includes: Vec<bool>,
 }
 
 /// Returns the part of a task's needs that counts against a worker's capacity.
@@ -157,28 +159,34 @@
     }
 
     /// Returns the workers that accept tasks of a step.
-    fn eligible(&self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) -> Rc<[usize]> {
+    fn eligible(&self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) -> Rc<Eligible> {
         let (pool, label) = (&waiting.job.policy.pool, &waiting.step.label);
         if let Some(known) = round.eligible.iter().find(|e| e.pool == *pool && e.label == *label) {
-            return Rc::clone(&known.hosts);
+            return Rc::clone(known);
         }
-        let all = 0..self.hosts.len();
-        let hosts: Rc<[usize]> = all.filter(|i| self.is_eligible(waiting, *i, now)).collect();
+        let hosts = 0..self.hosts.len();
+        let includes: Vec<bool> = hosts.map(|i| self.is_eligible(waiting, i, now)).collect();
+        let hosts = (0..).zip(&includes).filter(|(_, includes)| **includes);
+        let hosts = hosts.map(|(i, _)| i).collect();
         let (pool, label) = (pool.clone(), label.clone());
-        round.eligible.push(Eligible { pool, label, hosts: Rc::clone(&hosts) });
-        hosts
+        let eligible = Rc::new(Eligible { pool, label, hosts, includes });
+        round.eligible.push(Rc::clone(&eligible));
+        eligible
     }
 
-    /// Returns the workers on which tasks of a step may be placed now, apart from their capacity
-    /// and reservations: those with a valid ticket if the step needs one.
-    fn admitting(&self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) -> Rc<[usize]> {
+    /// Returns the workers on which tasks of a step may be placed now, apart from their capacity:
+    /// without those reserved, and only those with a valid ticket if the step needs one.
+    fn admitting(&self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) -> Vec<usize> {
+        let eligible = self.eligible(waiting, round, now);
         if waiting.job.policy.advisor_timing.is_none() {
-            return self.eligible(waiting, round, now);
+            let open = eligible.hosts.iter().filter(|i| !round.is_reserved[**i]);
+            return open.copied().collect();
         }
-        let tickets = self.queries.tickets(&waiting.step_id).iter();
         let is_valid = |permission| matches!(permission, Permission::Allowed(..));
-        let valid = tickets.filter(|t| is_valid(t.permission(self.record_delay, now)));
-        valid.map(|t| t.host).filter(|i| self.is_eligible(waiting, *i, now)).collect()
+        let tickets = self.queries.tickets(&waiting.step_id).iter();
+        let open = tickets.filter(|t| eligible.includes[t.host] && !round.is_reserved[t.host]);
+        let valid = open.filter(|t| is_valid(t.permission(self.record_delay, now)));
+        valid.map(|t| t.host).collect()
     }
 
     fn place_gang(
@@ -216,8 +224,8 @@
             return false;
         }
         let able = self.eligible(waiting, round, now);
-        self.examine(&able);
-        let open = able.iter().filter(|i| !round.is_reserved[**i]);
+        self.examine(&able.hosts);
+        let open = able.hosts.iter().filter(|i| !round.is_reserved[**i]);
         let room: usize = open.map(|i| self.fits(waiting.step, *i, &needs)).sum();
         room >= count
     }
@@ -236,8 +244,7 @@
         }
         let admitting = self.admitting(waiting, round, now);
         self.examine(&admitting);
-        let open = admitting.iter().filter(|i| !round.is_reserved[**i]);
-        let fits = open.map(|i| (self.fits(waiting.step, *i, &needs), *i));
+        let fits = admitting.iter().map(|i| (self.fits(waiting.step, *i, &needs), *i));
         let mut open: Vec<(usize, usize)> = fits.filter(|(fits, _)| *fits > 0).collect();
         // Workers that hold the most members come first: a gang on few workers has its members
         // near each other.
@@ -300,7 +307,7 @@
         let admitting = self.admitting(waiting, round, now);
         self.examine(&admitting);
         let mut best: Vec<(bool, u64, usize)> = Vec::new();
-        for i in admitting.iter().copied().filter(|i| !round.is_reserved[*i]) {
+        for i in admitting {
             let host = &self.hosts[i];
             let free = host.free();
             if !free.holds(needs) {
@@ -380,12 +387,13 @@
     fn reserve(&mut self, waiting: &WaitingStep<'_>, count: usize, round: &mut Round, now: Millis) {
         let needs = counted(waiting.step);
         let is_advised = waiting.job.policy.advisor_timing.is_some();
+        let eligible = self.eligible(waiting, round, now);
         // Whether a ticket is still valid doesn't matter: it can be renewed.
-        let hosts: Rc<[usize]> = if is_advised {
+        let hosts: Vec<usize> = if is_advised {
             let tickets = self.queries.tickets(&waiting.step_id).iter().map(|t| t.host);
-            tickets.filter(|i| self.is_eligible(waiting, *i, now)).collect()
+            tickets.filter(|i| eligible.includes[*i]).collect()
         } else {
-            self.eligible(waiting, round, now)
+            eligible.hosts.clone()
         };
         self.examine(&hosts);
         let mut able: Vec<(u64, usize, usize)> = Vec::new();
@@ -436,11 +444,11 @@
             return;
         }
         let needs = counted(waiting.step);
-        let hosts = self.eligible(waiting, round, now);
-        self.examine(&hosts);
+        let hosts = &self.eligible(waiting, round, now).hosts;
+        self.examine(hosts);
         let (mut expired, mut valid, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
         let (mut allowed_free, mut allowed_total, mut unasked_free) = (0_usize, 0_usize, 0_usize);
-        let said = self.queries.permissions(&waiting.step_id, &hosts, self.record_delay, now);
+        let said = self.queries.permissions(&waiting.step_id, hosts, self.record_delay, now);
         for (i, permission) in said {
             let host = &self.hosts[i];
             let free = self.fits(waiting.step, i, &needs);
