Recount a step's waiting tasks after a late end

The end of a run that was recorded as lost can complete a waiting task. The owner has no such run any more, so the backlog went on counting the task as one that can start, and passes queried the advisor for it until another run of the step started or ended. The new test fails without the change (1 task instead of 0).

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -222,6 +222,8 @@
             }
             Entry::Ended { on, ends } => {
                 for end in ends {
+                    // Also if the run is not open: a late end can complete a waiting task.
+                    self.backlog.mark_changed(end.run.task.step_id);
                     self.remove(&end.run, on);
                     self.handle_end(&end.run, end.outcome, on, replica, now);
                 }
--- a/crates/core/src/contract/owner/tests/effort.rs
+++ b/crates/core/src/contract/owner/tests/effort.rs
@@ -117,3 +117,26 @@
     expect_that!(effort.steps, le(100), "{effort:?}");
     expect_that!(effort.hosts, le(2000), "{effort:?}");
 }
+
+/// A step whose last waiting task is completed by a late end must not be queried about any more.
+#[gtest]
+fn a_late_end_of_a_lost_run_leaves_no_task_to_place() {
+    let mut world = World::new(&["a"], vec![advised_job(1, vec![step(2, &[])])]);
+    world.owner.queries_mut().set_relays(&["me".into()]);
+    world.answer_polls();
+    world.advise();
+    let runs = world.started();
+    expect_that!(runs, len(eq(2)));
+    runs.iter().for_each(|run| world.answer_start(run, StartAnswer::Taken));
+    world.polls.clear();
+    world.owner.hosts.iter_mut().for_each(|h| h.poll_in_flight = None);
+    world.owner.hosts.iter_mut().for_each(|h| h.entry.draining = true);
+    world.pass(100);
+    // The worker lists one run only, so that the other one is lost.
+    world.report(&runs[..1], &[]);
+    expect_that!(world.owner.backlog.candidate(0).startable, eq(1));
+    let end = End { run: runs[1], number: 1, outcome: Outcome::Done, saved: "".into() };
+    world.pass(2000);
+    world.report(&runs[..1], &[end]);
+    expect_that!(world.owner.backlog.candidate(0).startable, eq(0));
+}
