Call no body too large by an old configuration

A limit on the size of bodies that has been raised since was still applied by a daemon that could not read the configuration, and 413 is final for a caller, as 404 is. Both are now answered 503 while the configuration is older than 3 s.

The test a_daemon_with_an_old_configuration_calls_no_body_too_large failed before the change, with 413.

--- a/crates/daemon/src/shard/freshness.rs
+++ b/crates/daemon/src/shard/freshness.rs
@@ -15,8 +15,8 @@
 /// Maximum age of the status of a job that has not ended: the time within which an accepted job must be
 /// visible at every daemon. A daemon whose replica is older is not ready.
 pub const MAX_STATUS_AGE: Millis = Millis(3000);
-/// Maximum age of the configuration for denying that a queue exists: the time within which a daemon must
-/// apply a new version.
+/// Maximum age of the configuration for denying that a queue exists or that a body may be as large as it
+/// is: the time within which a daemon must apply a new version.
 pub const MAX_CONFIGURATION_AGE: Millis = Millis(3000);
 /// Maximum age of the list of workers for starting tasks. A worker must get no start 3 s after it has
 /// reported that it drains, and recording and sending a start takes a part of that time.
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -27,6 +27,7 @@
 const STORE_TIMEOUT_TENTHS: u64 = 4;
 /// The same while the store is slow: waiting longer then succeeds more often than a retry.
 const SLOW_STORE_TIMEOUT_TENTHS: u64 = 8;
+
 /// Why the steward's answer can't be given to a caller.
 #[derive(Debug, Snafu)]
 enum Unknown {
@@ -129,10 +130,10 @@
         let Decoded { command, timeout } = match decoded {
             Ok(decoded) => decoded,
             Err(answer) => {
-                // The queue may have been added since.
+                // A newer version may allow what this one does not.
                 let is_old = view::now().since(covered_until) > MAX_CONFIGURATION_AGE;
                 let answer = match answer {
-                    Answer::NoQueue if is_old => Answer::NotDone(RETRY_AFTER),
+                    Answer::NoQueue | Answer::TooLarge(_) if is_old => Answer::NotDone(RETRY_AFTER),
                     answer => answer,
                 };
                 let (method, path, version) = (request.method, request.path, catalog.version);
