Let an owner poll workers while its appends are acknowledged

An owner stops polling when the store has been silent for 8 s, and only reads to the end of the log counted as signs of the store. An acknowledged append shows as well that the daemon owned the shard when the append was sent, since the store fences it. The age is counted from the first attempt, because a repeated append may get the answer to an earlier one.

--- a/crates/daemon/src/shard/ledger/own.rs
+++ b/crates/daemon/src/shard/ledger/own.rs
@@ -121,12 +121,13 @@
         // Append numbers restart at 1 in each epoch; the claim has number 0.
         last = if last.0 == epoch { (epoch, last.1 + 1) } else { (epoch, 1) };
         let token = FencingToken { epoch, number: last.1 };
+        let began = view::now();
         let stored =
             append_fenced(&*store, &mut group, token, &shard_status, &appends_succeed).await;
         std::mem::take(&mut group.intake).into_iter().for_each(|item| item.answer(stored));
         let records = group.records;
         let event = match stored {
-            Stored::Yes => Event::Recorded(records),
+            Stored::Yes => Event::Recorded { records, began },
             Stored::No | Stored::Unknown => Event::Fenced { epoch },
         };
         if steward.push(event).await.is_err() {
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -77,7 +77,12 @@
     /// trimmed before they were read.
     Restored(Box<Snapshot>),
     /// Records of this daemon were acknowledged by the store.
-    Recorded(Vec<Record>),
+    Recorded {
+        /// The records, in log order.
+        records: Vec<Record>,
+        /// When their append was first sent, on the steady clock.
+        began: Millis,
+    },
     /// An append of this daemon was rejected because a later epoch has claimed the shard. Earlier
     /// tries of the append may have been stored.
     Fenced {
@@ -162,6 +167,8 @@
     log_read_at: Millis,
     /// When that read was sent: the replica contains everything appended before.
     covered_until: Millis,
+    /// When the last append that the store acknowledged was sent: this daemon owned the shard then.
+    append_sent_at: Millis,
     /// Latency estimate of log reads.
     response_time: ResponseTime,
     caught_up: bool,
@@ -196,6 +203,7 @@
             owner_seen_at: now,
             log_read_at: Millis::ZERO,
             covered_until: Millis::ZERO,
+            append_sent_at: Millis::ZERO,
             response_time: ResponseTime::default(),
             caught_up: false,
             claim_tried_at: Millis::ZERO,
@@ -261,7 +269,8 @@
                 self.apply_read(records, next, caught_up.then_some(began), now);
             }
             Event::Restored(snapshot) => self.restore(*snapshot, now),
-            Event::Recorded(records) => {
+            Event::Recorded { records, began } => {
+                self.append_sent_at = began;
                 for record in records {
                     self.apply(record, now);
                 }
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -27,7 +27,8 @@
         let now = view::now();
         let Some(tenure) = &mut self.tenure else { return };
         let epoch = tenure.epoch;
-        tenure.owner.tick(&self.replica, now, self.covered_until);
+        let heard = self.covered_until.max(self.append_sent_at);
+        tenure.owner.tick(&self.replica, now, heard);
         if now >= tenure.next_placement {
             let began = Instant::now();
             tenure.owner.schedule(&self.replica, now, view::wall());
