Take submissions while the log is replayed

A daemon that had not caught up refused every submission that it could not forward, from a second after its start on, with the age of a log that it had never read to the end. After a loss of power at all machines no daemon has caught up, and a replay also delays the knowledge of the owner.

Direct appends now depend on the last answer to a read of the log, whether or not it reached the end: the store serves. The promise stays, since 200 still means that the entry is stored, and of several submissions of one job the replay keeps the first.

An append of entries may now have 256 KiB: over a link of 200 Mbit/s between regions, 128 KiB each time would limit an owner to less than the log grows in a burst.

--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -45,8 +45,8 @@
 const APPEND_TIMEOUT: Millis = Millis(1000);
 /// Maximum number of records of one append.
 const MAX_GROUP_RECORDS: usize = 1024;
-/// Maximum size of one append in bytes: a link of 2 Mbit/s sends it within the timeout.
-const MAX_GROUP_BYTES: usize = 128 * 1024;
+/// Maximum size of one append in bytes: a link of 2 Mbit/s sends it in about a second.
+const MAX_GROUP_BYTES: usize = 256 * 1024;
 /// Maximum time that a planned stop waits for appends in flight.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Initial retry delay after a failed call.
@@ -155,6 +155,7 @@
                 appends_succeed,
             } = *self;
             let (direct, direct_intake) = ring::ring(DIRECT_RING_CAPACITY);
+            let (answered, log_answered_at) = ring::latest(view::now());
             // Triggers a log read right after a claim attempt, to learn whether the claim succeeded.
             let claimed = Arc::new(Notify::new());
             let own = own::append_own(
@@ -178,6 +179,7 @@
                 Arc::clone(&store),
                 direct_intake,
                 shard_status.clone(),
+                log_answered_at,
             ));
             let loops = [
                 tokio::spawn(tail(
@@ -185,6 +187,7 @@
                     steward.clone(),
                     shard_status.clone(),
                     claimed,
+                    answered,
                 )),
                 tokio::spawn(follow::catalog(Arc::clone(&store), catalog)),
                 tokio::spawn(follow::workers(
@@ -287,6 +290,7 @@
     steward: Sender<Event>,
     mut shard_status: Latest<ShardStatus>,
     claimed: Arc<Notify>,
+    answered: Publisher<Millis>,
 ) {
     let mut from = 0;
     let (mut outage, mut backoff) = (OutageLog::new("log"), Backoff::new());
@@ -311,6 +315,7 @@
             Ok(chunk) => {
                 outage.regained();
                 backoff.reset();
+                answered.send_replace(view::now());
                 has_started = true;
                 let count = u64::try_from(chunk.records.len()).unwrap_or_default();
                 let bytes = chunk.records.iter().map(Vec::len).sum();
--- a/crates/daemon/src/shard/ledger/intake.rs
+++ b/crates/daemon/src/shard/ledger/intake.rs
@@ -24,9 +24,9 @@
 const MAX_RELAYED: usize = 64;
 /// Minimum time between two calls to the owner; entries that arrive in between form a batch.
 const RELAY_INTERVAL: Duration = Duration::from_millis(5);
-/// Time since the last complete log read after which direct appends are refused at once. Normal reads
-/// are 200 ms apart, and slow ones take half a second.
-const MAX_LOG_AGE: Millis = Millis(1000);
+/// Time since the last answer to a log read after which direct appends are refused at once. Normal
+/// reads are 200 ms apart, and slow ones take half a second.
+const MAX_LOG_SILENCE: Millis = Millis(1000);
 /// Minimum time between two direct appends; entries that arrive in between form a batch.
 const MIN_INTAKE_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -104,20 +104,21 @@
     }
 }
 
-/// Appends entries directly that the owner did not store, unless the store is unavailable or slow.
+/// Appends entries directly that the owner did not store, unless the store is unavailable or slow. A
+/// daemon that has not caught up with the log does so too: it may not know the owner yet, and of
+/// several submissions of one job the replay keeps the first.
 pub(super) async fn append_direct(
     store: Arc<dyn Store>,
     intake: Receiver<Intake>,
     shard_status: Latest<ShardStatus>,
+    log_answered_at: Latest<Millis>,
 ) {
-    let began = view::now();
     while let Some(first) = intake.next().await {
-        // Right after the start no log read has completed yet: measure from the start.
-        let away_ms = view::now().since(shard_status.borrow().log_read_at.max(began));
+        let away_ms = view::now().since(*log_answered_at.borrow());
         // The log takes one append at a time. While appends are slow, direct ones of several daemons
         // would only delay the owner's, which carry all entries.
         let is_slow = shard_status.borrow().response_time.is_slow();
-        if away_ms > MAX_LOG_AGE || is_slow {
+        if away_ms > MAX_LOG_SILENCE || is_slow {
             tracing::info!(%away_ms, is_slow, "direct append refused: store unavailable or slow");
             first.answer(Stored::No);
             continue;
