--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -28,7 +28,8 @@
         let now = view::now();
         let Some(tenure) = &mut self.tenure else { return };
         let epoch = tenure.epoch;
-        tenure.owner.tick(&self.replica, now, self.covered_until);
+        let heard = self.covered_until.max(self.append_sent_at);
+        tenure.owner.tick(&self.replica, now, heard);
         // By an older list, tasks might start on a worker that drains.
         let is_listed = now.since(self.workers_listed_at) <= MAX_LIST_AGE;
         if !is_listed {
