Hold the workers of a gang while their tickets are renewed

Cause: the workers that a gang reserved and those whose tickets it renewed were chosen by different rules. Gangs renewed tickets of workers that others had reserved, and could not use them; the workers that they named were open to steps of lower rank while the advisor answered.

A gang now selects allowed workers with room, holds the capacity of its members on them, and renews the tickets of these workers. The selection prefers the workers that the query in flight names, so it is the same when the answer arrives. The capacity is held for the length of the query, so any number of gangs may hold some; only gangs without room are limited to two reservations, as before on a busy fleet. Gangs no longer name workers that others reserve.

In simulated time (owner/tests/gangs.rs) 14 of 80 gangs of a backlog had not started after 20 s, with 580 queries; now all have, with 320 at most. Three of the new tests failed before for this cause, and the test of tickets on workers that another gang keeps for the second.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -13,6 +13,7 @@
 
 pub mod advice;
 mod answer;
+mod gang;
 mod incarnation;
 pub mod order;
 mod place;
--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -70,9 +70,11 @@
 }
 
 /// A query in flight.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct InFlight {
     number: u64,
+    /// Names of the workers to be checked, sorted.
+    workers: Vec<Box<str>>,
     /// When it times out.
     until: Millis,
 }
@@ -158,6 +160,12 @@
             && self.step(step_id).is_none_or(|s| s.in_flight.is_none() && now >= s.not_before)
     }
 
+    /// Returns whether the query in flight about a step names a worker.
+    pub fn is_named(&self, step_id: &StepId, worker: &str) -> bool {
+        let query = self.step(step_id).and_then(|s| s.in_flight.as_ref());
+        query.is_some_and(|q| q.workers.binary_search_by(|w| (**w).cmp(worker)).is_ok())
+    }
+
     /// Returns the smoothed share of checked workers that the advisor allows for the steps of a
     /// queue, in thousandths: 400 before the first answer, and at least 50.
     pub fn share(&self, queue: &str) -> u64 {
@@ -194,7 +202,9 @@
         let number = self.last_number;
         let until = now + timeout;
         self.next_timeout = Some(self.next_timeout.map_or(until, |t| t.min(until)));
-        self.step_mut(step_id).in_flight = Some(InFlight { number, until });
+        let mut named = workers.clone();
+        named.sort_unstable();
+        self.step_mut(step_id).in_flight = Some(InFlight { number, workers: named, until });
         Some(Query { number, through, step_id, workers, timeout })
     }
 
@@ -216,7 +226,8 @@
                 relay.busy_until = now;
             }
         }
-        let is_open = |s: &StepAdvice| s.in_flight.is_some_and(|q| q.number == query.number);
+        let is_open =
+            |s: &StepAdvice| s.in_flight.as_ref().is_some_and(|q| q.number == query.number);
         let Ok(i) = self.steps.binary_search_by(|(s, _)| s.cmp(&query.step_id)) else { return };
         let step = &mut self.steps[i].1;
         if !is_open(step) {
@@ -262,12 +273,12 @@
             return;
         }
         for (_, step) in &mut self.steps {
-            if step.in_flight.is_some_and(|q| now >= q.until) {
+            if step.in_flight.as_ref().is_some_and(|q| now >= q.until) {
                 step.in_flight = None;
             }
         }
         self.next_timeout =
-            self.steps.iter().filter_map(|(_, s)| s.in_flight.map(|q| q.until)).min();
+            self.steps.iter().filter_map(|(_, s)| s.in_flight.as_ref().map(|q| q.until)).min();
     }
 
     /// Discards the answers for steps that are not in `open`, which is sorted.
@@ -327,6 +338,24 @@
         self.is_dirty = true;
     }
 
+    /// Sends a query unless all daemons are busy or no worker is named. Returns whether it was
+    /// sent.
+    pub(super) fn send_query(
+        &mut self,
+        step_id: StepId,
+        timing: AdvisorTiming,
+        workers: Vec<Box<str>>,
+        now: Millis,
+    ) -> bool {
+        if workers.is_empty() {
+            return false;
+        }
+        let query = self.queries.ask(step_id, timing, workers, now);
+        let is_sent = query.is_some();
+        self.effects.extend(query.map(super::Effect::QueryAdvisor));
+        is_sent
+    }
+
     /// Expires the tickets of a worker: they are valid for one incarnation only.
     pub(super) fn expire_tickets(&mut self, incarnation: &Incarnation) {
         for (_, step) in &mut self.queries.steps {
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -21,22 +21,15 @@
 const WORTHLESS_OBJECTIVES: u64 = 3;
 /// Room on the workers named in a query, in tenths of the tasks to place. The query names more
 /// than needed because the advisor denies some of the workers.
-const NAMED_ROOM_TENTHS: u64 = 35;
+pub(super) const NAMED_ROOM_TENTHS: u64 = 35;
 /// Minimum number of workers named in a query.
-const MIN_NAMED: u64 = 6;
+pub(super) const MIN_NAMED: u64 = 6;
 /// Processor time that a pass may query for, in tenths of the free processor time. Above 10
 /// because the advisor denies some of the workers.
 const QUERY_FREE_TENTHS: u64 = 15;
 /// Additional processor time that a pass may query for, in percent of the total: it is expected
 /// to become free while the queries run.
 const QUERY_TOTAL_PERCENT: u64 = 6;
-/// Maximum number of gangs with reserved workers while free capacity is scarce.
-const MAX_RESERVING: usize = 2;
-/// Maximum number of gangs with reserved workers while free capacity is plentiful: gangs then wait
-/// for tickets rather than for capacity.
-const MAX_RESERVING_IDLE: usize = 8;
-/// Free share of the processor time, in tenths, from which free capacity counts as plentiful.
-const IDLE_FREE_TENTHS: u64 = 4;
 /// Maximum number of starts in one placement pass; the next pass continues.
 const MAX_STARTS: usize = 200;
 
@@ -53,26 +46,24 @@
 }
 
 /// A step with waiting tasks, and the data that its placement needs.
-struct WaitingStep<'a> {
-    step_id: StepId,
-    job: &'a Arc<Job>,
-    step: &'a Step,
-    state: &'a StepState,
+pub(super) struct WaitingStep<'a> {
+    pub(super) step_id: StepId,
+    pub(super) job: &'a Arc<Job>,
+    pub(super) step: &'a Step,
+    pub(super) state: &'a StepState,
 }
 
 /// A worker for one task: its index in `Owner::hosts`, with the ticket and its expiry for steps
 /// that need one.
-type Assignment = (usize, Option<(Box<str>, Millis)>);
+pub(super) type Assignment = (usize, Option<(Box<str>, Millis)>);
 
 /// State of one placement pass.
 #[derive(Default)]
-struct Round {
-    /// Indices of the workers that gangs of higher rank reserve, sorted.
-    reserved: Vec<usize>,
-    /// Number of gangs with reserved workers.
-    reserving: usize,
-    /// Upper bound of `reserving` in this pass.
-    max_reserving: usize,
+pub(super) struct Round {
+    /// Capacity that gangs of higher rank reserve, by index of the worker, sorted.
+    reserved: Vec<(usize, Capacity)>,
+    /// Number of gangs with reserved workers that wait for room.
+    pub(super) reserving: usize,
     /// Processor time, in thousandths of a core, that this pass may still query for.
     query_budget: u64,
     /// Largest free processor time of any worker, in thousandths of a core.
@@ -83,6 +74,38 @@
     count: usize,
 }
 
+impl Round {
+    /// Returns the free capacity of a worker that no gang of higher rank reserves.
+    pub(super) fn room(&self, i: usize, host: &Host) -> Capacity {
+        match self.reserved.binary_search_by_key(&i, |(at, _)| *at) {
+            Ok(at) => host.free().saturating_sub(&self.reserved[at].1),
+            Err(_) => host.free(),
+        }
+    }
+
+    /// Returns whether gangs of higher rank reserve capacity of a worker.
+    pub(super) fn is_reserved(&self, i: usize) -> bool {
+        self.reserved.binary_search_by_key(&i, |(at, _)| *at).is_ok()
+    }
+
+    /// Keeps capacity of a worker free of steps of lower rank.
+    pub(super) fn reserve(&mut self, i: usize, capacity: &Capacity) {
+        match self.reserved.binary_search_by_key(&i, |(at, _)| *at) {
+            Ok(at) => self.reserved[at].1 = self.reserved[at].1.plus(capacity),
+            Err(at) => self.reserved.insert(at, (i, *capacity)),
+        }
+    }
+
+    /// Takes the needs of `count` tasks from the processor time to query for. Returns whether any
+    /// was left.
+    pub(super) fn take_query_budget(&mut self, step: &Step, count: usize) -> bool {
+        let wanted = step.needs.cpu_milli * u64::try_from(count).unwrap_or(u64::MAX);
+        let had_any = self.query_budget > 0;
+        self.query_budget = self.query_budget.saturating_sub(wanted);
+        had_any
+    }
+}
+
 /// Returns the part of a task's needs that counts against a worker's capacity.
 pub(super) const fn counted(step: &Step) -> Capacity {
     if step.fills { Capacity { cpu_milli: 0, ..step.needs } } else { step.needs }
@@ -123,74 +146,7 @@
             max_free_cpu = max_free_cpu.max(room);
         }
         let query_budget = free * QUERY_FREE_TENTHS / 10 + whole * QUERY_TOTAL_PERCENT / 100;
-        let is_idle = free * 10 >= whole * IDLE_FREE_TENTHS;
-        let max_reserving = if is_idle { MAX_RESERVING_IDLE } else { MAX_RESERVING };
-        Round { query_budget, max_free_cpu, max_reserving, ..Round::default() }
-    }
-
-    fn place_gang(&mut self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) {
-        let tasks = self.startable_tasks(waiting);
-        if tasks.len() != waiting.state.tasks.len() {
-            return;
-        }
-        let assignments = self.gang_assignments(waiting, tasks.len(), round, now);
-        if let Some(assignments) = assignments {
-            let number = 1 + waiting.state.tasks.iter().map(|t| t.last_run).max().unwrap_or(0);
-            for (task, assignment) in tasks.iter().zip(assignments) {
-                self.add_run(waiting, Run { task: *task, number }, assignment, round, now);
-            }
-            return;
-        }
-        let timing = waiting.job.policy.advisor_timing;
-        let is_next = round.reserving < round.max_reserving;
-        if is_next {
-            self.reserve(waiting, tasks.len(), round, now);
-        }
-        if let Some(timing) = timing.filter(|_| is_next || self.has_room(waiting, round, now)) {
-            self.ask(waiting, timing, tasks.len(), round, now);
-        }
-    }
-
-    /// Returns whether a gang would fit if the advisor allowed every eligible worker.
-    fn has_room(&self, waiting: &WaitingStep<'_>, round: &Round, now: Millis) -> bool {
-        let needs = counted(waiting.step);
-        let is_open = |i: &usize| round.reserved.binary_search(i).is_err();
-        let able =
-            (0..self.hosts.len()).filter(|i| is_open(i) && self.is_eligible(waiting, *i, now));
-        let room: usize = able.map(|i| self.fits(waiting.step, i, &needs)).sum();
-        room >= waiting.state.tasks.len()
-    }
-
-    /// Returns an assignment for each task of a gang, or `None` if not all of them fit.
-    fn gang_assignments(
-        &self,
-        waiting: &WaitingStep<'_>,
-        count: usize,
-        round: &Round,
-        now: Millis,
-    ) -> Option<Vec<Assignment>> {
-        let needs = counted(waiting.step);
-        let mut open: Vec<(usize, Assignment)> = Vec::new();
-        for i in 0..self.hosts.len() {
-            if let Some(ticket) = self.admits(waiting, i, round, now) {
-                let fits = self.fits(waiting.step, i, &needs);
-                if fits > 0 {
-                    open.push((fits, (i, ticket)));
-                }
-            }
-        }
-        // Workers that hold the most members come first: a gang on few workers has its members
-        // near each other.
-        open.sort_by(|(fits, (i, _)), (other, (j, _))| other.cmp(fits).then(i.cmp(j)));
-        let mut assignments = Vec::with_capacity(count);
-        for (fits, assignment) in open {
-            for _ in 0..fits {
-                if assignments.len() < count {
-                    assignments.push(assignment.clone());
-                }
-            }
-        }
-        (assignments.len() == count).then_some(assignments)
+        Round { query_budget, max_free_cpu, ..Round::default() }
     }
 
     fn place_singles(&mut self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) {
@@ -231,7 +187,7 @@
         let mut best: Option<((bool, u64), Assignment)> = None;
         for i in 0..self.hosts.len() {
             let host = &self.hosts[i];
-            let free = host.free();
+            let free = round.room(i, host);
             if !free.holds(needs) || !self.is_spread(waiting, host) {
                 continue;
             }
@@ -241,7 +197,7 @@
             if best.as_ref().is_some_and(|(k, _)| *k <= key) {
                 continue;
             }
-            if let Some(ticket) = self.admits(waiting, i, round, now) {
+            if let Some(ticket) = self.admits(waiting, i, now) {
                 best = Some((key, (i, ticket)));
             }
         }
@@ -255,10 +211,9 @@
         &self,
         waiting: &WaitingStep<'_>,
         i: usize,
-        round: &Round,
         now: Millis,
     ) -> Option<Option<(Box<str>, Millis)>> {
-        if !self.is_eligible(waiting, i, now) || round.reserved.binary_search(&i).is_ok() {
+        if !self.is_eligible(waiting, i, now) {
             return None;
         }
         if waiting.job.policy.advisor_timing.is_none() {
@@ -276,16 +231,16 @@
     }
 
     /// Returns whether a worker accepts work and has the pool and label that the step requires.
-    fn is_eligible(&self, waiting: &WaitingStep<'_>, i: usize, now: Millis) -> bool {
+    pub(super) fn is_eligible(&self, waiting: &WaitingStep<'_>, i: usize, now: Millis) -> bool {
         let host = &self.hosts[i];
         host.takes_work(now)
             && host.entry.pool == waiting.job.policy.pool
             && waiting.step.label.as_deref().is_none_or(|l| host.has_label(l))
     }
 
-    /// Returns how many tasks of a step fit into the free capacity of a worker.
-    fn fits(&self, step: &Step, i: usize, needs: &Capacity) -> usize {
-        let fits = usize::try_from(self.hosts[i].free().times_held(needs)).unwrap_or(usize::MAX);
+    /// Returns how many tasks of a step fit into `room` on one worker.
+    pub(super) fn fits(step: &Step, room: &Capacity) -> usize {
+        let fits = usize::try_from(room.times_held(&counted(step))).unwrap_or(usize::MAX);
         let spread = usize::try_from(step.spread).unwrap_or(usize::MAX);
         let limit = if spread == 0 { usize::MAX } else { spread };
         fits.min(limit).min(usize::try_from(step.count).unwrap_or(usize::MAX))
@@ -304,7 +259,7 @@
     }
 
     /// Returns the waiting tasks of a step that have no open run.
-    fn startable_tasks(&self, waiting: &WaitingStep<'_>) -> Vec<Task> {
+    pub(super) fn startable_tasks(&self, waiting: &WaitingStep<'_>) -> Vec<Task> {
         let step_id = waiting.step_id;
         (0..)
             .zip(&waiting.state.tasks)
@@ -314,7 +269,7 @@
             .collect()
     }
 
-    fn add_run(
+    pub(super) fn add_run(
         &mut self,
         waiting: &WaitingStep<'_>,
         run: Run,
@@ -342,58 +297,12 @@
         }
     }
 
-    /// Reserves enough workers for a gang, those with the least processor time in use first. Does
-    /// nothing if all eligible workers together are too small.
-    fn reserve(&self, waiting: &WaitingStep<'_>, count: usize, round: &mut Round, now: Millis) {
-        let needs = counted(waiting.step);
-        let is_advised = waiting.job.policy.advisor_timing.is_some();
-        let mut able: Vec<(u64, usize, usize)> = Vec::new();
-        for i in 0..self.hosts.len() {
-            if !self.is_eligible(waiting, i, now) || round.reserved.binary_search(&i).is_ok() {
-                continue;
-            }
-            let host = &self.hosts[i];
-            let permission = self.queries.permission(
-                &waiting.step_id,
-                &host.incarnation.worker,
-                self.record_delay,
-                now,
-            );
-            if is_advised && !matches!(permission, Permission::Allowed(..) | Permission::Expired) {
-                continue;
-            }
-            let fits = host.entry.capacity.times_held(&needs);
-            let fits = usize::try_from(fits).unwrap_or(usize::MAX);
-            if fits > 0 {
-                able.push((host.used.cpu_milli, i, fits));
-            }
-        }
-        able.sort_unstable();
-        let mut selected = Vec::new();
-        let mut room = 0_usize;
-        for (_, i, fits) in able {
-            if room >= count {
-                break;
-            }
-            room = room.saturating_add(fits);
-            selected.push(i);
-        }
-        if room < count {
-            return;
-        }
-        round.reserving += 1;
-        for i in selected {
-            if let Err(at) = round.reserved.binary_search(&i) {
-                round.reserved.insert(at, i);
-            }
-        }
-    }
-
-    /// Queries the advisor about workers for `count` tasks if the answer can lead to a placement.
+    /// Queries the advisor about workers for `count` single tasks if the answer can lead to a
+    /// placement.
     ///
     /// Tickets that have expired are renewed first if their workers have room. Workers not asked
     /// about before are named if the allowed ones can't hold all tasks even when empty, if they are
-    /// full (unless for a gang), or if the unasked ones have at least twice the room needed.
+    /// full, or if the unasked ones have at least twice the room needed.
     fn ask(
         &mut self,
         waiting: &WaitingStep<'_>,
@@ -402,23 +311,20 @@
         round: &mut Round,
         now: Millis,
     ) {
-        let wanted = waiting.step.needs.cpu_milli * u64::try_from(count).unwrap_or(u64::MAX);
-        if round.query_budget == 0 {
-            return;
-        }
-        round.query_budget = round.query_budget.saturating_sub(wanted);
-        if !self.queries.may_ask(&waiting.step_id, now) {
+        if !round.take_query_budget(waiting.step, count)
+            || !self.queries.may_ask(&waiting.step_id, now)
+        {
             return;
         }
         let needs = counted(waiting.step);
-        let (mut expired, mut valid, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut expired, mut unknown) = (Vec::new(), Vec::new());
         let (mut allowed_free, mut allowed_total, mut unasked_free) = (0_usize, 0_usize, 0_usize);
         for i in 0..self.hosts.len() {
             if !self.is_eligible(waiting, i, now) {
                 continue;
             }
             let host = &self.hosts[i];
-            let free = self.fits(waiting.step, i, &needs);
+            let free = Self::fits(waiting.step, &host.free());
             let whole = host.entry.capacity.times_held(&needs);
             let whole = usize::try_from(whole).unwrap_or(usize::MAX);
             let entry = (free.min(count), host.free().cpu_milli, host.incarnation.worker.clone());
@@ -428,7 +334,7 @@
                 self.record_delay,
                 now,
             ) {
-                Permission::Unknown if free > 0 || (whole > 0 && waiting.step.gang) => {
+                Permission::Unknown if free > 0 => {
                     unasked_free += free;
                     unknown.push(entry);
                 }
@@ -442,42 +348,26 @@
                 Permission::Allowed(..) => {
                     allowed_total += whole;
                     allowed_free += free;
-                    if free > 0 {
-                        valid.push(entry);
-                    }
                 }
                 _ => {}
             }
         }
-        let workers = if !expired.is_empty() && (!waiting.step.gang || allowed_free >= count) {
-            if waiting.step.gang {
-                // All tickets of a gang must be valid at the same time, so one expired ticket
-                // renews them all.
-                expired.append(&mut valid);
-            }
+        let workers = if !expired.is_empty() {
             select_workers(expired, count, 10, 0)
-        } else if allowed_total < count
-            || (allowed_free == 0 && !waiting.step.gang)
-            || unasked_free >= count * 2
-        {
+        } else if allowed_total < count || allowed_free == 0 || unasked_free >= count * 2 {
             let share = self.queries.share(&waiting.job.policy.queue);
             select_workers(unknown, count, NAMED_ROOM_TENTHS * 1000 / share, MIN_NAMED)
         } else {
             return;
         };
-        if workers.is_empty() {
-            return;
-        }
-        if let Some(query) = self.queries.ask(waiting.step_id, timing, workers, now) {
-            self.effects.push(Effect::QueryAdvisor(query));
-        }
+        self.send_query(waiting.step_id, timing, workers, now);
     }
 }
 
 /// Returns the workers to name in a query, those with the most room first: enough to hold
 /// `count * room_tenths / 10` tasks, but at least `min_named`. Each of `workers` is the number of
 /// tasks that fit, the free processor time and the name.
-fn select_workers(
+pub(super) fn select_workers(
     mut workers: Vec<(usize, u64, Box<str>)>,
     count: usize,
     room_tenths: u64,
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the owner in virtual time. The store records entries at once, and each test supplies
 //! the workers' answers.
 
+mod gangs;
+
 use super::advice::{Allowed, Query};
 use super::order::{Order, Poll, Start, Stop};
 use super::{Effect, Limits, Owner, PollError, Progress, Report, StartAnswer, StopAnswer};
