Name no worker for a task whose room a gang keeps

While a gang kept the room of a worker, steps of single tasks went on renewing their tickets there, although they could not use them: each renewal occupies the advisor of one daemon and part of the processor time that a pass may query for. Queries now count only the room that no gang keeps.

--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -324,7 +324,7 @@
                 continue;
             }
             let host = &self.hosts[i];
-            let free = Self::fits(waiting.step, &host.free());
+            let free = Self::fits(waiting.step, &round.room(i, host));
             let whole = host.entry.capacity.times_held(&needs);
             let whole = usize::try_from(whole).unwrap_or(usize::MAX);
             let entry = (free.min(count), host.free().cpu_milli, host.incarnation.worker.clone());
--- a/crates/core/src/contract/owner/tests/gangs.rs
+++ b/crates/core/src/contract/owner/tests/gangs.rs
@@ -343,3 +343,23 @@
     expect_that!(world.asks, is_empty());
     expect_that!(world.starts, is_empty());
 }
+
+/// Regression: as above, with a task instead of the second gang.
+#[gtest]
+fn a_task_does_not_renew_tickets_of_workers_that_a_gang_keeps() {
+    let mut urgent = advised_job(1, vec![gang(12)]);
+    urgent.policy.priority = 0;
+    let jobs = vec![urgent, advised_job(2, vec![step(1, &[])])];
+    let mut world = World::new(&["a", "b", "c", "d"], jobs);
+    world.owner.queries_mut().set_relays(&["me".into(), "peer".into()]);
+    world.answer_polls();
+    expect_that!(world.asks, len(eq(2)));
+    world.owner.hosts.iter_mut().for_each(|h| h.used = h.entry.capacity);
+    world.advise();
+    world.pass(2000);
+    world.owner.hosts[..2].iter_mut().for_each(|h| h.used = Capacity::ZERO);
+    world.owner.is_dirty = true;
+    world.settle();
+    expect_that!(world.asks, is_empty());
+    expect_that!(world.starts, is_empty());
+}
