Name different workers for gangs that ask at the same time

Workers with the same room were named in the order of their names, so all gangs that asked on an idle fleet named the same ones: two gangs of 30 tasks had 87 named workers of 87 in common. Only as many gangs as fit on these could start; the others had to ask again, for up to 1.4 s. The order among workers with the same room now differs by step.

--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -11,7 +11,7 @@
     Assignment, MIN_NAMED, NAMED_ROOM_TENTHS, Round, WaitingStep, counted, select_workers,
 };
 use crate::clock::Millis;
-use crate::contract::work::AdvisorTiming;
+use crate::contract::work::{AdvisorTiming, StepId};
 use crate::ledger::shard::Run;
 use crate::machine::capacity::Capacity;
 
@@ -164,7 +164,7 @@
             return;
         }
         let entry = |c: &Candidate| {
-            (c.free.min(count), self.hosts[c.host].free().cpu_milli, self.worker_name(c.host))
+            (c.free.min(count), scatter(&waiting.step_id, c.host), self.worker_name(c.host))
         };
         let share = self.queries.share(&waiting.job.policy.queue);
         let tenths = NAMED_ROOM_TENTHS * 1000 / share;
@@ -230,3 +230,10 @@
     }
     (left == 0).then_some(taken)
 }
+
+/// Returns a sort key that orders workers differently for each step. Gangs that ask at the same
+/// time then name different workers.
+const fn scatter(step_id: &StepId, host: usize) -> u64 {
+    let seed = step_id.job.0 ^ ((step_id.occurrence as u64) << 32) ^ ((step_id.step as u64) << 16);
+    (seed ^ host as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
--- a/crates/core/src/contract/owner/tests/gangs.rs
+++ b/crates/core/src/contract/owner/tests/gangs.rs
@@ -363,3 +363,16 @@
     expect_that!(world.asks, is_empty());
     expect_that!(world.starts, is_empty());
 }
+
+/// Regression: gangs that asked at the same time all named the same workers, so that only one could
+/// start on them.
+#[gtest]
+fn gangs_that_ask_together_name_different_workers() {
+    let mut fleet = Fleet::new();
+    (1..=2).for_each(|id| fleet.submit(wide_gang(id, 30, 8300, Millis(5000))));
+    fleet.tick();
+    let named: Vec<&[Box<str>]> = fleet.queries.iter().map(|(_, q)| &*q.workers).collect();
+    expect_that!(named, len(eq(2)));
+    let common = named[0].iter().filter(|w| named[1].contains(w)).count();
+    expect_that!(common, lt(named[0].len() / 2));
+}
