--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -14,6 +14,7 @@
 pub mod advice;
 mod answer;
 mod backlog;
+mod gang;
 mod incarnation;
 pub mod order;
 mod place;
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -2,11 +2,12 @@
 //!
 //! Steps are served by [`Rank`](super::backlog::Rank): first the jobs that can still finish while their result has
 //! value, then those that can still meet their objective, then by the queue's priority, then by
-//! latest start time. A gang that does not fit reserves the workers on which it can fit soonest,
-//! and steps of lower rank are not placed there: small tasks would otherwise starve it.
+//! latest start time. A gang that does not start reserves capacity ([`gang`](super::gang)), and steps of
+//! lower rank are not placed there: small tasks would otherwise starve it.
 
 use super::advice::Permission;
 use super::backlog::Candidate;
+use super::gang::MAX_RESERVING;
 use super::order::StopReason;
 use super::{Effect, Owner, Phase, Running};
 use crate::clock::Millis;
@@ -21,48 +22,39 @@
 
 /// Room on the workers named in a query, in tenths of the tasks to place. The query names more
 /// than needed because the advisor denies some of the workers.
-const NAMED_ROOM_TENTHS: u64 = 35;
+pub(super) const NAMED_ROOM_TENTHS: u64 = 35;
 /// Minimum number of workers named in a query.
-const MIN_NAMED: u64 = 6;
+pub(super) const MIN_NAMED: u64 = 6;
 /// Processor time that a pass may query for, in tenths of the free processor time. Above 10
 /// because the advisor denies some of the workers.
 const QUERY_FREE_TENTHS: u64 = 15;
 /// Additional processor time that a pass may query for, in percent of the total: it is expected
 /// to become free while the queries run.
 const QUERY_TOTAL_PERCENT: u64 = 6;
-/// Maximum number of gangs with reserved workers while free capacity is scarce.
-const MAX_RESERVING: usize = 2;
-/// Maximum number of gangs with reserved workers while free capacity is plentiful: gangs then wait
-/// for tickets rather than for capacity.
-const MAX_RESERVING_IDLE: usize = 8;
-/// Free share of the processor time, in tenths, from which free capacity counts as plentiful.
-const IDLE_FREE_TENTHS: u64 = 4;
 /// Maximum number of starts in one placement pass; the next pass continues.
 const MAX_STARTS: usize = 200;
 
 /// A step with waiting tasks, and the data that its placement needs.
 pub(super) struct WaitingStep<'a> {
-    step_id: StepId,
-    job: &'a Arc<Job>,
+    pub(super) step_id: StepId,
+    pub(super) job: &'a Arc<Job>,
     pub(super) step: &'a Step,
     pub(super) state: &'a StepState,
 }
 
 /// State of one placement pass.
 #[derive(Default)]
-struct Round {
-    /// For each worker, whether a gang of higher rank reserves it.
-    is_reserved: Vec<bool>,
-    /// Number of gangs with reserved workers.
-    reserving: usize,
-    /// Upper bound of `reserving` in this pass.
-    max_reserving: usize,
+pub(super) struct Round {
+    /// Capacity of each worker that gangs of higher rank reserve.
+    reserved: Vec<Capacity>,
+    /// Number of gangs with reserved workers that wait for room.
+    pub(super) reserving: usize,
     /// Processor time, in thousandths of a core, that this pass may still query for.
     query_budget: u64,
     /// The greatest amount of each resource that is free on any worker.
     roomiest: Capacity,
-    /// Free capacity of all workers.
-    free: Capacity,
+    /// Free capacity of all workers that is not reserved.
+    room: Capacity,
     /// Indices of the workers that accept work, by pool and required label.
     eligible: Vec<Rc<Eligible>>,
     /// Runs to record as started, grouped by worker.
@@ -71,12 +63,41 @@
     count: usize,
 }
 
+impl Round {
+    /// Returns the free capacity of a worker that no gang of higher rank reserves.
+    pub(super) fn room(&self, i: usize, host: &Host) -> Capacity {
+        host.free().saturating_sub(&self.reserved[i])
+    }
+
+    /// Returns whether gangs of higher rank reserve capacity of a worker.
+    pub(super) fn is_reserved(&self, i: usize) -> bool {
+        self.reserved[i] != Capacity::ZERO
+    }
+
+    /// Keeps capacity of a worker free of steps of lower rank.
+    pub(super) fn reserve(&mut self, i: usize, host: &Host, capacity: &Capacity) {
+        let before = self.room(i, host);
+        self.reserved[i] = self.reserved[i].plus(capacity);
+        let taken = before.saturating_sub(&self.room(i, host));
+        self.room = self.room.saturating_sub(&taken);
+    }
+
+    /// Takes the needs of `count` tasks from the processor time to query for. Returns whether any
+    /// was left.
+    pub(super) fn take_query_budget(&mut self, step: &Step, count: usize) -> bool {
+        let wanted = step.needs.cpu_milli * u64::try_from(count).unwrap_or(u64::MAX);
+        let had_any = self.query_budget > 0;
+        self.query_budget = self.query_budget.saturating_sub(wanted);
+        had_any
+    }
+}
+
 /// The workers that accept work of a pool's steps that require a label.
-struct Eligible {
+pub(super) struct Eligible {
     pool: Box<str>,
     label: Option<Box<str>>,
     /// Indices in `Owner::hosts`.
-    hosts: Vec<usize>,
+    pub(super) hosts: Vec<usize>,
     /// For each of `Owner::hosts`, whether `hosts` has it.
     includes: Vec<bool>,
 }
@@ -122,23 +143,22 @@
     }
 
     fn round(&self, now: Millis) -> Round {
-        let mut round = Round { is_reserved: vec![false; self.hosts.len()], ..Round::default() };
+        let reserved = vec![Capacity::ZERO; self.hosts.len()];
+        let mut round = Round { reserved, ..Round::default() };
         let hosts = self.hosts.iter().filter(|h| h.takes_work(now));
         let whole: u64 = hosts.map(|h| h.entry.capacity.cpu_milli).sum();
         self.update_room(&mut round, now);
-        let free = round.free.cpu_milli;
+        let free = round.room.cpu_milli;
         round.query_budget = free * QUERY_FREE_TENTHS / 10 + whole * QUERY_TOTAL_PERCENT / 100;
-        let is_idle = free * 10 >= whole * IDLE_FREE_TENTHS;
-        round.max_reserving = if is_idle { MAX_RESERVING_IDLE } else { MAX_RESERVING };
         round
     }
 
     fn update_room(&self, round: &mut Round, now: Millis) {
-        (round.roomiest, round.free) = (Capacity::ZERO, Capacity::ZERO);
-        for host in self.hosts.iter().filter(|h| h.takes_work(now)) {
-            let free = host.free();
-            round.roomiest = round.roomiest.greatest(&free);
-            round.free = round.free.plus(&free);
+        (round.roomiest, round.room) = (Capacity::ZERO, Capacity::ZERO);
+        for (i, host) in self.hosts.iter().enumerate().filter(|(_, h)| h.takes_work(now)) {
+            let room = round.room(i, host);
+            round.roomiest = round.roomiest.greatest(&room);
+            round.room = round.room.plus(&room);
         }
     }
 
@@ -147,11 +167,11 @@
     fn is_hopeless(&self, candidate: &Candidate, round: &Round) -> bool {
         let Candidate { step_id, startable, tasks, needs, is_gang, is_advised, .. } = candidate;
         let can_start = if *is_gang {
-            round.free.times_held(needs) >= u64::try_from(*tasks).unwrap_or(u64::MAX)
+            round.room.times_held(needs) >= u64::try_from(*tasks).unwrap_or(u64::MAX)
         } else {
             round.roomiest.holds(needs)
         };
-        let may_reserve = *is_gang && round.reserving < round.max_reserving;
+        let may_reserve = *is_gang && round.reserving < MAX_RESERVING;
         if startable < if *is_gang { tasks } else { &1 } || !(can_start || may_reserve) {
             return true;
         }
@@ -159,7 +179,12 @@
     }
 
     /// Returns the workers that accept tasks of a step.
-    fn eligible(&self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) -> Rc<Eligible> {
+    pub(super) fn eligible(
+        &self,
+        waiting: &WaitingStep<'_>,
+        round: &mut Round,
+        now: Millis,
+    ) -> Rc<Eligible> {
         let (pool, label) = (&waiting.job.policy.pool, &waiting.step.label);
         if let Some(known) = round.eligible.iter().find(|e| e.pool == *pool && e.label == *label) {
             return Rc::clone(known);
@@ -175,85 +200,19 @@
     }
 
     /// Returns the workers on which tasks of a step may be placed now, apart from their capacity:
-    /// without those reserved, and only those with a valid ticket if the step needs one.
+    /// only those with a valid ticket if the step needs one.
     fn admitting(&self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) -> Vec<usize> {
         let eligible = self.eligible(waiting, round, now);
         if waiting.job.policy.advisor_timing.is_none() {
-            let open = eligible.hosts.iter().filter(|i| !round.is_reserved[**i]);
-            return open.copied().collect();
+            return eligible.hosts.clone();
         }
         let is_valid = |permission| matches!(permission, Permission::Allowed(..));
         let tickets = self.queries.tickets(&waiting.step_id).iter();
-        let open = tickets.filter(|t| eligible.includes[t.host] && !round.is_reserved[t.host]);
+        let open = tickets.filter(|t| eligible.includes[t.host]);
         let valid = open.filter(|t| is_valid(t.permission(self.record_delay, now)));
         valid.map(|t| t.host).collect()
     }
 
-    fn place_gang(
-        &mut self,
-        waiting: &WaitingStep<'_>,
-        replica: &Replica,
-        round: &mut Round,
-        now: Millis,
-    ) {
-        let count = waiting.state.tasks.len();
-        if let Some(hosts) = self.gang_hosts(waiting, count, round, now) {
-            let tasks: Vec<Task> = self.startable(replica, &waiting.step_id).collect();
-            let number = 1 + waiting.state.tasks.iter().map(|t| t.last_run).max().unwrap_or(0);
-            for (task, host) in tasks.into_iter().zip(hosts) {
-                self.add_run(waiting, Run { task, number }, host, round, now);
-            }
-            return;
-        }
-        let timing = waiting.job.policy.advisor_timing;
-        let is_next = round.reserving < round.max_reserving;
-        if is_next {
-            self.reserve(waiting, count, round, now);
-        }
-        let Some(timing) = timing.filter(|_| round.query_budget > 0) else { return };
-        if is_next || self.has_room(waiting, round, now) {
-            self.ask(waiting, timing, count, round, now);
-        }
-    }
-
-    /// Returns whether a gang would fit if the advisor allowed every eligible worker.
-    fn has_room(&mut self, waiting: &WaitingStep<'_>, round: &mut Round, now: Millis) -> bool {
-        let needs = counted(waiting.step);
-        let count = waiting.state.tasks.len();
-        if round.free.times_held(&needs) < u64::try_from(count).unwrap_or(u64::MAX) {
-            return false;
-        }
-        let able = self.eligible(waiting, round, now);
-        self.examine(&able.hosts);
-        let open = able.hosts.iter().filter(|i| !round.is_reserved[**i]);
-        let room: usize = open.map(|i| self.fits(waiting.step, *i, &needs)).sum();
-        room >= count
-    }
-
-    /// Returns a worker for each task of a gang, or `None` if not all of them fit.
-    fn gang_hosts(
-        &mut self,
-        waiting: &WaitingStep<'_>,
-        count: usize,
-        round: &mut Round,
-        now: Millis,
-    ) -> Option<Vec<usize>> {
-        let needs = counted(waiting.step);
-        if round.free.times_held(&needs) < u64::try_from(count).unwrap_or(u64::MAX) {
-            return None;
-        }
-        let admitting = self.admitting(waiting, round, now);
-        self.examine(&admitting);
-        let fits = admitting.iter().map(|i| (self.fits(waiting.step, *i, &needs), *i));
-        let mut open: Vec<(usize, usize)> = fits.filter(|(fits, _)| *fits > 0).collect();
-        // Workers that hold the most members come first: a gang on few workers has its members
-        // near each other.
-        open.sort_unstable_by(|(fits, i), (other, j)| other.cmp(fits).then(i.cmp(j)));
-        let members = open.into_iter().flat_map(|(fits, i)| std::iter::repeat_n(i, fits));
-        let hosts: Vec<usize> = members.take(count).collect();
-        (hosts.len() == count).then_some(hosts)
-    }
-
     fn place_singles(
         &mut self,
         waiting: &WaitingStep<'_>,
@@ -269,10 +228,11 @@
             let tasks: Vec<Task> = self.startable(replica, &waiting.step_id).collect();
             let mut tasks = tasks.into_iter().peekable();
             for i in hosts {
-                let has_room = |owner: &Self| {
-                    owner.hosts[i].free().holds(&needs) && owner.is_spread(waiting, &owner.hosts[i])
+                let has_room = |owner: &Self, round: &Round| {
+                    let host = &owner.hosts[i];
+                    round.room(i, host).holds(&needs) && owner.is_spread(waiting, host)
                 };
-                while let Some(task) = tasks.next_if(|_| has_room(self)) {
+                while let Some(task) = tasks.next_if(|_| has_room(self, round)) {
                     let number = self.last_run(waiting, &task) + 1;
                     self.add_run(waiting, Run { task, number }, i, round, now);
                     left -= 1;
@@ -290,7 +250,7 @@
     }
 
     /// Counts workers as examined.
-    fn examine(&mut self, hosts: &[usize]) {
+    pub(super) fn examine(&mut self, hosts: &[usize]) {
         self.effort.hosts += u64::try_from(hosts.len()).unwrap_or(u64::MAX);
     }
 
@@ -309,7 +269,7 @@
         let mut best: Vec<(bool, u64, usize)> = Vec::new();
         for i in admitting {
             let host = &self.hosts[i];
-            let free = host.free();
+            let free = round.room(i, host);
             if !free.holds(needs) {
                 continue;
             }
@@ -329,12 +289,13 @@
             && waiting.step.label.as_deref().is_none_or(|l| host.has_label(l))
     }
 
-    /// Returns how many tasks of a step fit into the free capacity of a worker.
-    fn fits(&self, step: &Step, i: usize, needs: &Capacity) -> usize {
-        if !self.hosts[i].free().holds(needs) {
+    /// Returns how many tasks of a step fit into `room` on one worker.
+    pub(super) fn fits(step: &Step, room: &Capacity) -> usize {
+        let needs = counted(step);
+        if !room.holds(&needs) {
             return 0;
         }
-        let fits = usize::try_from(self.hosts[i].free().times_held(needs)).unwrap_or(usize::MAX);
+        let fits = usize::try_from(room.times_held(&needs)).unwrap_or(usize::MAX);
         let spread = usize::try_from(step.spread).unwrap_or(usize::MAX);
         let limit = if spread == 0 { usize::MAX } else { spread };
         fits.min(limit).min(usize::try_from(step.count).unwrap_or(usize::MAX))
@@ -350,7 +311,7 @@
         of_step.filter(|(_, r)| r.on.worker == host.incarnation.worker).count() < spread
     }
 
-    fn add_run(
+    pub(super) fn add_run(
         &mut self,
         waiting: &WaitingStep<'_>,
         run: Run,
@@ -382,51 +343,12 @@
         }
     }
 
-    /// Reserves enough workers for a gang, those with the least processor time in use first. Does
-    /// nothing if all eligible workers together are too small.
-    fn reserve(&mut self, waiting: &WaitingStep<'_>, count: usize, round: &mut Round, now: Millis) {
-        let needs = counted(waiting.step);
-        let is_advised = waiting.job.policy.advisor_timing.is_some();
-        let eligible = self.eligible(waiting, round, now);
-        // Whether a ticket is still valid doesn't matter: it can be renewed.
-        let hosts: Vec<usize> = if is_advised {
-            let tickets = self.queries.tickets(&waiting.step_id).iter().map(|t| t.host);
-            tickets.filter(|i| eligible.includes[*i]).collect()
-        } else {
-            eligible.hosts.clone()
-        };
-        self.examine(&hosts);
-        let mut able: Vec<(u64, usize, usize)> = Vec::new();
-        for i in hosts.iter().copied().filter(|i| !round.is_reserved[*i]) {
-            let host = &self.hosts[i];
-            let fits = host.entry.capacity.times_held(&needs);
-            let fits = usize::try_from(fits).unwrap_or(usize::MAX);
-            if fits > 0 {
-                able.push((host.used.cpu_milli, i, fits));
-            }
-        }
-        able.sort_unstable();
-        let mut selected = Vec::new();
-        let mut room = 0_usize;
-        for (_, i, fits) in able {
-            if room >= count {
-                break;
-            }
-            room = room.saturating_add(fits);
-            selected.push(i);
-        }
-        if room < count {
-            return;
-        }
-        round.reserving += 1;
-        selected.into_iter().for_each(|i| round.is_reserved[i] = true);
-    }
-
-    /// Queries the advisor about workers for `count` tasks if the answer can lead to a placement.
+    /// Queries the advisor about workers for `count` single tasks if the answer can lead to a
+    /// placement.
     ///
     /// Tickets that have expired are renewed first if their workers have room. Workers not asked
     /// about before are named if the allowed ones can't hold all tasks even when empty, if they are
-    /// full (unless for a gang), or if the unasked ones have at least twice the room needed.
+    /// full, or if the unasked ones have at least twice the room needed.
     fn ask(
         &mut self,
         waiting: &WaitingStep<'_>,
@@ -435,29 +357,26 @@
         round: &mut Round,
         now: Millis,
     ) {
-        let wanted = waiting.step.needs.cpu_milli * u64::try_from(count).unwrap_or(u64::MAX);
-        if round.query_budget == 0 {
-            return;
-        }
-        round.query_budget = round.query_budget.saturating_sub(wanted);
-        if !self.queries.may_ask(&waiting.step_id, now) {
+        if !round.take_query_budget(waiting.step, count)
+            || !self.queries.may_ask(&waiting.step_id, now)
+        {
             return;
         }
         let needs = counted(waiting.step);
         let hosts = &self.eligible(waiting, round, now).hosts;
         self.examine(hosts);
-        let (mut expired, mut valid, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut expired, mut unknown) = (Vec::new(), Vec::new());
         let (mut allowed_free, mut allowed_total, mut unasked_free) = (0_usize, 0_usize, 0_usize);
         let said = self.queries.permissions(&waiting.step_id, hosts, self.record_delay, now);
         for (i, permission) in said {
             let host = &self.hosts[i];
-            let free = self.fits(waiting.step, i, &needs);
+            let free = Self::fits(waiting.step, &round.room(i, host));
             let can_hold = host.entry.capacity.holds(&needs);
             let whole =
                 || usize::try_from(host.entry.capacity.times_held(&needs)).unwrap_or(usize::MAX);
             let entry = (free.min(count), host.free().cpu_milli, &*host.incarnation.worker);
             match permission {
-                Permission::Unknown if free > 0 || (can_hold && waiting.step.gang) => {
+                Permission::Unknown if free > 0 => {
                     unasked_free += free;
                     unknown.push(entry);
                 }
@@ -471,42 +390,26 @@
                 Permission::Allowed(..) => {
                     allowed_total += whole();
                     allowed_free += free;
-                    if free > 0 {
-                        valid.push(entry);
-                    }
                 }
                 _ => {}
             }
         }
-        let workers = if !expired.is_empty() && (!waiting.step.gang || allowed_free >= count) {
-            if waiting.step.gang {
-                // All tickets of a gang must be valid at the same time, so one expired ticket
-                // renews them all.
-                expired.append(&mut valid);
-            }
+        let workers = if !expired.is_empty() {
             select_workers(expired, count, 10, 0)
-        } else if allowed_total < count
-            || (allowed_free == 0 && !waiting.step.gang)
-            || unasked_free >= count * 2
-        {
+        } else if allowed_total < count || allowed_free == 0 || unasked_free >= count * 2 {
             let share = self.queries.share(&waiting.job.policy.queue);
             select_workers(unknown, count, NAMED_ROOM_TENTHS * 1000 / share, MIN_NAMED)
         } else {
             return;
         };
-        if workers.is_empty() {
-            return;
-        }
-        if let Some(query) = self.queries.ask(waiting.step_id, timing, workers, now) {
-            self.effects.push(Effect::QueryAdvisor(query));
-        }
+        self.send_query(waiting.step_id, timing, workers, now);
     }
 }
 
 /// Returns the workers to name in a query, those with the most room first: enough to hold
 /// `count * room_tenths / 10` tasks, but at least `min_named`. Each of `workers` is the number of
 /// tasks that fit, the free processor time and the name.
-fn select_workers(
+pub(super) fn select_workers(
     mut workers: Vec<(usize, u64, &str)>,
     count: usize,
     room_tenths: u64,
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -2,6 +2,7 @@
 //! the workers' answers.
 
 mod effort;
+mod gangs;
 
 use super::advice::{Allowed, Query};
 use super::order::{Order, Poll, Start, Stop};
