--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -18,6 +18,9 @@
 /// still be matched to their runs. After it only the final state is needed.
 const ENDED_TASKS_RETENTION: Millis = Millis::from_secs(30);
 
+/// Encoded size of a job without its payload, on average of the jobs on large sites.
+const JOB_BYTES: usize = 200;
+
 /// An ended job of which only the final state is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Ended {
@@ -107,6 +110,11 @@
         self.snapshot_number
     }
 
+    /// Estimates the size of the encoded replica in bytes.
+    pub fn size_estimate(&self) -> usize {
+        self.jobs.iter().map(|j| JOB_BYTES + j.job.payload.len()).sum()
+    }
+
     /// Returns a job whose tasks are still kept.
     pub fn job(&self, id: Id) -> Option<&JobState> {
         self.find(id).ok().map(|i| &self.jobs[i])
--- a/crates/core/src/ledger/shard/snapshot/tests.rs
+++ b/crates/core/src/ledger/shard/snapshot/tests.rs
@@ -67,3 +67,12 @@
     expect_that!(replica.job(Id(2)).map(|j| j.status()), some(eq(Status::Completed)));
     expect_that!(replica.open(), len(eq(1)));
 }
+
+#[gtest]
+fn an_ended_job_has_no_payload() {
+    let replica = restored();
+    let payload = |id| replica.job(Id(id)).map(|j| j.job.payload.is_empty());
+    expect_that!((payload(1), payload(3)), eq((Some(true), Some(false))));
+    let bytes = rmp_serde::to_vec(&replica).expect("bytes").len();
+    expect_that!(replica.size_estimate(), all![ge(bytes / 4), le(bytes * 4)]);
+}
--- a/crates/daemon/src/shard/steward/snapshots.rs
+++ b/crates/daemon/src/shard/steward/snapshots.rs
@@ -52,8 +52,11 @@
         } else {
             (due, due_bytes)
         };
-        let is_due = now.since(self.snapshot_at) >= due || self.unsaved_bytes >= due_bytes;
-        if !self.caught_up || !is_due {
+        // A snapshot larger than the log that it replaces is of no use.
+        let has_grown = || {
+            self.unsaved_bytes >= due_bytes && self.unsaved_bytes >= self.replica.size_estimate()
+        };
+        if !self.caught_up || (now.since(self.snapshot_at) < due && !has_grown()) {
             return;
         }
         (self.snapshot_at, self.unsaved_bytes) = (now, 0);
