--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the owner in virtual time. The store records entries at once, and each test supplies
 //! the workers' answers.
 
+mod effort;
+
 use super::advice::{Allowed, Query};
 use super::order::{Order, Poll, Start, Stop};
 use super::{Effect, Limits, Owner, PollError, Progress, Report, StartAnswer, StopAnswer};
@@ -492,7 +494,7 @@
     world.owner.hosts.iter_mut().for_each(|h| h.used = h.entry.capacity);
     world.pass(1000);
     let only_b = Query { number: first.number, workers: vec!["b".into()], ..first };
-    world.owner.queries.renew(&only_b, &allow("b"), world.now + Millis(1500));
+    world.owner.renew(&only_b, &allow("b"), world.now + Millis(1500));
     world.pass(600);
     world.owner.hosts.iter_mut().for_each(|h| h.used = Capacity::ZERO);
     world.owner.is_dirty = true;
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -9,13 +9,14 @@
 use super::peer::Peer;
 use super::ready::Ready;
 use super::steward::Steward;
-use super::view::ShardStatus;
+use super::view::{Configuration, ShardStatus};
 use crate::daemon::stage::ShutdownStage;
 use crate::duty;
 use crate::front;
 use crate::ring;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::Limits;
+use pimentovalve_core::machine::allotment::Allotment;
 use pimentovalve_wire::http::Handler;
 use pimentovalve_wire::http::client::Client;
 use pimentovalve_wire::http::server;
@@ -72,6 +73,8 @@
     pub limits: Limits,
     /// Retention time of the store's log.
     pub retention: Millis,
+    /// Share of the machine that the daemon may use.
+    pub allotment: Allotment,
 }
 
 /// The interfaces of a platform adapter.
@@ -109,7 +112,7 @@
         let (orders_in, orders) = ring::ring(RING_CAPACITY);
         let (asks_in, asks) = ring::ring(RING_CAPACITY);
         let (facts_in, shard_status) = ring::latest(ShardStatus::default());
-        let (catalog_in, catalog) = ring::latest(None);
+        let (configuration_in, configuration) = ring::latest(Configuration::default());
         let metrics = Arc::new(Metrics::new(
             shard_status.clone(),
             vec![
@@ -126,15 +129,16 @@
             name: settings.name.clone(),
             address: settings.peers.to_string().into(),
             beat: 0,
+            takeover: settings.allotment.takeover(),
         };
         let ready = Ready {
             shard_status: shard_status.clone(),
-            catalog: catalog.clone(),
+            configuration: configuration.clone(),
             draining: drain.clone(),
         };
         let callers = Front {
             callers: Arc::clone(&platform.callers),
-            catalog,
+            configuration,
             intake: intake_in,
             steward: events_in.clone(),
             metrics: Arc::clone(&metrics),
@@ -157,7 +161,7 @@
             client: Arc::new(Client::new()),
             steward: events_in.clone(),
             shard_status,
-            catalog: catalog_in,
+            configuration: configuration_in,
             appends_succeed,
         }))?;
         duties.start(Box::new(Steward {
@@ -166,6 +170,7 @@
             nonce: rand::random(),
             limits: settings.limits,
             retention: settings.retention,
+            takeover: settings.allotment.takeover(),
             drain: drain.clone(),
             events,
             ledger: appends_in,
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -28,7 +28,8 @@
     Limits, Owner, PollError, Report, StartAnswer, StopAnswer,
 };
 use pimentovalve_core::contract::work::{Id, Status};
-use pimentovalve_core::ledger::shard::replica::{Applied, Backlog, Replica};
+use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
+use pimentovalve_core::ledger::shard::replica::{Applied, Replica};
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_core::link::response_time::ResponseTime;
@@ -47,9 +48,9 @@
 /// Typical log read times that are added to [`OWNER_TIMEOUT`]: a slow store delays both the owner's
 /// records and their delivery to this daemon.
 const OWNER_TIMEOUT_READS: u64 = 3;
-/// Upper bound of the per-daemon claim delay, in milliseconds. Delays differ between daemons so that
-/// one of them claims first.
-const MAX_CLAIM_STAGGER_MS: u64 = 400;
+/// Upper bound of the random part of a daemon's claim delay, in milliseconds. Delays differ between
+/// daemons of the same size so that one of them claims first.
+const MAX_CLAIM_STAGGER_MS: u64 = 120;
 /// Minimum time between two claim attempts of this daemon.
 const CLAIM_INTERVAL: Millis = Millis(500);
 /// Maximum time since the last read to the end of the log for owner-failure detection. After a
@@ -89,8 +90,13 @@
         /// Epoch of the append.
         epoch: u64,
     },
-    /// The complete list of workers, as the store has it now.
-    Listed(Vec<WorkerEntry>),
+    /// The complete list of workers was read.
+    Listed {
+        /// The workers.
+        workers: Vec<WorkerEntry>,
+        /// When the read was sent, on the steady clock.
+        began: Millis,
+    },
     /// The newest announcement of each daemon.
     Members(Vec<Member>),
     /// Answer to a start order: epoch, order, answer, and the reading of the worker's clock.
@@ -119,6 +125,8 @@
     pub limits: Limits,
     /// Retention time of the store's log.
     pub retention: Millis,
+    /// Estimated time that this daemon needs to take over the shard.
+    pub takeover: Millis,
     /// Cancelled when a planned stop begins; the steward then releases the shard.
     pub drain: CancellationToken,
     /// Events from the other duties.
@@ -149,6 +157,8 @@
 struct Tenure {
     epoch: u64,
     owner: Owner,
+    /// When it began.
+    since: Millis,
     /// Sequence number of the last record passed to the ledger duty.
     last_sequence: u64,
     /// When a record was last passed to the ledger duty.
@@ -172,9 +182,11 @@
     /// Latency estimate of log reads.
     response_time: ResponseTime,
     caught_up: bool,
-    /// When this daemon last tried to claim the shard.
-    claim_tried_at: Millis,
+    /// Earliest time of this daemon's next claim.
+    next_claim: Millis,
     workers: Vec<WorkerEntry>,
+    /// When the read of that list was sent.
+    workers_listed_at: Millis,
     /// Sorted by name.
     peers: Vec<Peer>,
     /// When expired entries were last removed from the replica.
@@ -206,8 +218,9 @@
             append_sent_at: Millis::ZERO,
             response_time: ResponseTime::default(),
             caught_up: false,
-            claim_tried_at: Millis::ZERO,
+            next_claim: Millis::ZERO,
             workers: Vec::new(),
+            workers_listed_at: Millis::ZERO,
             peers: Vec::new(),
             book_expired_at: now,
             is_draining: false,
@@ -228,7 +241,7 @@
             tokio::select! {
                 biased;
                 () = stop.cancelled() => break,
-                () = drain.cancelled(), if !self.is_draining => self.release(),
+                () = drain.cancelled(), if !self.is_draining => self.drain(),
                 _ = tick.tick() => self.on_tick(),
                 event = self.duty.events.next() => {
                     let Some(event) = event else { break };
@@ -246,9 +259,14 @@
         }
     }
 
+    /// Stops owning the shard for good, because a planned stop has begun.
+    fn drain(&mut self) {
+        self.is_draining = true;
+        self.release();
+    }
+
     /// Releases the shard, so that another daemon can claim it without waiting for the timeout.
     fn release(&mut self) {
-        self.is_draining = true;
         if let Some(epoch) = self.tenure.as_ref().map(|t| t.epoch) {
             self.record(vec![Entry::Released { epoch }]);
             tracing::info!(epoch, "ownership released");
@@ -276,8 +294,8 @@
                 }
             }
             Event::Fenced { epoch } => self.fenced(epoch),
-            Event::Listed(list) => {
-                self.workers = list;
+            Event::Listed { workers, began } => {
+                (self.workers, self.workers_listed_at) = (workers, began);
                 if let Some(tenure) = &mut self.tenure {
                     tenure.owner.update_workers(&self.workers, &self.replica, now);
                 }
@@ -393,6 +411,7 @@
             self.tenure = Some(Tenure {
                 epoch,
                 owner,
+                since: now,
                 last_sequence: 0,
                 last_record_at: now,
                 next_placement: now,
@@ -428,6 +447,7 @@
         self.run_owner();
         self.load.add_work(0, began);
         self.log_load();
+        self.consider_handover(now);
         let Some(tenure) = &self.tenure else { return };
         if tenure.owner.earlier_leases_expired(now) && !self.replica.old_leases_expired() {
             let epoch = tenure.epoch;
@@ -442,7 +462,7 @@
     /// last complete read of the log, not to the present.
     fn consider_claim(&mut self, now: Millis) {
         let is_current = self.caught_up && now.since(self.log_read_at) < MAX_READ_GAP;
-        if !is_current || self.is_draining || now.since(self.claim_tried_at) < CLAIM_INTERVAL {
+        if !is_current || self.is_draining || now < self.next_claim {
             return;
         }
         let claim = self.replica.claim();
@@ -452,10 +472,11 @@
         let is_vacant = claim.owner.is_empty() || claim.owner == self.duty.name;
         let timeout = if is_vacant { Millis::ZERO } else { timeout };
         let stagger = Millis(self.duty.nonce % MAX_CLAIM_STAGGER_MS);
-        if self.log_read_at.since(self.owner_seen_at) < timeout + stagger {
+        let delay = self.duty.takeover + stagger;
+        if self.log_read_at.since(self.owner_seen_at) < timeout + delay {
             return;
         }
-        self.claim_tried_at = now;
+        self.next_claim = now + CLAIM_INTERVAL;
         let epoch = claim.epoch + 1;
         let (owner, address) = (self.duty.name.clone(), self.duty.address.clone());
         let entry = Entry::Claimed { epoch, owner, address, nonce: self.duty.nonce };
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -4,6 +4,7 @@
 use super::State;
 use crate::shard::view;
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::owner::Effort;
 use std::time::{Duration, Instant};
 
 /// Interval between two log lines.
@@ -15,10 +16,14 @@
     logged_at: Millis,
     events: u64,
     passes: u64,
+    /// Turns of the steward without placement, since the list of workers was too old.
+    held_passes: u64,
     /// Time spent in the steward, placement passes included.
     busy: Duration,
     placing: Duration,
     longest_pass: Duration,
+    /// Work of the present owner up to the last log line.
+    effort: Effort,
 }
 
 impl Load {
@@ -28,6 +33,11 @@
         self.busy += began.elapsed();
     }
 
+    /// Adds a turn in which the list of workers was too old for a placement pass.
+    pub(super) const fn add_held_pass(&mut self) {
+        self.held_passes += 1;
+    }
+
     /// Adds a placement pass.
     pub(super) fn add_pass(&mut self, began: Instant) {
         let took = began.elapsed();
@@ -44,16 +54,23 @@
         let now = view::now();
         let over = now.since(self.load.logged_at);
         let Some(tenure) = self.tenure.as_ref().filter(|_| over >= LOG_INTERVAL) else { return };
-        let Load { events, passes, busy, placing, longest_pass, .. } =
-            std::mem::replace(&mut self.load, Load { logged_at: now, ..Load::default() });
+        let effort = tenure.owner.effort();
+        let next = Load { logged_at: now, effort, ..Load::default() };
+        let Load {
+            events, passes, held_passes, busy, placing, longest_pass, effort: before, ..
+        } = std::mem::replace(&mut self.load, next);
         tracing::info!(
             epoch = tenure.epoch,
             over_ms = over.get(),
             events,
-            busy_ms = busy.as_millis(),
+            busy_ms = Millis::from(busy).get(),
             passes,
-            placing_ms = placing.as_millis(),
-            longest_pass_ms = longest_pass.as_millis(),
+            held_passes,
+            placing_ms = Millis::from(placing).get(),
+            longest_pass_ms = Millis::from(longest_pass).get(),
+            steps_examined = effort.steps.saturating_sub(before.steps),
+            hosts_examined = effort.hosts.saturating_sub(before.hosts),
+            runs_examined = effort.runs.saturating_sub(before.runs),
             open_steps = self.replica.open().len(),
             runs = tenure.owner.run_count(),
             workers = tenure.owner.hosts().len(),
