--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -2,8 +2,8 @@
 //!
 //! Steps are served by [`Rank`]: first the jobs that can still finish while their result has
 //! value, then those that can still meet their objective, then by the queue's priority, then by
-//! latest start time. A gang that does not fit reserves the workers on which it can fit soonest,
-//! and steps of lower rank are not placed there: small tasks would otherwise starve it.
+//! latest start time. Gangs hold or reserve capacity of workers ([`super::gang`]), and steps of
+//! lower rank are not placed there: small tasks would otherwise starve them.
 
 use super::advice::Permission;
 use super::order::StopReason;
