--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -1,9 +1,10 @@
 //! Placement: selects the waiting tasks to start and their workers.
 //!
-//! Steps are served by [`Rank`](super::backlog::Rank): first the jobs that can still finish while their result has
-//! value, then those that can still meet their objective, then by the queue's priority, then by
-//! latest start time. A gang that does not start reserves capacity ([`gang`](super::gang)), and steps of
-//! lower rank are not placed there: small tasks would otherwise starve it.
+//! Steps are served by [`Rank`](super::backlog::Rank): first the jobs that can still finish while
+//! their result has value, then those that can still meet their objective, then by the queue's
+//! priority, then by latest start time. Gangs hold or reserve capacity of workers
+//! ([`super::gang`]), and steps of lower rank are not placed there: small tasks would otherwise
+//! starve them.
 
 use super::advice::Permission;
 use super::backlog::Candidate;
