Log recorded runs in one line for all entries that are applied together

At the grown sites the owner writes some 2,000 lines a second, one for each start and one for each end, and its log thread wakes up for nearly every one. Runs whose entries are applied together now share a line, and the log thread collects lines for 10 ms before it writes. The explain command splits such lines into one for each run, so it shows and counts the same as before, also when logs of both forms are read together; the load test checks that the log names the start and the end of every run.

--- a/crates/daemon/src/log/lines.rs
+++ b/crates/daemon/src/log/lines.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TryRecvError, sync_channel};
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 use tracing::{Level, Metadata};
 use tracing_subscriber::fmt::MakeWriter;
 
@@ -23,6 +23,10 @@
 /// up to this size (`PIPE_BUF`), so the lines of processes that share a pipe do not interleave.
 const BATCH_BYTES: usize = 4096;
 
+/// Time for which the writer thread collects further lines before it writes the first one, so that
+/// it does not wake up for every line.
+const LINGER: Duration = Duration::from_millis(10);
+
 /// The sending end of the ring, as a factory of writers for `tracing`.
 #[derive(Clone, Debug)]
 pub struct Lines {
@@ -110,7 +114,12 @@
 ) {
     let mut reported = 0;
     let mut next: Option<Vec<u8>> = None;
-    while let Some(mut batch) = next.take().or_else(|| receiver.recv().ok()) {
+    let first = || {
+        let line = receiver.recv().ok()?;
+        std::thread::sleep(LINGER);
+        Some(line)
+    };
+    while let Some(mut batch) = next.take().or_else(first) {
         let mut count = 1;
         loop {
             match receiver.try_recv() {
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod load;
 mod peers;
+mod recorded;
 mod snapshots;
 
 use super::advice::Ask;
@@ -18,7 +19,7 @@
 use super::view::{self, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{Publisher, Receiver, Reply, Sender};
-use effects::{log_entry, log_start};
+use effects::log_start;
 use load::Load;
 use peers::Peer;
 use pimentovalve_core::clock::Millis;
@@ -177,6 +178,7 @@
     /// When a snapshot was last saved or attempted, or this daemon started.
     snapshot_at: Millis,
     load: Load,
+    recorded: recorded::Runs,
 }
 
 impl State {
@@ -200,6 +202,7 @@
             next_offset: 0,
             snapshot_at: now,
             load: Load::default(),
+            recorded: recorded::Runs::default(),
         }
     }
 
@@ -221,6 +224,7 @@
                         self.handle(event);
                         events += 1;
                     }
+                    self.recorded.log();
                     self.run_owner();
                     self.load.add_work(events, began);
                     self.log_load();
@@ -340,7 +344,7 @@
         let applied = self.replica.apply(entry.clone(), now);
         if let Some(tenure) = &mut self.tenure {
             if epoch == tenure.epoch {
-                log_entry(&entry, epoch, &self.duty.metrics);
+                self.recorded.add(&entry, epoch, &self.duty.metrics);
                 tenure.owner.entry_recorded(&entry, &self.replica, now);
             }
             tenure.owner.entry_applied(applied, now);
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -4,7 +4,6 @@
 use super::{State, owner_of};
 use crate::shard::advice::Ask;
 use crate::shard::ledger::Append;
-use crate::shard::metrics::Metrics;
 use crate::shard::orders::Call;
 use crate::shard::view;
 use pimentovalve_core::clock::Millis;
@@ -115,34 +114,3 @@
         tracing::info!(job = %task.step_id.job, %task, number, ?answer, "start not taken");
     }
 }
-
-/// Logs and counts a decision about runs after its record is in the log.
-pub(super) fn log_entry(entry: &Entry, epoch: u64, metrics: &Metrics) {
-    match entry {
-        Entry::Started { on, runs } => {
-            metrics.recorded("start", runs.len());
-            for run in runs {
-                let (task, number, worker) = (run.task, run.number, &on.worker);
-                tracing::info!(job = %task.step_id.job, %task, number, %worker, epoch, "start recorded");
-            }
-        }
-        Entry::Ended { on, ends } => {
-            metrics.recorded("end", ends.len());
-            for end in ends {
-                let (task, number, outcome) = (end.run.task, end.run.number, end.outcome);
-                let worker = &on.worker;
-                tracing::info!(
-                    job = %task.step_id.job, %task, number, %worker, ?outcome, epoch, "end recorded"
-                );
-            }
-        }
-        Entry::Lost(runs) => {
-            metrics.recorded("loss", runs.len());
-            for run in runs {
-                let (task, number) = (run.task, run.number);
-                tracing::info!(job = %task.step_id.job, %task, number, epoch, "loss recorded");
-            }
-        }
-        _ => {}
-    }
-}
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -72,7 +72,7 @@
         let process = Path::new(file).file_stem().unwrap_or_default().to_string_lossy();
         for (i, text) in text.lines().enumerate().filter(|(_, t)| t.contains('{')) {
             match Line::parse(text, &process) {
-                Ok(line) => lines.push(line),
+                Ok(line) => lines.extend(line.split()),
                 Err(error) => findings.note(format!("{file}, line {}", i + 1), error),
             }
         }
--- a/src/commands/explain/line.rs
+++ b/src/commands/explain/line.rs
@@ -8,6 +8,13 @@
 /// Fields of every line, which are not printed among the fields of an event.
 const COMMON_FIELDS: [&str; 4] = ["timestamp", "level", "target", "message"];
 
+/// Messages of lines about several runs, each with the message of a line about one run.
+const RUN_LISTS: [(&str, &str); 3] = [
+    ("starts recorded", "start recorded"),
+    ("ends recorded", "end recorded"),
+    ("losses recorded", "loss recorded"),
+];
+
 /// A line of a daemon's log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Line {
@@ -40,6 +47,34 @@
         Ok(Self { at: at.into(), process, message, fields })
     }
 
+    /// Splits a line about several runs into one for each run, as earlier builds wrote them. A run is
+    /// `TASK#NUMBER`, followed by `@WORKER` and `=OUTCOME` where they apply. Other lines are kept.
+    pub(super) fn split(self) -> Vec<Self> {
+        let single = RUN_LISTS.iter().find(|(list, _)| *list == self.message);
+        let (Some((_, message)), Some(runs)) = (single, self.field("runs")) else {
+            return vec![self];
+        };
+        runs.split_whitespace().map(|run| self.of_run(run, message)).collect()
+    }
+
+    fn of_run(&self, run: &str, message: &str) -> Self {
+        let (run, outcome) = run.split_once('=').unwrap_or((run, ""));
+        let (run, worker) = run.split_once('@').unwrap_or((run, ""));
+        let (task, number) = run.split_once('#').unwrap_or((run, ""));
+        let job = task.split('.').next().unwrap_or_default();
+        let mut fields = self.fields.clone();
+        fields.remove("runs");
+        fields.insert("message".into(), message.into());
+        let texts = [("job", job), ("task", task), ("worker", worker), ("outcome", outcome)];
+        for (name, text) in texts.into_iter().filter(|(_, text)| !text.is_empty()) {
+            fields.insert(name.into(), text.into());
+        }
+        if let Ok(number) = number.parse::<u64>() {
+            fields.insert("number".into(), number.into());
+        }
+        Self { message: message.into(), fields, process: self.process.clone(), ..*self }
+    }
+
     /// Returns a string field.
     pub(super) fn field(&self, name: &str) -> Option<&str> {
         self.fields.get(name)?.as_str()
--- a/src/commands/explain/tests.rs
+++ b/src/commands/explain/tests.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 
 fn lines(texts: &[&str]) -> Vec<Line> {
-    texts.iter().map(|t| Line::parse(t, "file").expect("a line")).collect()
+    texts.iter().flat_map(|t| Line::parse(t, "file").expect("a line").split()).collect()
 }
 
 const OUTAGE: [&str; 3] = [
@@ -120,6 +120,42 @@
     expect_that!(explained, contains(contains_substring(wait)));
 }
 
+/// Returns the line of the present build for a line of an earlier build about one run, in which the
+/// runs of another job come first and last.
+fn list(line: &str, details: &str) -> String {
+    let of = |job: &str| format!("{job}.0.0.0#1@i-1{details}");
+    let (other, own) = (of("889437b27aef8a96"), of("16cfbbbb4ac26d3c"));
+    let (message, _) = line.split_once(r#","job""#).unwrap();
+    let message = message.replace("start recorded", "starts recorded");
+    let message = message.replace("end recorded", "ends recorded");
+    format!(r#"{message},"epoch":2,"runs":"{other} {own} {other}","target":"x"}}"#)
+}
+
+#[gtest]
+fn a_run_is_found_in_a_line_about_several_runs() {
+    let end = TAKEOVER[3].replace("start recorded", "end recorded");
+    let end = end.replace(r#""worker""#, r#""outcome":"Failed","worker""#);
+    let old = [TAKEOVER[2], TAKEOVER[3], &end];
+    let (starts, ends) = (list(TAKEOVER[3], ""), list(&end, "=Failed"));
+    let new = [TAKEOVER[2], &starts, &ends];
+    let job = "16cfbbbb4ac26d3c";
+    expect_that!(causes(&lines(&new), job), eq(&causes(&lines(&old), job)));
+    let own = |texts: &[&str]| -> Vec<String> {
+        let lines = lines(texts);
+        let own = lines.iter().filter(|l| l.field("job") == Some(job));
+        own.map(ToString::to_string).collect()
+    };
+    expect_that!(own(&new), eq(&own(&old)));
+    expect_that!(own(&new), len(eq(3)));
+}
+
+#[gtest]
+fn a_loss_in_a_line_about_several_runs_is_counted() {
+    let loss = r#"{"timestamp":"2026-09-02T20:53:49.000000Z","level":"INFO","message":"losses recorded","epoch":2,"runs":"16cfbbbb4ac26d3c.0.0.0#1 16cfbbbb4ac26d3c.0.0.1#1 889437b27aef8a96.0.0.0#1","target":"x"}"#;
+    let explained = causes(&lines(&[TAKEOVER[2], TAKEOVER[3], loss]), "16cfbbbb4ac26d3c");
+    expect_that!(explained, contains(contains_substring("2 runs were lost with their worker")));
+}
+
 #[gtest]
 fn failed_runs_are_counted_by_outcome() {
     let end = TAKEOVER[3].replace("start recorded", "end recorded");
