Let daemons with more processor time claim the shard first

The delay of a claim was random, so a machine with an eighth of a core became owner as often as one with half a core, and the owner needs more processor time than all other daemons.

--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -66,6 +66,8 @@
     pub ready: SocketAddr,
     /// Listen address for peers and monitors; also announced to peers.
     pub peers: SocketAddr,
+    /// Processor time that the machine provides, in thousandths of a core.
+    pub processor_share: u64,
     /// Limits of HTTP connections, for each front.
     pub bounds: server::Limits,
     /// Timing limits of the owner.
@@ -164,6 +166,7 @@
             name: settings.name.clone(),
             address: settings.peers.to_string().into(),
             nonce: rand::random(),
+            processor_share: settings.processor_share,
             limits: settings.limits,
             retention: settings.retention,
             drain: drain.clone(),
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -5,6 +5,7 @@
 //! log is its own. The daemon's own records are applied to the replica when the store acknowledges
 //! them or when they are read back, whichever comes first; each is applied once and in order.
 
+mod claim;
 mod effects;
 mod load;
 mod peers;
@@ -48,9 +49,6 @@
 /// Typical log read times that are added to [`OWNER_TIMEOUT`]: a slow store delays both the owner's
 /// records and their delivery to this daemon.
 const OWNER_TIMEOUT_READS: u64 = 3;
-/// Upper bound of the per-daemon claim delay, in milliseconds. Delays differ between daemons so that
-/// one of them claims first.
-const MAX_CLAIM_STAGGER_MS: u64 = 400;
 /// Minimum time between two claim attempts of this daemon.
 const CLAIM_INTERVAL: Millis = Millis(500);
 /// Maximum time since the last read to the end of the log for owner-failure detection. After a
@@ -108,6 +106,8 @@
     pub address: Box<str>,
     /// Random number drawn at process start; distinguishes processes of one instance.
     pub nonce: u64,
+    /// Processor time that the machine provides, in thousandths of a core.
+    pub processor_share: u64,
     /// Timing limits of the owner.
     pub limits: Limits,
     /// Retention time of the store's log.
@@ -433,8 +433,8 @@
         // ended, or from a tenure that this process gave up.
         let is_vacant = claim.owner.is_empty() || claim.owner == self.duty.name;
         let timeout = if is_vacant { Millis::ZERO } else { timeout };
-        let stagger = Millis(self.duty.nonce % MAX_CLAIM_STAGGER_MS);
-        if self.log_read_at.since(self.owner_seen_at) < timeout + stagger {
+        let delay = claim::delay(self.duty.processor_share, self.duty.nonce);
+        if self.log_read_at.since(self.owner_seen_at) < timeout + delay {
             return;
         }
         self.claim_tried_at = now;
