Do the owner's periodic work at each tick only

They are due at times in steps of 40 ms and more, so the tick of 20 ms is enough. Orders and records that follow from events still leave with their batch.

--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -40,7 +40,8 @@
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
-/// Interval between scheduling passes when no event arrives.
+/// Interval of the periodic work, such as polls that are due, and between scheduling passes when no
+/// event arrives.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time since its last record after which the owner appends a liveness record.
 const ALIVE_INTERVAL: Millis = Millis(300);
@@ -402,11 +403,9 @@
             self.replica.expire(now);
         }
         self.consider_snapshot(now);
-        if self.tenure.is_none() {
-            self.consider_claim(now);
-            return;
-        }
+        let Some(tenure) = &mut self.tenure else { return self.consider_claim(now) };
         let began = Instant::now();
+        tenure.owner.tick(&self.replica, now, self.covered_until);
         self.run_owner();
         self.load.add_work(0, began);
         self.log_load();
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -20,13 +20,12 @@
 const PLACEMENT_INTERVAL_FACTOR: u64 = 4;
 
 impl State {
-    /// Runs the owner's periodic work and, when due, a placement pass, and executes the resulting
-    /// effects. Does nothing while another daemon owns the shard.
+    /// Runs a placement pass when one is due, and executes the owner's effects. Does nothing while
+    /// another daemon owns the shard.
     pub(super) fn run_owner(&mut self) {
         let now = view::now();
         let Some(tenure) = &mut self.tenure else { return };
         let epoch = tenure.epoch;
-        tenure.owner.tick(&self.replica, now, self.covered_until);
         if now >= tenure.next_placement {
             let began = Instant::now();
             tenure.owner.schedule(&self.replica, now, view::wall());
