Let the HTTP client drive its connections itself

Each call to a worker went through a task for its connection, two channels, a header map, a parsed URI and read buffers of 8 KiB, which were most of the time of the orders thread. Calls are small, one at a time on a connection, and have their deadline already, so a connection now formats the request into a buffer that it keeps, and parses the response with httparse, the parser that hyper uses. What the callers of the client rely on is unchanged and tested against servers that send scripted bytes: a call is unsent only if no byte of it was written, and a connection is reused only if its server ended the response, keeps it open and sent nothing after it. A header value with control characters is still refused.

Idle connections to addresses that are no longer called were kept by the pool until their server closed them, and their empty pools for ever; both are now removed after 20 s.

--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -3,24 +3,22 @@
 //! A connection that does not answer within the call's timeout is closed and not reused: a device
 //! between the two ends may have dropped its state while new connections work.
 
+mod connection;
+#[cfg(test)]
+mod tests;
+
 use super::Content;
-use super::traffic::{Counted, Traffic};
+use super::traffic::Traffic;
 use crate::codec;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{AUTHORIZATION, CONTENT_TYPE, ETAG, HOST, IF_NONE_MATCH};
-use hyper_util::rt::TokioIo;
+use connection::{Connection, ExchangeError};
 use pimentovalve_core::clock::Millis;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 
-/// Maximum size of a response body.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Maximum number of pooled connections per address.
 const MAX_IDLE: usize = 8;
 /// A connection that was idle for longer is not reused.
@@ -137,7 +135,7 @@
 /// A pooled connection.
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     since: Instant,
 }
 
@@ -148,12 +146,50 @@
     idle: Vec<Idle>,
 }
 
+/// The pools of all addresses.
+#[derive(Debug)]
+struct Pools {
+    /// Sorted by address.
+    list: Vec<Pool>,
+    /// When connections that are not reused any more were last closed.
+    swept_at: Instant,
+}
+
+impl Default for Pools {
+    fn default() -> Self {
+        Self { list: Vec::new(), swept_at: Instant::now() }
+    }
+}
+
+impl Pools {
+    fn index(&self, address: &str) -> Result<usize, usize> {
+        self.list.binary_search_by(|p| p.address.as_str().cmp(address))
+    }
+
+    /// Closes the connections that were idle for too long or that their server has closed.
+    fn sweep(&mut self) {
+        if self.swept_at.elapsed() < MAX_IDLE_TIME {
+            return;
+        }
+        self.swept_at = Instant::now();
+        for pool in &mut self.list {
+            pool.idle.retain(Idle::is_usable);
+        }
+        self.list.retain(|p| !p.idle.is_empty());
+    }
+}
+
+impl Idle {
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() < MAX_IDLE_TIME && self.connection.is_idle()
+    }
+}
+
 /// An HTTP client with a connection pool. Its connections are driven by the runtime on which they
 /// were opened, so a client is meant for one duty, within which it is cheap to share.
 #[derive(Debug, Default)]
 pub struct Client {
-    /// Sorted by address.
-    pools: Mutex<Vec<Pool>>,
+    pools: Mutex<Pools>,
     traffic: Arc<Traffic>,
 }
 
@@ -164,8 +200,8 @@
     }
 
     /// Returns a client whose bytes are added to `traffic`.
-    pub const fn counted(traffic: Arc<Traffic>) -> Self {
-        Self { pools: Mutex::new(Vec::new()), traffic }
+    pub fn counted(traffic: Arc<Traffic>) -> Self {
+        Self { pools: Mutex::default(), traffic }
     }
 
     /// Makes a call and returns the response, whatever its status.
@@ -191,14 +227,14 @@
     ) -> Result<Reply, Error> {
         let deadline = tokio::time::Instant::now() + Duration::from(call.timeout);
         let connecting = tokio::time::timeout_at(deadline, self.connect(call)).await;
-        let mut sender = match connecting {
+        let mut connection = match connecting {
             Ok(connected) => connected?,
             Err(_) => return Err(unsent(call, "timed out while connecting")),
         };
-        match tokio::time::timeout_at(deadline, exchange(&mut sender, call)).await {
+        match tokio::time::timeout_at(deadline, connection.exchange(call)).await {
             Ok(Ok(reply)) => {
                 if is_expected(&reply) {
-                    self.return_to_pool(call.address, sender);
+                    self.return_to_pool(call.address, connection);
                 }
                 Ok(reply)
             }
@@ -262,103 +298,48 @@
     /// Closes the pooled connections to an address.
     pub fn forget(&self, address: &str) {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Ok(i) = pools.binary_search_by(|p| p.address.as_str().cmp(address)) {
-            pools.remove(i);
+        if let Ok(i) = pools.index(address) {
+            pools.list.remove(i);
         }
     }
 
-    async fn connect(&self, call: Call<'_>) -> Result<SendRequest<Full<Bytes>>, Error> {
+    async fn connect(&self, call: Call<'_>) -> Result<Connection, Error> {
         let idle = self.idle(call.address);
-        if let Some(sender) = idle.filter(|_| !call.new_connection) {
-            return Ok(sender);
+        if let Some(connection) = idle.filter(|_| !call.new_connection) {
+            return Ok(connection);
         }
-        let stream =
-            TcpStream::connect(call.address).await.map_err(|e| unsent(call, &e.to_string()))?;
-        stream.set_nodelay(true).map_err(|e| unsent(call, &e.to_string()))?;
-        let stream = Counted::new(stream, Arc::clone(&self.traffic));
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| unsent(call, &e.to_string()))?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(%error, "client connection closed with an error");
-            }
-        });
-        Ok(sender)
+        let opened = Connection::open(call.address, Arc::clone(&self.traffic)).await;
+        opened.map_err(|e| unsent(call, &e.to_string()))
     }
 
-    fn idle(&self, address: &str) -> Option<SendRequest<Full<Bytes>>> {
+    fn idle(&self, address: &str) -> Option<Connection> {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let i = pools.binary_search_by(|p| p.address.as_str().cmp(address)).ok()?;
-        let idle = &mut pools[i].idle;
-        idle.retain(|c| c.since.elapsed() < MAX_IDLE_TIME && c.sender.is_ready());
-        idle.pop().map(|c| c.sender)
+        let i = pools.index(address).ok()?;
+        let idle = &mut pools.list[i].idle;
+        idle.retain(Idle::is_usable);
+        idle.pop().map(|c| c.connection)
     }
 
-    fn return_to_pool(&self, address: &str, sender: SendRequest<Full<Bytes>>) {
-        if sender.is_closed() {
+    fn return_to_pool(&self, address: &str, connection: Connection) {
+        if !connection.can_be_reused() {
             return;
         }
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let i = match pools.binary_search_by(|p| p.address.as_str().cmp(address)) {
+        pools.sweep();
+        let i = match pools.index(address) {
             Ok(i) => i,
             Err(i) => {
-                pools.insert(i, Pool { address: address.into(), idle: Vec::new() });
+                pools.list.insert(i, Pool { address: address.into(), idle: Vec::new() });
                 i
             }
         };
-        if pools[i].idle.len() < MAX_IDLE {
-            pools[i].idle.push(Idle { sender, since: Instant::now() });
+        let idle = &mut pools.list[i].idle;
+        if idle.len() < MAX_IDLE {
+            idle.push(Idle { connection, since: Instant::now() });
         }
     }
 }
 
-/// Why an exchange on a connection failed.
-enum ExchangeError {
-    Unsent,
-    Unknown(String),
-}
-
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
-    call: Call<'_>,
-) -> Result<Reply, ExchangeError> {
-    let mut builder = hyper::Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .header(HOST, call.host())
-        .header(CONTENT_TYPE, call.content.media_type());
-    if let Some(key) = call.key {
-        builder = builder.header(AUTHORIZATION, format!("Bearer {key}"));
-    }
-    if let Some(tag) = call.if_none_match {
-        builder = builder.header(IF_NONE_MATCH, tag);
-    }
-    for (name, value) in call.headers.iter().filter(|(name, _)| *name != "Host") {
-        builder = builder.header(*name, *value);
-    }
-    let request = builder
-        .body(Full::new(Bytes::copy_from_slice(call.body)))
-        .map_err(|e| ExchangeError::Unknown(e.to_string()))?;
-    if sender.ready().await.is_err() {
-        return Err(ExchangeError::Unsent);
-    }
-    let response = sender.try_send_request(request).await.map_err(|mut error| {
-        // hyper returns the request only if no byte of it was written.
-        match error.take_message() {
-            Some(_) => ExchangeError::Unsent,
-            None => ExchangeError::Unknown(error.into_error().to_string()),
-        }
-    })?;
-    let status = response.status().as_u16();
-    let tag = response.headers().get(ETAG).and_then(|v| v.to_str().ok()).map(String::from);
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .map_err(|e| ExchangeError::Unknown(e.to_string()))?;
-    Ok(Reply { status, tag, body: body.to_bytes() })
-}
-
 fn unsent(call: Call<'_>, message: &str) -> Error {
     Error::Unsent { address: call.address.into(), message: message.into() }
 }
--- a/crates/wire/src/http/traffic.rs
+++ b/crates/wire/src/http/traffic.rs
@@ -38,6 +38,11 @@
     pub const fn new(stream: S, traffic: Arc<Traffic>) -> Self {
         Self { stream, traffic }
     }
+
+    /// Returns the stream. Bytes that are read or written through it are not counted.
+    pub(crate) const fn get_ref(&self) -> &S {
+        &self.stream
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
