Let the owner collect events for 5 ms between batches

The steward thread woke up for nearly every answer of a worker. While it owns the shard and events are frequent, it now begins a batch at most every 5 ms; a state that a caller asks for may take 5 ms longer.

--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -38,11 +38,15 @@
 use pimentovalve_wire::http::Pending;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
 /// Interval of the periodic work, such as polls that are due, and between scheduling passes when no
 /// event arrives.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Minimum time between two batches of events while this daemon owns the shard. Each batch has a cost
+/// of its own: the wake-up of this thread, effects, and a log line.
+const BATCH_INTERVAL: Duration = Duration::from_millis(5);
 /// Time since its last record after which the owner appends a liveness record.
 const ALIVE_INTERVAL: Millis = Millis(300);
 /// Time without a record from the owner after which another daemon claims the shard.
@@ -211,6 +215,7 @@
         let drain = self.duty.drain.clone();
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut last_batch = Instant::now();
         loop {
             tokio::select! {
                 biased;
@@ -229,6 +234,10 @@
                     self.run_owner();
                     self.load.add_work(events, began);
                     self.log_load();
+                    let since = began.duration_since(std::mem::replace(&mut last_batch, began));
+                    if self.tenure.is_some() && since < 2 * BATCH_INTERVAL {
+                        sleep_until((began + BATCH_INTERVAL).into()).await;
+                    }
                 }
             }
         }
