Order no start on a worker that drains since the start was recorded

A start was decided by a list of workers of at most 2.5 s, and ordered once it was recorded, up to half a second and more later with a slow store, without another look at the list. Found by review; a worker that acknowledged that it drains could get a task after the allowed 3 s. The order now checks again, and gives the start up. The new test failed before: the worker got the order.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -350,6 +350,10 @@
         let Some(host) = self.host_mut(&Arc::clone(&self.runs[i].on)) else {
             return self.abandon_start(run, replica, now);
         };
+        // The list may have changed while the start was recorded.
+        if host.entry.draining {
+            return self.abandon_start(run, replica, now);
+        }
         let address = host.entry.address.clone();
         let lease_end = host.grant(lease, now);
         host.next_poll = host.next_poll.min(now + lease);
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -435,6 +435,21 @@
     expect_that!(world.starts, is_empty());
 }
 
+#[gtest]
+fn a_worker_that_drains_while_a_start_is_recorded_gets_no_order() {
+    let mut world = World::new(&["a"], vec![]);
+    world.answer_polls();
+    let submitted = Entry::Submitted(Box::new(job(1, vec![step(1, &[])])));
+    let applied = world.replica.apply(submitted, world.now);
+    world.owner.entry_applied(applied, world.now);
+    world.step();
+    expect_that!(world.unrecorded, len(eq(1)));
+    world.list(&[WorkerEntry { draining: true, ..worker_entry("a", 1) }]);
+    world.settle();
+    expect_that!(world.starts, is_empty());
+    expect_that!(world.replica.placed(), is_empty());
+}
+
 #[gtest]
 fn an_advised_step_starts_with_its_ticket() {
     let mut world = World::new(&["a"], vec![advised_job(1, vec![step(1, &[])])]);
