Hand the shard only to a daemon that can take it over

- It did not happen while log reads were slow.
On an owner with a slow link that is under load they are, which is the case that the handover is for.
- A larger daemon that still replays the log, or that drains, announces itself too.
It does not claim, so the shard went to another small daemon, which released it again after five seconds.
A daemon now announces its takeover time only while it has caught up and does not drain.

The owner also looked at its periodic work only once no event was left, so a flood of events could keep it from renewing leases; it now does after 256 events.

--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -80,14 +80,17 @@
     pub address: Box<str>,
     /// Counter that each announcement of a process increments.
     pub beat: u64,
-    /// Estimated time that the daemon needs to take over the shard. Builds before this field do not
-    /// announce it, and the shard is not handed to them.
+    /// Estimated time that the daemon needs to take over the shard, [`UNKNOWN_TAKEOVER`] while it
+    /// can't. Builds before this field do not announce it, and the shard is not handed to them.
     #[serde(default = "unknown_takeover")]
     pub takeover: Millis,
 }
 
+/// Announced by a daemon to which the shard must not be handed.
+pub const UNKNOWN_TAKEOVER: Millis = Millis::MAX;
+
 const fn unknown_takeover() -> Millis {
-    Millis::MAX
+    UNKNOWN_TAKEOVER
 }
 
 /// The platform's store: the shard's log, snapshots, configuration, and the lists of workers and
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -2,7 +2,7 @@
 
 use super::{Backoff, OutageLog};
 use crate::ring::{Latest, Publisher, Sender};
-use crate::shard::border::{Member, Store};
+use crate::shard::border::{self, Member, Store};
 use crate::shard::steward::Event;
 use crate::shard::view::{self, Configuration, ShardStatus};
 use pimentovalve_core::clock::Millis;
@@ -88,8 +88,12 @@
     shard_status: Latest<ShardStatus>,
 ) {
     let (mut outage, mut backoff) = (OutageLog::new("list of members"), Backoff::new());
+    let takeover = member.takeover;
     loop {
         member.beat += 1;
+        // A daemon that can't take the shard over now must not be offered it.
+        member.takeover =
+            if shard_status.borrow().can_own { takeover } else { border::UNKNOWN_TAKEOVER };
         let announced = store.announce(&member).await;
         // Only the owner needs the members: it distributes calls to the advisor over them.
         let owns = shard_status.borrow().owns();
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -53,6 +53,9 @@
 /// Upper bound of the random part of a daemon's claim delay, in milliseconds. Delays differ between
 /// daemons of the same size so that one of them claims first.
 const MAX_CLAIM_STAGGER_MS: u64 = 120;
+/// Maximum number of events between two looks at the periodic work, so that a flood of events does not
+/// keep leases from being renewed.
+const MAX_BATCH: u64 = 256;
 /// Minimum time between two claim attempts of this daemon.
 const CLAIM_INTERVAL: Millis = Millis(500);
 /// Maximum time since the last read to the end of the log for owner-failure detection. After a
@@ -251,7 +254,9 @@
                     let Some(event) = event else { break };
                     let (began, mut events) = (Instant::now(), 1);
                     self.handle(event);
-                    while let Some(event) = self.duty.events.try_next() {
+                    while events < MAX_BATCH
+                        && let Some(event) = self.duty.events.try_next()
+                    {
                         self.handle(event);
                         events += 1;
                     }
@@ -268,6 +273,7 @@
     fn drain(&mut self) {
         self.is_draining = true;
         self.release();
+        self.publish();
     }
 
     /// Releases the shard, so that another daemon can claim it without waiting for the timeout.
@@ -495,8 +501,16 @@
         let epoch = self.tenure.as_ref().map(|t| t.epoch);
         let owner = self.replica.claim().address.clone();
         let Self { caught_up, log_read_at, covered_until, response_time, .. } = *self;
-        let shard_status =
-            ShardStatus { epoch, owner, caught_up, log_read_at, covered_until, response_time };
+        let can_own = caught_up && !self.is_draining;
+        let shard_status = ShardStatus {
+            epoch,
+            owner,
+            caught_up,
+            log_read_at,
+            covered_until,
+            can_own,
+            response_time,
+        };
         self.duty.shard_status.send_replace(shard_status);
     }
 }
--- a/crates/daemon/src/shard/steward/peers.rs
+++ b/crates/daemon/src/shard/steward/peers.rs
@@ -44,7 +44,7 @@
     /// or a slow link owns a shard only while no larger one can.
     pub(super) fn consider_handover(&mut self, now: Millis) {
         let Some(tenure) = &self.tenure else { return };
-        if now.since(tenure.since) < HANDOVER_AFTER || self.response_time.is_slow() {
+        if now.since(tenure.since) < HANDOVER_AFTER {
             return;
         }
         let is_better = |p: &&Peer| {
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -23,6 +23,8 @@
     pub log_read_at: Millis,
     /// When that read was sent: the replica contains everything appended before.
     pub covered_until: Millis,
+    /// Whether this daemon could take over the shard: it has caught up and is not draining.
+    pub can_own: bool,
     /// Latency estimate of the store's log reads.
     pub response_time: ResponseTime,
 }
