--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -167,16 +167,16 @@
     /// advisor for it.
     fn is_hopeless(&self, candidate: &Candidate, round: &Round) -> bool {
         let Candidate { step_id, startable, tasks, needs, is_gang, is_advised, .. } = candidate;
-        let can_start = if *is_gang {
-            round.room.times_held(needs) >= u64::try_from(*tasks).unwrap_or(u64::MAX)
+        let can_gain = if *is_gang {
+            let has_room =
+                round.room.times_held(needs) >= u64::try_from(*tasks).unwrap_or(u64::MAX);
+            startable == tasks && (has_room || round.reserving < MAX_RESERVING)
         } else {
-            round.roomiest.holds(needs)
+            *startable > 0 && round.roomiest.holds(needs)
         };
-        let may_reserve = *is_gang && round.reserving < MAX_RESERVING;
-        if startable < if *is_gang { tasks } else { &1 } || !(can_start || may_reserve) {
-            return true;
-        }
-        *is_advised && round.query_budget == 0 && self.queries.tickets(step_id).is_empty()
+        let lacks_advice =
+            *is_advised && round.query_budget == 0 && self.queries.tickets(step_id).is_empty();
+        !can_gain || lacks_advice
     }
 
     /// Returns the workers that accept tasks of a step.
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -195,7 +195,7 @@
     /// Sorted by name.
     peers: Vec<Peer>,
     /// When expired entries were last removed from the replica.
-    book_expired_at: Millis,
+    replica_expired_at: Millis,
     is_draining: bool,
     /// Epoch and sequence number of the last owner record applied to the replica.
     last_applied: (u64, u64),
@@ -228,7 +228,7 @@
             workers: Vec::new(),
             workers_listed_at: Millis::ZERO,
             peers: Vec::new(),
-            book_expired_at: now,
+            replica_expired_at: now,
             is_draining: false,
             last_applied: (0, 0),
             next_offset: 0,
@@ -445,8 +445,8 @@
     /// Runs periodic work: expiry, snapshots, and either claiming or the owner's scheduling.
     fn on_tick(&mut self) {
         let now = view::now();
-        if now.since(self.book_expired_at) > EXPIRY_INTERVAL {
-            self.book_expired_at = now;
+        if now.since(self.replica_expired_at) > EXPIRY_INTERVAL {
+            self.replica_expired_at = now;
             self.replica.expire(now);
         }
         self.consider_snapshot(now);
