Count suspensions on the steady clock

Cause: the shard's clock was CLOCK_MONOTONIC, which stands still while the machine is suspended. An owner that woke could renew leases under its old epoch for up to 8 s, on workers that the later owner had not reached, and a front took its replica for recent. Change: the clock is CLOCK_BOOTTIME, read through rustix.

--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -2,31 +2,33 @@
 //! ticket with a limited validity for each of them.
 //!
 //! The advisor serves one query at a time per daemon, and its response time grows with the number
-//! of workers named. Queries are therefore balanced over the daemons by the time for which each is
-//! busy, slow queries are kept off one daemon, and a query names only as many workers as the step
-//! is likely to need. The set of allowed workers never changes for a step; only tickets expire.
+//! of workers named. A step is asked about in rounds: [`plan`] says how many workers a round names
+//! and over how many queries it is spread, [`relay`] through which daemons they go. The set of
+//! allowed workers never changes for a step; only tickets expire.
+
+mod plan;
+mod relay;
 
 use crate::clock::Millis;
 use crate::contract::work::{AdvisorTiming, StepId};
 use crate::machine::host::Host;
+use relay::{Booking, Relays};
 use serde::{Deserialize, Serialize};
 
+pub(super) use plan::Plan;
+
 /// Maximum number of workers in one query, a limit of the advisor.
 pub const MAX_NAMED: usize = 100;
-/// Expected response time above which a query counts as slow and is kept off the first daemon.
-const SLOW_QUERY: Millis = Millis(150);
 /// Time-out of a query, in addition to its expected response time.
 const ANSWER_TIMEOUT: Millis = Millis(700);
+/// Time after the expected one at which a quick query is overdue, and the step is asked about
+/// through another daemon.
+const QUICK_OVERDUE: Millis = Millis(250);
 /// Delay before the next query about a step after one that failed.
 const RETRY_DELAY: Millis = Millis(60);
 /// Time between the issue of a ticket and the arrival of the start order that carries it: three
 /// network crossings between regions, and a margin.
 const TICKET_TRANSIT: Millis = Millis(150);
-/// Maximum expected time for which quick queries queue at one daemon. A query sent later can name
-/// the workers that have room by then.
-const MAX_QUEUED: Millis = Millis(200);
-/// Time for which no query is sent through a daemon after one that got no answer.
-const UNANSWERED_BACKOFF: Millis = Millis(800);
 /// Weight of the newest answer in the smoothed share of allowed workers, in percent.
 const SHARE_WEIGHT: u64 = 20;
 
@@ -63,8 +65,8 @@
     asked: Vec<usize>,
     /// Allowed workers, sorted by host.
     allowed: Vec<Ticket>,
-    /// The query in flight, if any; there is at most one per step.
-    in_flight: Option<InFlight>,
+    /// The queries in flight: the open ones of one round.
+    in_flight: Vec<InFlight>,
     /// Earliest time of the next query.
     not_before: Millis,
 }
@@ -86,27 +88,17 @@
     number: u64,
     /// Names of the workers to be checked, sorted.
     workers: Vec<Box<str>>,
-    /// When it times out.
+    booking: Booking,
+    /// When it is overdue.
     until: Millis,
 }
 
-/// A daemon through which queries can be sent.
-#[derive(Clone, Debug)]
-struct Relay {
-    name: Box<str>,
-    /// When its queries in flight are expected to be answered.
-    busy_until: Millis,
-    /// Number of its queries in flight.
-    in_flight: usize,
-}
-
 /// Queries to the advisor in flight, and the answers for all open steps.
 #[derive(Debug, Default)]
 pub struct Queries {
     /// Sorted by step.
     steps: Vec<(StepId, StepAdvice)>,
-    /// The daemons, the own one first.
-    relays: Vec<Relay>,
+    relays: Relays,
     /// Smoothed share of allowed workers by queue, in thousandths; sorted.
     shares: Vec<(Box<str>, u64)>,
     /// Number of the last query.
@@ -132,6 +124,13 @@
     Expired,
 }
 
+impl StepAdvice {
+    fn take_in_flight(&mut self, number: u64) -> Option<InFlight> {
+        let at = self.in_flight.iter().position(|q| q.number == number)?;
+        Some(self.in_flight.remove(at))
+    }
+}
+
 impl Ticket {
     /// Returns what the ticket permits; see [`Queries::permission`].
     pub(super) fn permission(&self, record_delay: Millis, now: Millis) -> Permission<'_> {
@@ -146,11 +145,7 @@
 impl Queries {
     /// Sets the daemons through which queries can be sent, the own one first.
     pub fn set_relays(&mut self, names: &[Box<str>]) {
-        let old = std::mem::take(&mut self.relays);
-        let known = |name: &str| old.iter().find(|r| &*r.name == name).cloned();
-        let fresh =
-            |name: &str| Relay { name: name.into(), busy_until: Millis::ZERO, in_flight: 0 };
-        self.relays = names.iter().map(|n| known(n).unwrap_or_else(|| fresh(n))).collect();
+        self.relays.set(names);
     }
 
     /// Returns what the advisor has said about a worker for a step.
@@ -228,13 +223,13 @@
     pub fn may_ask(&self, step_id: &StepId, now: Millis) -> bool {
         !self.relays.is_empty()
             && !self.is_full
-            && self.step(step_id).is_none_or(|s| s.in_flight.is_none() && now >= s.not_before)
+            && self.step(step_id).is_none_or(|s| s.in_flight.is_empty() && now >= s.not_before)
     }
 
-    /// Returns whether the query in flight about a step names a worker.
+    /// Returns whether a query in flight about a step names a worker.
     pub fn is_named(&self, step_id: &StepId, worker: &str) -> bool {
-        let query = self.step(step_id).and_then(|s| s.in_flight.as_ref());
-        query.is_some_and(|q| q.workers.binary_search_by(|w| (**w).cmp(worker)).is_ok())
+        let mut queries = self.step(step_id).into_iter().flat_map(|s| &s.in_flight);
+        queries.any(|q| q.workers.binary_search_by(|w| (**w).cmp(worker)).is_ok())
     }
 
     /// Returns the smoothed share of checked workers that the advisor allows for the steps of a
@@ -244,44 +239,58 @@
         i.map_or(400, |i| self.shares[i].1.max(50))
     }
 
+    /// Returns what decides on the size of a round of queries about a step of a queue.
+    pub(super) fn plan(&self, queue: &str, timing: AdvisorTiming, now: Millis) -> Plan {
+        Plan { timing, share: self.share(queue), idle: self.relays.idle(now) }
+    }
+
+    /// Returns a round of queries about `workers`. Workers for which no daemon can take a query now
+    /// are left out.
+    pub(super) fn ask(
+        &mut self,
+        step_id: StepId,
+        plan: &Plan,
+        workers: &[Box<str>],
+        now: Millis,
+    ) -> Vec<Query> {
+        let size = workers.len().div_ceil(plan.queries(workers.len())).max(1);
+        let parts = workers.chunks(size);
+        parts.map_while(|part| self.ask_once(step_id, plan.timing, part, now)).collect()
+    }
+
     /// Returns the query to send about `workers`, or `None` if all daemons are busy.
-    pub fn ask(
+    fn ask_once(
         &mut self,
         step_id: StepId,
         timing: AdvisorTiming,
-        workers: Vec<Box<str>>,
+        workers: &[Box<str>],
         now: Millis,
     ) -> Option<Query> {
         let named = u64::try_from(workers.len()).unwrap_or(u64::MAX);
-        let takes = Millis((timing.answer_us + timing.worker_us.saturating_mul(named)) / 1000 + 1);
-        let is_slow = takes > SLOW_QUERY;
-        let first = usize::from(is_slow && self.relays.len() > 1);
-        let free = |r: &&mut Relay| {
-            let ahead = r.busy_until.since(now);
-            if is_slow { ahead == Millis::ZERO } else { ahead <= MAX_QUEUED }
-        };
-        let relays = self.relays.iter_mut().skip(first).filter(free);
-        let Some(relay) = relays.min_by_key(|r| r.busy_until.max(now)) else {
+        let naming = timing.worker_us.saturating_mul(named);
+        let takes = Millis(timing.answer_us.saturating_add(naming) / 1000 + 1);
+        let is_slow = relay::is_slow(takes);
+        let Some(booking) = self.relays.book(takes, now) else {
             self.is_saturated = true;
             self.is_full |= !is_slow;
             return None;
         };
-        relay.busy_until = relay.busy_until.max(now) + takes;
-        relay.in_flight += 1;
-        let timeout = relay.busy_until.since(now) + ANSWER_TIMEOUT;
-        let through = relay.name.clone();
         self.last_number += 1;
         let number = self.last_number;
-        let until = now + timeout;
+        let overdue = if is_slow { ANSWER_TIMEOUT } else { QUICK_OVERDUE };
+        let until = booking.expected + overdue;
         self.next_timeout = Some(self.next_timeout.map_or(until, |t| t.min(until)));
-        let mut named = workers.clone();
-        named.sort_unstable();
-        self.step_mut(step_id).in_flight = Some(InFlight { number, workers: named, until });
-        Some(Query { number, through, step_id, workers, timeout })
+        let through = booking.through.clone();
+        let timeout = booking.expected.since(now) + ANSWER_TIMEOUT;
+        let mut sorted = workers.to_vec();
+        sorted.sort_unstable();
+        let in_flight = InFlight { number, workers: sorted, booking, until };
+        self.step_mut(step_id).in_flight.push(in_flight);
+        Some(Query { number, through, step_id, workers: workers.to_vec(), timeout })
     }
 
     /// Handles the answer to a query, or `None` if the query failed. Tickets in it expire after
-    /// `valid`. The answer to a query that has timed out changes no permission.
+    /// `valid`. The answer to a query that was given up changes no permission.
     pub(super) fn answered(
         &mut self,
         query: &Query,
@@ -291,22 +300,17 @@
         hosts: &[Host],
         now: Millis,
     ) {
-        if let Some(relay) = self.relays.iter_mut().find(|r| r.name == query.through) {
-            relay.in_flight = relay.in_flight.saturating_sub(1);
-            if answer.is_none() {
-                relay.busy_until = relay.busy_until.max(now + UNANSWERED_BACKOFF);
-            } else if relay.in_flight == 0 {
-                relay.busy_until = now;
+        let at = self.steps.binary_search_by(|(s, _)| s.cmp(&query.step_id));
+        let in_flight = at.ok().and_then(|at| self.steps[at].1.take_in_flight(query.number));
+        match answer {
+            Some(_) => {
+                let booking = in_flight.as_ref().map(|q| &q.booking);
+                self.relays.answered(&query.through, booking, now);
             }
+            None => self.relays.failed(&query.through, now),
         }
-        let is_open =
-            |s: &StepAdvice| s.in_flight.as_ref().is_some_and(|q| q.number == query.number);
-        let Ok(i) = self.steps.binary_search_by(|(s, _)| s.cmp(&query.step_id)) else { return };
-        let step = &mut self.steps[i].1;
-        if !is_open(step) {
-            return;
-        }
-        step.in_flight = None;
+        let (Ok(at), Some(_)) = (at, in_flight) else { return };
+        let step = &mut self.steps[at].1;
         let Some(answer) = answer else {
             step.not_before = now + RETRY_DELAY;
             return;
@@ -337,24 +341,26 @@
         }
     }
 
-    /// Returns whether a query has timed out or could not be sent because all daemons were busy.
+    /// Returns whether a query is overdue or could not be sent because all daemons were busy.
     pub fn is_due(&self, now: Millis) -> bool {
         self.is_saturated || self.next_timeout.is_some_and(|t| now >= t)
     }
 
-    /// Abandons queries that have timed out.
+    /// Gives up queries that are overdue, so that other daemons can be asked.
     pub fn expire(&mut self, now: Millis) {
         (self.is_saturated, self.is_full) = (false, false);
         if self.next_timeout.is_none_or(|t| now < t) {
             return;
         }
+        let mut next: Option<Millis> = None;
         for (_, step) in &mut self.steps {
-            if step.in_flight.as_ref().is_some_and(|q| now >= q.until) {
-                step.in_flight = None;
+            for overdue in step.in_flight.extract_if(.., |q| now >= q.until) {
+                self.relays.back_off(&overdue.booking.through, now);
             }
+            let until = step.in_flight.iter().map(|q| q.until);
+            next = next.into_iter().chain(until).min();
         }
-        self.next_timeout =
-            self.steps.iter().filter_map(|(_, s)| s.in_flight.as_ref().map(|q| q.until)).min();
+        self.next_timeout = next;
     }
 
     /// Discards the answers about a step.
@@ -407,22 +413,18 @@
         self.is_dirty = true;
     }
 
-    /// Sends a query unless all daemons are busy or no worker is named. Returns whether it was
-    /// sent.
-    pub(super) fn send_query(
+    /// Sends a round of queries about `workers`. Returns whether all of them were sent.
+    pub(super) fn send_queries(
         &mut self,
         step_id: StepId,
-        timing: AdvisorTiming,
-        workers: Vec<Box<str>>,
+        plan: &Plan,
+        workers: &[Box<str>],
         now: Millis,
     ) -> bool {
-        if workers.is_empty() {
-            return false;
-        }
-        let query = self.queries.ask(step_id, timing, workers, now);
-        let is_sent = query.is_some();
-        self.effects.extend(query.map(super::Effect::QueryAdvisor));
-        is_sent
+        let queries = self.queries.ask(step_id, plan, workers, now);
+        let named: usize = queries.iter().map(|q| q.workers.len()).sum();
+        self.effects.extend(queries.into_iter().map(super::Effect::QueryAdvisor));
+        named == workers.len() && named > 0
     }
 
     /// Expires the tickets of a host: they are valid for one incarnation only.
--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -6,8 +6,8 @@
 //! ones on which it can fit soonest.
 
 use super::Owner;
-use super::advice::{MAX_NAMED, Permission};
-use super::place::{MIN_NAMED, NAMED_ROOM_TENTHS, Round, WaitingStep, counted, select_workers};
+use super::advice::Permission;
+use super::place::{Round, WaitingStep, counted, select_workers};
 use crate::clock::Millis;
 use crate::contract::work::{AdvisorTiming, StepId, Task};
 use crate::ledger::shard::Run;
@@ -33,7 +33,7 @@
     /// Index in `Owner::hosts`.
     host: usize,
     access: Access,
-    /// Whether the query in flight about the step names it.
+    /// Whether a query in flight about the step names it.
     is_named: bool,
     /// Number of members that fit now.
     free: usize,
@@ -133,7 +133,7 @@
         Some(selected.iter().map(|c| c.host).collect())
     }
 
-    /// Renews the tickets of a gang's workers all at once. Returns whether a query in flight will
+    /// Renews the tickets of a gang's workers all at once. Returns whether the queries in flight will
     /// make all of them valid.
     fn renew_tickets(
         &mut self,
@@ -147,9 +147,9 @@
         if !self.queries.may_ask(&waiting.step_id, now) {
             return held.iter().all(|c| c.is_named);
         }
-        let workers =
-            held.iter().take(MAX_NAMED).map(|s| self.worker_name(s.host).into()).collect();
-        self.send_query(waiting.step_id, timing, workers, now)
+        let workers: Vec<Box<str>> = held.iter().map(|s| self.worker_name(s.host).into()).collect();
+        let plan = self.queries.plan(&waiting.job.policy.queue, timing, now);
+        self.send_queries(waiting.step_id, &plan, &workers, now)
     }
 
     /// Queries the advisor about workers not asked about before, if the allowed ones can't hold
@@ -174,13 +174,15 @@
         if allowed >= count && free < count * 2 {
             return;
         }
+        // Without room for the gang it will wait for whole workers.
+        let fits = |c: &Site| if free < count { c.whole } else { c.free };
         let entry = |c: &Site| {
-            (c.free.min(count), scatter(&waiting.step_id, c.host), self.worker_name(c.host))
+            (fits(c).min(count), scatter(&waiting.step_id, c.host), self.worker_name(c.host))
         };
-        let share = self.queries.share(&waiting.job.policy.queue);
-        let tenths = NAMED_ROOM_TENTHS * 1000 / share;
-        let workers = select_workers(unasked.map(entry).collect(), count, tenths, MIN_NAMED);
-        self.send_query(waiting.step_id, timing, workers, now);
+        let plan = self.queries.plan(&waiting.job.policy.queue, timing, now);
+        let workers =
+            select_workers(unasked.map(entry).collect(), count, |needed| plan.named(needed));
+        self.send_queries(waiting.step_id, &plan, &workers, now);
     }
 
     /// Keeps the room for `count` members free.
@@ -211,7 +213,7 @@
 }
 
 /// Returns allowed workers that have room for a gang now, or `None` if they have not. The workers
-/// that the query in flight names come first, so that the selection outlasts the query.
+/// that the queries in flight name come first, so that the selection outlasts them.
 fn roomy(sites: &[Site], count: usize) -> Option<Vec<&Site>> {
     let mut allowed: Vec<&Site> = sites.iter().filter(|c| c.is_allowed()).collect();
     allowed.sort_by_key(|c| (std::cmp::Reverse((c.is_named, c.free)), c.host));
@@ -237,9 +239,9 @@
     (left == 0).then_some(taken)
 }
 
-/// Returns a sort key that orders workers differently for each step. Gangs that ask at the same
-/// time then name different workers.
-const fn scatter(step_id: &StepId, host: usize) -> u64 {
+/// Returns a sort key that orders workers differently for each step. Steps that are asked about at
+/// the same time then name different workers.
+pub(super) const fn scatter(step_id: &StepId, host: usize) -> u64 {
     let seed = step_id.job.0 ^ ((step_id.occurrence as u64) << 32) ^ ((step_id.step as u64) << 16);
     (seed ^ host as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -8,7 +8,7 @@
 
 use super::advice::Permission;
 use super::backlog::Candidate;
-use super::gang::MAX_RESERVING;
+use super::gang::{MAX_RESERVING, scatter};
 use super::order::StopReason;
 use super::{Effect, Owner, Phase, Running};
 use crate::clock::Millis;
@@ -21,11 +21,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Room on the workers named in a query, in tenths of the tasks to place. The query names more
-/// than needed because the advisor denies some of the workers.
-pub(super) const NAMED_ROOM_TENTHS: u64 = 35;
-/// Minimum number of workers named in a query.
-pub(super) const MIN_NAMED: u64 = 6;
 /// Processor time that a pass may query for, in tenths of the free processor time. Above 10
 /// because the advisor denies some of the workers.
 const QUERY_FREE_TENTHS: u64 = 15;
@@ -375,7 +370,8 @@
             let can_hold = host.entry.capacity.holds(&needs);
             let whole =
                 || usize::try_from(host.entry.capacity.times_held(&needs)).unwrap_or(usize::MAX);
-            let entry = (free.min(count), host.free().cpu_milli, &*host.incarnation.worker);
+            let key = scatter(&waiting.step_id, i);
+            let entry = (free.min(count), key, &*host.incarnation.worker);
             match permission {
                 Permission::Unknown if free > 0 => {
                     unasked_free += free;
@@ -395,39 +391,35 @@
                 _ => {}
             }
         }
+        let plan = self.queries.plan(&waiting.job.policy.queue, timing, now);
         let workers = if !expired.is_empty() {
-            select_workers(expired, count, 10, 0)
+            select_workers(expired, count, |needed| needed)
         } else if allowed_total < count || allowed_free == 0 || unasked_free >= count * 2 {
-            let share = self.queries.share(&waiting.job.policy.queue);
-            select_workers(unknown, count, NAMED_ROOM_TENTHS * 1000 / share, MIN_NAMED)
+            select_workers(unknown, count, |needed| plan.named(needed))
         } else {
             return;
         };
-        self.send_query(waiting.step_id, timing, workers, now);
+        self.send_queries(waiting.step_id, &plan, &workers, now);
     }
 }
 
-/// Returns the workers to name in a query, those with the most room first: enough to hold
-/// `count * room_tenths / 10` tasks, but at least `min_named`. Each of `workers` is the number of
-/// tasks that fit, the free processor time and the name.
+/// Returns the workers to name in a round of queries, those with the most room first. `named` is
+/// given how many of them `count` tasks need, and returns how many to name. Each of `workers` is the
+/// number of tasks that fit, a key that orders workers with the same room, and the name.
 pub(super) fn select_workers(
     mut workers: Vec<(usize, u64, &str)>,
     count: usize,
-    room_tenths: u64,
-    min_named: u64,
+    named: impl Fn(usize) -> usize,
 ) -> Vec<Box<str>> {
     workers.sort_by(|a, b| b.cmp(a));
-    let wanted = u64::try_from(count).unwrap_or(u64::MAX).saturating_mul(room_tenths) / 10;
-    let (mut room, mut named) = (0, Vec::new());
-    for (fits, _, worker) in workers {
-        let count = u64::try_from(named.len()).unwrap_or(u64::MAX);
-        if named.len() >= super::advice::MAX_NAMED || (room >= wanted && count >= min_named) {
-            break;
-        }
-        room += u64::try_from(fits.max(1)).unwrap_or(u64::MAX);
-        named.push(worker.into());
-    }
-    named
+    let mut left = count;
+    let has_need = |(fits, ..): &&(usize, u64, &str)| {
+        let needs_more = left > 0;
+        left = left.saturating_sub((*fits).max(1));
+        needs_more
+    };
+    let needed = workers.iter().take_while(has_need).count();
+    workers.iter().take(named(needed)).map(|(_, _, worker)| (*worker).into()).collect()
 }
 
 /// Returns a step and its state; `None` if the replica has no such step.
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -577,3 +577,32 @@
     expect_that!(world.started().last(), some(eq(&Run { number: 2, ..first })));
     expect_that!(world.now.since(since), all![ge(LIMITS.lease), le(Millis(9000))]);
 }
+
+/// An owner that was suspended wakes with the store silent for as long: a later owner may have given
+/// up runs whose leases it could still extend.
+#[gtest]
+fn an_owner_that_wakes_after_its_store_was_silent_for_long_renews_no_lease() {
+    let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    world.answer_polls();
+    let run = world.started()[0];
+    world.answer_start(&run, StartAnswer::Taken);
+    world.pass(1600);
+    world.report(&[run], &[]);
+    let heard = world.now;
+    world.polls.clear();
+    for host in &mut world.owner.hosts {
+        host.poll_in_flight = None;
+    }
+    for asleep in [LIMITS.max_store_silence, Millis::from_secs(60)] {
+        world.now = heard + asleep;
+        world.owner.tick(&world.replica, world.now, heard);
+        world.owner.schedule(&world.replica, world.now, Millis::ZERO);
+        world.collect();
+        expect_that!(world.polls, is_empty());
+        expect_that!(world.starts, len(eq(1)));
+    }
+    // The store answers again, and this daemon still owns the shard.
+    world.owner.tick(&world.replica, world.now, world.now);
+    world.collect();
+    expect_that!(world.polls, len(eq(1)));
+}
--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -3,7 +3,8 @@
 //! These modules make all decisions about a request, without sockets or threads: allocation of
 //! runner slots ([`dispatcher`], [`slot`]), admission and queueing ([`permit`], [`queue`]), and
 //! retries and hedging ([`tries`], [`budget`], [`latency`]). [`response_time`] adapts time-outs to
-//! the latency of a dependency, [`read_size`] reads to what a link carries.
+//! the latency of a dependency, [`read_size`] reads to what a link carries, and [`round_trip`]
+//! estimates how far away a callee is.
 
 pub mod budget;
 pub mod dispatcher;
@@ -12,5 +13,6 @@
 pub mod queue;
 pub mod read_size;
 pub mod response_time;
+pub mod round_trip;
 pub mod slot;
 pub mod tries;
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -3,11 +3,15 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::link::response_time::ResponseTime;
-use std::sync::{Arc, OnceLock};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use rustix::time::{ClockId, clock_gettime};
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
-/// First reading of the steady clock, in milliseconds. It is above zero so that times before the
-/// first reading can be computed.
+#[cfg(test)]
+mod tests;
+
+/// Reading of the steady clock when the machine starts, in milliseconds. It is above zero so that
+/// times before that can be computed.
 const FIRST_READING_MS: u64 = 1_000_000;
 
 /// Ownership and log progress, published by the steward to the other duties.
@@ -45,10 +49,13 @@
     pub covered_until: Millis,
 }
 
-/// Returns the reading of the steady clock, which is monotonic.
+/// Returns the reading of the steady clock: monotonic, and it counts the time for which the machine
+/// is suspended. Leases, tickets and the age of the replica therefore expire during a suspension.
 pub fn now() -> Millis {
-    static EPOCH: OnceLock<Instant> = OnceLock::new();
-    Millis(FIRST_READING_MS) + Millis::from(EPOCH.get_or_init(Instant::now).elapsed())
+    let since_boot = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(since_boot.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(since_boot.tv_nsec).unwrap_or_default();
+    Millis(FIRST_READING_MS) + Millis::from_secs(seconds) + Millis(nanos / 1_000_000)
 }
 
 /// Returns the time of day. It may jump, so it is used for the due times of schedules only.
