--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -131,6 +131,17 @@
     pub runs: u64,
 }
 
+/// Processor time of the workers that accept work, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// All of it.
+    pub total: u64,
+    /// The part that runs use.
+    pub used: u64,
+    /// The free part that the last placement pass kept for gangs.
+    pub held: u64,
+}
+
 /// Scheduling state of a shard, held by the daemon that owns the shard.
 #[derive(Debug)]
 pub struct Owner {
@@ -150,6 +161,8 @@
     earlier_leases_expire_at: Millis,
     effects: Vec<Effect>,
     effort: Effort,
+    /// Usage after the last placement pass.
+    usage: Usage,
     /// Whether an input since the last placement pass may allow new placements.
     is_dirty: bool,
 }
@@ -172,6 +185,7 @@
             earlier_leases_expire_at: now + granting + host::max_lease_lifetime(limits.lease),
             effects: Vec::new(),
             effort: Effort::default(),
+            usage: Usage::default(),
             is_dirty: true,
         };
         for (run, on) in replica.placed() {
@@ -302,6 +316,11 @@
         self.effort
     }
 
+    /// Returns the usage of the workers after the last placement pass.
+    pub const fn usage(&self) -> Usage {
+        self.usage
+    }
+
     fn record_due(&mut self, replica: &Replica, wall: Millis) {
         for state in replica.scheduled() {
             let Some(schedule) = state.job.schedule else { continue };
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -10,7 +10,7 @@
 use super::backlog::Candidate;
 use super::gang::{MAX_RESERVING, scatter};
 use super::order::StopReason;
-use super::{Effect, Owner, Phase, Running};
+use super::{Effect, Owner, Phase, Running, Usage};
 use crate::clock::Millis;
 use crate::contract::work::{AdvisorTiming, Job, Step, StepId, Task};
 use crate::ledger::shard::replica::Replica;
@@ -132,6 +132,7 @@
                 self.update_room(&mut round, now);
             }
         }
+        self.usage = self.measure(&round, now);
         for (on, runs) in round.starts {
             let on = (*on).clone();
             self.effects.push(Effect::Record(Entry::Started { on, runs }));
@@ -149,6 +150,16 @@
         round
     }
 
+    fn measure(&self, round: &Round, now: Millis) -> Usage {
+        let mut usage = Usage::default();
+        for (i, host) in self.hosts.iter().enumerate().filter(|(_, h)| h.takes_work(now)) {
+            usage.total += host.entry.capacity.cpu_milli;
+            usage.used += host.used.cpu_milli;
+            usage.held += host.free().cpu_milli - round.room(i, host).cpu_milli;
+        }
+        usage
+    }
+
     fn update_room(&self, round: &mut Round, now: Millis) {
         (round.roomiest, round.room) = (Capacity::ZERO, Capacity::ZERO);
         for (i, host) in self.hosts.iter().enumerate().filter(|(_, h)| h.takes_work(now)) {
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -55,6 +55,8 @@
         let over = now.since(self.load.logged_at);
         let Some(tenure) = self.tenure.as_ref().filter(|_| over >= LOG_INTERVAL) else { return };
         let effort = tenure.owner.effort();
+        let usage = tenure.owner.usage();
+        let percent = |part: u64| (part * 100).checked_div(usage.total).unwrap_or_default();
         let next = Load { logged_at: now, effort, ..Load::default() };
         let Load {
             events, passes, held_passes, busy, placing, longest_pass, effort: before, ..
@@ -74,6 +76,8 @@
             open_steps = self.replica.open().len(),
             runs = tenure.owner.run_count(),
             workers = tenure.owner.hosts().len(),
+            used_percent = percent(usage.used),
+            held_percent = percent(usage.held),
             "owner load"
         );
     }
