Claim the shard sooner from an owner that can't go on

Cause: a daemon waited 1.4 s for records of an owner that had ended, had started anew, or was refused by the store; small daemons claimed nearly as soon as large ones and were then too slow to take over. Change: ledger::shard::succession. While no record of the owner is read it is asked for its standing: an owner that does not own the shard any more is replaced at once, one without a process after 0.45 s, one whose appends fail after 0.8 s. The claim delay grows with the square of the missing processor share. Safety does not rest on it: the log fences an earlier owner at any claim.

--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -12,6 +12,7 @@
 pub mod replica;
 pub mod snapshot;
 pub mod state;
+pub mod succession;
 
 use crate::contract::work::{Id, Job, Outcome, Task};
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/core/src/ledger/shard/succession.rs
@@ -0,0 +1,77 @@
+//! When another daemon may claim the shard.
+//!
+//! A claim is safe at any time, since the log fences the earlier owner. A needless one costs a
+//! takeover, so a daemon claims only when the owner has written nothing for some time. That time is
+//! shorter if the process at the owner's address says that it can't go on, or if there is none.
+
+use crate::clock::Millis;
+use crate::link::response_time::ResponseTime;
+use serde::{Deserialize, Serialize};
+
+#[cfg(test)]
+mod tests;
+
+/// Time without a record from the owner after which another daemon claims the shard.
+const OWNER_TIMEOUT: Millis = Millis(1400);
+/// The same if the owner's appends fail: more than two liveness records are missing.
+const FAILING_TIMEOUT: Millis = Millis(800);
+/// The same if no process accepts connections at the owner's address: more than one liveness record
+/// is missing.
+const ABSENT_TIMEOUT: Millis = Millis(450);
+/// Time without a record from the owner after which it is asked for its standing.
+pub const ASK_AFTER: Millis = Millis(400);
+/// Typical log read times that are added to [`OWNER_TIMEOUT`]: a slow store delays both the owner's
+/// records and their delivery to this daemon.
+const OWNER_TIMEOUT_READS: u64 = 3;
+
+/// What a daemon says about its own ownership of the shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tenure {
+    /// Epoch under which it owns the shard, `None` if it does not.
+    pub epoch: Option<u64>,
+    /// Newest claim that it has read from the log.
+    pub claim: u64,
+    /// Whether it has read the log to its end since its process started.
+    pub caught_up: bool,
+    /// Whether the store accepted its last append.
+    pub appends_succeed: bool,
+}
+
+/// Standing of the daemon that the newest claim names.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing but its records is known.
+    #[default]
+    Unknown,
+    /// The process at its address does not own the shard and won't under this claim.
+    Disowned,
+    /// No process accepts connections at its address.
+    Absent,
+    /// It owns the shard, and the store does not accept its appends.
+    Failing,
+}
+
+impl Standing {
+    /// Returns the standing of the owner of `claim` that has said this.
+    pub const fn of(tenure: &Tenure, claim: u64) -> Self {
+        match tenure.epoch {
+            Some(_) if tenure.appends_succeed => Self::Unknown,
+            Some(_) => Self::Failing,
+            // It may be about to read its own claim.
+            None if tenure.caught_up && tenure.claim < claim => Self::Unknown,
+            None => Self::Disowned,
+        }
+    }
+
+    /// Returns the time without a record from the owner after which another daemon may claim the
+    /// shard.
+    pub fn timeout(self, response_time: &ResponseTime) -> Millis {
+        let slow = response_time.typical().times(OWNER_TIMEOUT_READS);
+        match self {
+            Self::Unknown => OWNER_TIMEOUT + slow,
+            Self::Failing => FAILING_TIMEOUT + slow,
+            Self::Absent => ABSENT_TIMEOUT + slow,
+            Self::Disowned => Millis::ZERO,
+        }
+    }
+}
--- a/crates/core/src/machine/allotment.rs
+++ b/crates/core/src/machine/allotment.rs
@@ -6,8 +6,10 @@
 use crate::clock::Millis;
 use serde::{Deserialize, Serialize};
 
-/// Processor time of a takeover: one status poll for each of 350 workers.
-const TAKEOVER_CPU: Millis = Millis(30);
+/// Estimated time of a takeover with a quarter of a core: one status poll for each of 350 workers.
+const TAKEOVER_TIME: Millis = Millis(120);
+/// Processor share, in thousandths of a core, to which [`TAKEOVER_TIME`] refers.
+const TAKEOVER_CPU_MILLI: u64 = 250;
 /// Size of the answers to these polls, in kilobits.
 const TAKEOVER_KBIT: u64 = 2000;
 /// Upper bound of the estimate, so that a shard whose larger instances are all gone gets an owner
@@ -25,10 +27,14 @@
 
 impl Allotment {
     /// Returns the estimated time that this daemon needs to take over a shard. A daemon waits for as
-    /// long before it claims, so that the one which can serve the shard best claims first.
+    /// long before it claims, so that the one which can serve the shard best claims first. The time
+    /// for computing grows with the square of the missing share: the backlog of the takeover grows
+    /// while it lasts.
     pub fn takeover(&self) -> Millis {
-        let computing = TAKEOVER_CPU.get() * 1000 / self.cpu_milli.max(1);
+        let share = self.cpu_milli.max(1);
+        let ratio = |time: u64| time.saturating_mul(TAKEOVER_CPU_MILLI) / share;
+        let computing = ratio(ratio(TAKEOVER_TIME.get()));
         let receiving = TAKEOVER_KBIT * 1000 / self.link_kbps.max(1);
-        MAX_TAKEOVER.min(Millis(computing + receiving))
+        MAX_TAKEOVER.min(Millis(computing.saturating_add(receiving)))
     }
 }
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -32,6 +32,8 @@
 
 /// Path on which the owner accepts entries that its peers received from callers.
 pub const INTAKE_PATH: &str = "/intake";
+/// Path on which a daemon says whether it owns the shard.
+pub const TENURE_PATH: &str = "/tenure";
 /// Capacity, in entries, of the ring for direct appends.
 const DIRECT_RING_CAPACITY: usize = 4096;
 /// Interval between two log reads of the owner, which needs entries that other daemons appended
@@ -171,7 +173,7 @@
                 shard_status.clone(),
                 owner,
                 direct,
-                client,
+                Arc::clone(&client),
                 appends_succeed,
             ));
             let direct = tokio::spawn(intake::append_direct(
@@ -194,6 +196,7 @@
                     steward.clone(),
                     shard_status.clone(),
                 )),
+                tokio::spawn(follow::owner(client, steward.clone(), shard_status.clone())),
                 tokio::spawn(follow::members(store, member, steward, shard_status)),
             ];
             stop.cancelled().await;
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -1,11 +1,13 @@
-//! Loops that follow the configuration, the list of workers and the list of members.
+//! Loops that follow the configuration, the list of workers, the list of members and the owner.
 
-use super::{Backoff, OutageLog};
+use super::{Backoff, OutageLog, TENURE_PATH};
 use crate::ring::{Latest, Publisher, Sender};
 use crate::shard::border::{self, Member, Store};
 use crate::shard::steward::Event;
 use crate::shard::view::{self, Configuration, ShardStatus};
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::ledger::shard::succession::{self, Standing, Tenure};
+use pimentovalve_wire::http::client::{Client, Error};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -20,6 +22,11 @@
 /// Interval between two announcements of this daemon.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Interval between two questions to a silent owner.
+const TENURE_INTERVAL: Duration = Duration::from_millis(150);
+/// Time-out of a question to the owner: twice the longest round trip between regions, and a margin.
+const TENURE_TIMEOUT: Millis = Millis(300);
+
 /// Publishes each new version of the configuration, and when it was last read; older versions are
 /// ignored.
 pub(super) async fn catalog(store: Arc<dyn Store>, configuration: Publisher<Configuration>) {
@@ -120,3 +127,36 @@
         }
     }
 }
+
+/// Asks the owner for its standing while no record of it is read, and once after the start: the owner
+/// may have ended before this daemon could notice a silence.
+pub(super) async fn owner(
+    client: Arc<Client>,
+    steward: Sender<Event>,
+    mut shard_status: Latest<ShardStatus>,
+) {
+    let mut has_asked = false;
+    loop {
+        let is_due = |s: &ShardStatus| {
+            let is_silent = s.owner_silence() >= succession::ASK_AFTER;
+            s.caught_up && !s.owns() && !s.owner.is_empty() && (is_silent || !has_asked)
+        };
+        let (claim, address) = match shard_status.wait_for(is_due).await {
+            Ok(status) => (status.claim, status.owner.clone()),
+            Err(_) => return,
+        };
+        has_asked = true;
+        let answer =
+            client.exchange::<_, Tenure>(&address, TENURE_PATH, &claim, TENURE_TIMEOUT).await;
+        let standing = match &answer {
+            Ok(tenure) => Standing::of(tenure, claim),
+            Err(Error::Unsent { is_refused: true, .. }) => Standing::Absent,
+            Err(_) => Standing::Unknown,
+        };
+        tracing::info!(claim, %address, ?standing, ?answer, "owner asked for its standing");
+        if steward.push(Event::OwnerAsked { claim, standing }).await.is_err() {
+            return;
+        }
+        sleep(TENURE_INTERVAL).await;
+    }
+}
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -12,6 +12,7 @@
 use pimentovalve_core::contract::owner::advice::Query;
 use pimentovalve_core::finding::List;
 use pimentovalve_core::ledger::shard::Entry;
+use pimentovalve_core::ledger::shard::succession::Tenure;
 use pimentovalve_wire::codec;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
 use std::sync::Arc;
@@ -43,6 +44,7 @@
             match request.path {
                 advice::ADVICE_PATH => self.advise(request.body).await,
                 ledger::INTAKE_PATH => self.store(request.body).await,
+                ledger::TENURE_PATH => Response::pack(200, &self.tenure()),
                 METRICS => self.metrics(),
                 _ => Response::findings(404, &List::one("path", "is not known")),
             }
@@ -59,6 +61,14 @@
         }
     }
 
+    /// Returns what this daemon says about its own ownership.
+    fn tenure(&self) -> Tenure {
+        let status = self.shard_status.borrow();
+        let appends_succeed = self.appends_succeed.load(Ordering::Relaxed);
+        let ShardStatus { epoch, claim, caught_up, .. } = *status;
+        Tenure { epoch, claim, caught_up, appends_succeed }
+    }
+
     fn metrics(&self) -> Response {
         match self.metrics.text() {
             Ok(text) => Response::text(200, text),
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -32,6 +32,7 @@
 use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
 use pimentovalve_core::ledger::shard::replica::{Applied, Replica};
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
+use pimentovalve_core::ledger::shard::succession::Standing;
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_core::link::response_time::ResponseTime;
 use pimentovalve_core::machine::host::WorkerEntry;
@@ -45,11 +46,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time since its last record after which the owner appends a liveness record.
 const ALIVE_INTERVAL: Millis = Millis(300);
-/// Time without a record from the owner after which another daemon claims the shard.
-const OWNER_TIMEOUT: Millis = Millis(1400);
-/// Typical log read times that are added to [`OWNER_TIMEOUT`]: a slow store delays both the owner's
-/// records and their delivery to this daemon.
-const OWNER_TIMEOUT_READS: u64 = 3;
 /// Upper bound of the random part of a daemon's claim delay, in milliseconds. Delays differ between
 /// daemons of the same size so that one of them claims first.
 const MAX_CLAIM_STAGGER_MS: u64 = 120;
@@ -112,6 +108,13 @@
     Polled(u64, Poll, Result<Report, PollError>),
     /// Answer of the advisor, `None` when there was none, with the epoch it was requested under.
     AdvisorAnswered(u64, Query, Option<Vec<Allowed>>),
+    /// Standing of the owner that the claim with this epoch names.
+    OwnerAsked {
+        /// Epoch of the claim.
+        claim: u64,
+        /// Its standing.
+        standing: Standing,
+    },
     /// A caller requests the state of a job.
     Status(Id, Reply<Option<Status>>),
     /// A caller requests the number of jobs of a queue that have not started.
@@ -178,6 +181,8 @@
     tenure: Option<Tenure>,
     /// When a record of the owner was last read, or the owner timeout was restarted.
     owner_seen_at: Millis,
+    /// What the owner last said, or what its silence means, with the epoch of its claim.
+    standing: (u64, Standing),
     /// When the log was last read to its end.
     log_read_at: Millis,
     /// When that read was sent: the replica contains everything appended before.
@@ -219,6 +224,7 @@
             replica: Replica::default(),
             tenure: None,
             owner_seen_at: now,
+            standing: (0, Standing::Unknown),
             log_read_at: Millis::ZERO,
             covered_until: Millis::ZERO,
             append_sent_at: Millis::ZERO,
@@ -312,6 +318,7 @@
                 }
             }
             Event::Members(members) => self.update_members(members, now),
+            Event::OwnerAsked { claim, standing } => self.standing = (claim, standing),
             Event::Status(id, reply) => {
                 // The receiver is gone when the caller has disconnected.
                 let _ = reply.send(self.replica.status(id));
@@ -359,6 +366,7 @@
         for record in records {
             if record.epoch != 0 {
                 self.owner_seen_at = now;
+                self.standing.1 = Standing::Unknown;
             }
             self.apply(record, now);
         }
@@ -476,14 +484,18 @@
             return;
         }
         let claim = self.replica.claim();
-        let timeout = OWNER_TIMEOUT + self.response_time.typical().times(OWNER_TIMEOUT_READS);
+        let (asked, standing) = self.standing;
+        let standing = if asked == claim.epoch { standing } else { Standing::Unknown };
+        let timeout = standing.timeout(&self.response_time);
         // Without a tenure, a claim in this instance's name is from an earlier process, which has
         // ended, or from a tenure that this process gave up.
         let is_vacant = claim.owner.is_empty() || claim.owner == self.duty.name;
         let timeout = if is_vacant { Millis::ZERO } else { timeout };
         let stagger = Millis(self.duty.nonce % MAX_CLAIM_STAGGER_MS);
         let delay = self.duty.takeover + stagger;
-        if self.log_read_at.since(self.owner_seen_at) < timeout + delay {
+        // The process that says it does not own the shard writes no record that could be unread.
+        let until = if standing == Standing::Disowned { now } else { self.log_read_at };
+        if until.since(self.owner_seen_at) < timeout + delay {
             return;
         }
         self.next_claim = now + CLAIM_INTERVAL;
@@ -499,12 +511,16 @@
     /// Publishes the shard's status to the other duties.
     fn publish(&self) {
         let epoch = self.tenure.as_ref().map(|t| t.epoch);
-        let owner = self.replica.claim().address.clone();
-        let Self { caught_up, log_read_at, covered_until, response_time, .. } = *self;
+        let claim = self.replica.claim();
+        let (claim, owner) = (claim.epoch, claim.address.clone());
+        let Self { caught_up, owner_seen_at, log_read_at, covered_until, response_time, .. } =
+            *self;
         let can_own = caught_up && !self.is_draining;
         let shard_status = ShardStatus {
             epoch,
+            claim,
             owner,
+            owner_seen_at,
             caught_up,
             log_read_at,
             covered_until,
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -19,8 +19,12 @@
 pub struct ShardStatus {
     /// Epoch of this daemon's claim while it owns the shard.
     pub epoch: Option<u64>,
+    /// Epoch of the newest claim that was read.
+    pub claim: u64,
     /// Peer address of the owner; empty while the shard has no owner.
     pub owner: Box<str>,
+    /// When a record of the owner was last read, on the steady clock.
+    pub owner_seen_at: Millis,
     /// Whether the log has been read to its end since the start, or since a snapshot was restored.
     pub caught_up: bool,
     /// When the log was last read to its end, on the steady clock.
@@ -34,6 +38,11 @@
 }
 
 impl ShardStatus {
+    /// Returns how long the owner has written nothing, up to the last complete read of the log.
+    pub const fn owner_silence(&self) -> Millis {
+        self.log_read_at.since(self.owner_seen_at)
+    }
+
     /// Returns whether this daemon owns the shard.
     pub const fn owns(&self) -> bool {
         self.epoch.is_some()
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -34,6 +34,8 @@
     Unsent {
         /// Address of the server.
         address: String,
+        /// Whether no process accepts connections there.
+        is_refused: bool,
         /// Error of the connection.
         message: String,
     },
@@ -272,8 +274,7 @@
         if let Some(sender) = idle.filter(|_| !call.new_connection) {
             return Ok(sender);
         }
-        let stream =
-            TcpStream::connect(call.address).await.map_err(|e| unsent(call, &e.to_string()))?;
+        let stream = TcpStream::connect(call.address).await.map_err(|e| not_connected(call, &e))?;
         stream.set_nodelay(true).map_err(|e| unsent(call, &e.to_string()))?;
         let stream = Counted::new(stream, Arc::clone(&self.traffic));
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
@@ -360,7 +361,12 @@
 }
 
 fn unsent(call: Call<'_>, message: &str) -> Error {
-    Error::Unsent { address: call.address.into(), message: message.into() }
+    Error::Unsent { address: call.address.into(), is_refused: false, message: message.into() }
+}
+
+fn not_connected(call: Call<'_>, error: &std::io::Error) -> Error {
+    let is_refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
+    Error::Unsent { address: call.address.into(), is_refused, message: error.to_string() }
 }
 
 fn unknown(call: Call<'_>, message: String) -> Error {
