Answer callers through peers while the replica lags

After a loss of power 97 daemons replayed the log for up to 8 s and answered 503 meanwhile; reads of all slowed each other. Change: shard::inquiry. A daemon whose replica lags asks the owner, whose replica is as recent as its last append, and then one other peer. A peer answers from a replica that does not lag only. All daemons read the list of members now and then, to know each other's addresses. Tests: a_daemon_that_the_store_refuses_asks_its_peers, a_daemon_that_has_not_caught_up_asks_its_peers (both failed before). In two tests of a daemon that has not caught up, its peer is killed before the same check, since a peer's correct answer is now passed on.

--- a/crates/core/src/ledger/shard/replica/backlog.rs
+++ b/crates/core/src/ledger/shard/replica/backlog.rs
@@ -5,9 +5,10 @@
 
 use crate::contract::work::Status;
 use crate::ledger::shard::state::JobState;
+use serde::{Deserialize, Serialize};
 
 /// Jobs of a queue that have not ended and of which no run has ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backlog {
     /// Jobs without a run that may be active.
     pub queued: usize,
--- a/crates/daemon/src/shard.rs
+++ b/crates/daemon/src/shard.rs
@@ -17,6 +17,7 @@
 pub mod border;
 pub mod freshness;
 pub mod front;
+pub mod inquiry;
 pub mod ledger;
 pub mod metrics;
 pub mod node;
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -2,18 +2,17 @@
 //! a request gets is decided here.
 
 use super::border::{Answer, Callers, Command, Decoded};
-use super::freshness::{MAX_CONFIGURATION_AGE, Statement, Verdict};
+use super::freshness::MAX_CONFIGURATION_AGE;
+use super::inquiry::{Fact, Inquiries, Inquiry};
 use super::ledger::{Intake, Stored};
 use super::metrics::Metrics;
-use super::steward::Event;
 use super::view::{self, Configuration, ShardStatus};
-use crate::ring::{self, Latest, Reply, Sender, Unanswered};
+use crate::ring::{self, Latest, Sender, Unanswered};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::ledger::shard::Entry;
 use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
-use snafu::Snafu;
 use std::sync::Arc;
 
 /// Retry delay that a refused caller is told. A retry reaches another daemon, which may well serve it,
@@ -28,25 +27,6 @@
 /// The same while the store is slow: waiting longer then succeeds more often than a retry.
 const SLOW_STORE_TIMEOUT_TENTHS: u64 = 8;
 
-/// Why the steward's answer can't be given to a caller.
-#[derive(Debug, Snafu)]
-enum Unknown {
-    /// The steward did not answer.
-    #[snafu(context(false), display("{source}"))]
-    Steward {
-        /// Error of the ring.
-        source: Unanswered,
-    },
-    /// The replica is too old for the answer.
-    #[snafu(display("the replica is {age} old, caught up: {caught_up}"))]
-    TooOld {
-        /// Time since the last complete log read was sent.
-        age: Millis,
-        /// Whether the log was read to its end since the start.
-        caught_up: bool,
-    },
-}
-
 /// HTTP handler for callers.
 pub struct Front {
     /// Platform adapter for the callers' protocol.
@@ -55,8 +35,8 @@
     pub configuration: Latest<Configuration>,
     /// Ring to the ledger duty, for entries to append.
     pub intake: Sender<Intake>,
-    /// Ring to the steward, for queries of job states.
-    pub steward: Sender<Event>,
+    /// Answers callers' questions.
+    pub inquiries: Inquiries,
     /// Counters and latencies of answers.
     pub metrics: Arc<Metrics>,
     /// Ownership and log progress, published by the steward.
@@ -156,7 +136,8 @@
 
     async fn submit(&self, job: Box<Job>, version: u64, until: Millis) -> Answer {
         let id = job.id;
-        if matches!(self.look_up(id).await, Ok(Some(_))) {
+        let known = self.inquiries.look_up(&Inquiry::Status(id)).await;
+        if matches!(known, Ok(Fact::Status(Some(_)))) {
             tracing::info!(job = %id, version, "job already known");
             return Answer::Accepted;
         }
@@ -171,8 +152,7 @@
     }
 
     async fn cancel(&self, id: Id, until: Millis) -> Answer {
-        let statement = |status: &Option<Status>| status.is_none().then_some(Statement::Absence);
-        match self.find(id, statement, until).await {
+        match self.find(id, until).await {
             Ok(Some(_)) => {}
             Ok(None) => return Answer::NoJob,
             Err(answer) => return answer,
@@ -187,83 +167,39 @@
     }
 
     async fn status(&self, id: Id, until: Millis) -> Answer {
-        let statement = |status: &Option<Status>| match status {
-            Some(status) if status.is_final() => None,
-            Some(_) => Some(Statement::Unended),
-            None => Some(Statement::Absence),
-        };
-        match self.find(id, statement, until).await {
+        match self.find(id, until).await {
             Ok(Some(status)) => Answer::State(status),
             Ok(None) => Answer::NoJob,
             Err(answer) => answer,
         }
     }
 
-    /// Returns the state of a job, `None` when it does not exist. `statement` is as for [`Self::ask`].
-    async fn find(
-        &self,
-        id: Id,
-        statement: impl Fn(&Option<Status>) -> Option<Statement>,
-        until: Millis,
-    ) -> Result<Option<Status>, Answer> {
-        self.ask(|reply| Event::Status(id, reply), statement, until).await.map_err(|error| {
-            tracing::info!(job = %id, %error, "job state unknown");
-            Answer::NotDone(RETRY_AFTER)
-        })
+    /// Returns the state of a job, `None` when it does not exist.
+    async fn find(&self, id: Id, until: Millis) -> Result<Option<Status>, Answer> {
+        match self.inquiries.answer(&Inquiry::Status(id), until).await {
+            Ok(Fact::Status(status)) => Ok(status),
+            outcome => {
+                tracing::info!(job = %id, ?outcome, "job state unknown");
+                Err(Answer::NotDone(RETRY_AFTER))
+            }
+        }
     }
 
     async fn count(&self, queue: Box<str>, until: Millis) -> Answer {
-        let event = |reply| Event::Count(queue.clone(), reply);
-        match self.ask(event, |_| Some(Statement::Count), until).await {
-            Ok(Backlog { queued, starting }) => {
+        match self.inquiries.answer(&Inquiry::Count(queue.clone()), until).await {
+            Ok(Fact::Count(Backlog { queued, starting })) => {
                 let ShardStatus { caught_up, covered_until, .. } = *self.shard_status.borrow();
                 let age_ms = view::now().since(covered_until).get();
                 tracing::info!(%queue, queued, starting, caught_up, age_ms, "queued jobs counted");
                 Answer::Waiting(queued)
             }
-            Err(error) => {
-                tracing::info!(%queue, %error, "number of queued jobs unknown");
+            outcome => {
+                tracing::info!(%queue, ?outcome, "number of queued jobs unknown");
                 Answer::NotDone(RETRY_AFTER)
             }
         }
     }
 
-    /// Asks the steward, again after each log read, until the replica is recent enough for its answer.
-    /// `statement` returns what the answer states, `None` if that holds at any age.
-    async fn ask<T>(
-        &self,
-        event: impl Fn(Reply<T>) -> Event,
-        statement: impl Fn(&T) -> Option<Statement>,
-        until: Millis,
-    ) -> Result<T, Unknown> {
-        let asked = view::now();
-        let mut shard_status = self.shard_status.clone();
-        loop {
-            // Read before the answer, whose replica is then at least as recent.
-            let status = shard_status.borrow_and_update().clone();
-            let answer = ring::ask(&self.steward, &event).await?;
-            let Some(statement) = statement(&answer) else { return Ok(answer) };
-            let now = view::now();
-            match statement.judge(&status, asked, until, now) {
-                Verdict::Current => return Ok(answer),
-                Verdict::Wait(limit) => {
-                    let newer = shard_status.wait_for(|s| s.covered_until > status.covered_until);
-                    // Whether a read came in time is judged again.
-                    let _ = tokio::time::timeout(limit.since(now).into(), newer).await;
-                }
-                Verdict::TooOld => {
-                    let age = now.since(status.covered_until);
-                    return TooOldSnafu { age, caught_up: status.caught_up }.fail();
-                }
-            }
-        }
-    }
-
-    /// Returns the state of a job according to the present replica.
-    async fn look_up(&self, id: Id) -> Result<Option<Status>, Unanswered> {
-        ring::ask(&self.steward, |reply| Event::Status(id, reply)).await
-    }
-
     /// Passes an entry to the ledger duty and waits for the outcome.
     async fn store(&self, entry: Entry, until: Millis) -> Stored {
         let outcome =
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -21,6 +21,8 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(3);
 /// Interval between two announcements of this daemon.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
+/// Announcements for each time that a daemon reads the list of members while it does not own the shard.
+const ROUNDS_PER_LIST: u64 = 8;
 
 /// Interval between two questions to a silent owner.
 const TENURE_INTERVAL: Duration = Duration::from_millis(150);
@@ -96,15 +98,17 @@
 ) {
     let (mut outage, mut backoff) = (OutageLog::new("list of members"), Backoff::new());
     let takeover = member.takeover;
-    loop {
+    for round in 0_u64.. {
         member.beat += 1;
         // A daemon that can't take the shard over now must not be offered it.
         member.takeover =
             if shard_status.borrow().can_own { takeover } else { border::UNKNOWN_TAKEOVER };
         let announced = store.announce(&member).await;
-        // Only the owner needs the members: it distributes calls to the advisor over them.
+        // The owner distributes calls to the advisor over the live members. The other daemons only need
+        // addresses. Those that start together see each other in the second round.
         let owns = shard_status.borrow().owns();
-        let listed = if owns { store.members().await.map(Some) } else { Ok(None) };
+        let is_listed = owns || round < 2 || round % ROUNDS_PER_LIST == 0;
+        let listed = if is_listed { store.members().await.map(Some) } else { Ok(None) };
         match announced.and(listed) {
             Ok(listed) => {
                 outage.regained();
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -3,13 +3,14 @@
 use super::advice::Advice;
 use super::border::{Advisor, Callers, Member, Store, Workers};
 use super::front::Front;
+use super::inquiry::{Inquiries, Reader};
 use super::ledger::Ledger;
 use super::metrics::Metrics;
 use super::orders::Orders;
 use super::peer::Peer;
 use super::ready::Ready;
 use super::steward::Steward;
-use super::view::{Configuration, ShardStatus};
+use super::view::{Configuration, Peers, ShardStatus};
 use crate::daemon::stage::ShutdownStage;
 use crate::duty;
 use crate::front;
@@ -112,6 +113,7 @@
         let (orders_in, orders) = ring::ring(RING_CAPACITY);
         let (asks_in, asks) = ring::ring(RING_CAPACITY);
         let (facts_in, shard_status) = ring::latest(ShardStatus::default());
+        let (peers_in, peers) = ring::latest(Peers::default());
         let (configuration_in, configuration) = ring::latest(Configuration::default());
         let metrics = Arc::new(Metrics::new(
             shard_status.clone(),
@@ -136,11 +138,12 @@
             configuration: configuration.clone(),
             draining: drain.clone(),
         };
+        let reader = Reader { steward: events_in.clone(), shard_status: shard_status.clone() };
         let callers = Front {
             callers: Arc::clone(&platform.callers),
             configuration,
             intake: intake_in,
-            steward: events_in.clone(),
+            inquiries: Inquiries::new(reader.clone(), peers),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
         };
@@ -150,6 +153,7 @@
             appends_succeed: Arc::clone(&appends_succeed),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
+            reader,
         };
         let [mut caller_front, mut duties, ..] = ShutdownStage::all();
         duties.start(Box::new(Ledger {
@@ -178,6 +182,7 @@
             advice: asks_in,
             metrics: Arc::clone(&metrics),
             shard_status: facts_in,
+            peer_addresses: peers_in,
         }))?;
         let workers = Arc::clone(&platform.workers);
         duties.start(Box::new(Orders { workers, orders, metrics, steward: events_in.clone() }))?;
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -1,9 +1,11 @@
 //! HTTP interface for peers and monitors: the owner stores entries that its peers received from
-//! callers, every daemon forwards queries to the advisor, and monitors read metrics. The advisor
+//! callers, daemons answer their peers' inquiries and forward queries to the advisor, and monitors read
+//! metrics. The advisor
 //! answers one query at a time per daemon, so the owner also asks through its peers.
 
 use super::advice;
 use super::border::Advisor;
+use super::inquiry::{self, Inquiry, Reader};
 use super::ledger::{self, Append, Intake, Stored};
 use super::metrics::Metrics;
 use super::view::{self, ShardStatus};
@@ -36,6 +38,8 @@
     pub metrics: Arc<Metrics>,
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
+    /// Answers peers' inquiries.
+    pub reader: Reader,
 }
 
 impl Handler for Peer {
@@ -44,6 +48,7 @@
             match request.path {
                 advice::ADVICE_PATH => self.advise(request.body).await,
                 ledger::INTAKE_PATH => self.store(request.body).await,
+                inquiry::INQUIRY_PATH => self.answer(request.body).await,
                 ledger::TENURE_PATH => Response::pack(200, &self.tenure()),
                 METRICS => self.metrics(),
                 _ => Response::findings(404, &List::one("path", "is not known")),
@@ -61,6 +66,17 @@
         }
     }
 
+    /// Answers a question of a caller of a peer whose replica lags.
+    async fn answer(&self, body: &[u8]) -> Response {
+        match codec::unpack::<(Millis, Inquiry)>(body) {
+            Ok((timeout, inquiry)) => {
+                let until = view::now() + Millis(timeout.get() * ANSWER_TIMEOUT_TENTHS / 10);
+                Response::pack(200, &self.reader.answer_peer(&inquiry, until).await)
+            }
+            Err(findings) => Response::findings(400, &findings),
+        }
+    }
+
     /// Returns what this daemon says about its own ownership.
     fn tenure(&self) -> Tenure {
         let status = self.shard_status.borrow();
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -16,7 +16,7 @@
 use super::ledger::Append;
 use super::metrics::Metrics;
 use super::orders::Call;
-use super::view::{self, ShardStatus};
+use super::view::{self, Peers, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{Publisher, Receiver, Reply, Sender};
 use effects::log_start;
@@ -149,6 +149,8 @@
     pub metrics: Arc<Metrics>,
     /// Publishes ownership and log progress to the other duties.
     pub shard_status: Publisher<ShardStatus>,
+    /// Publishes the addresses of the other daemons.
+    pub peer_addresses: Publisher<Peers>,
 }
 
 impl Duty for Steward {
@@ -309,6 +311,7 @@
                 for record in records {
                     self.apply(record, now);
                 }
+                self.publish();
             }
             Event::Fenced { epoch } => self.fenced(epoch),
             Event::Listed { workers, began } => {
@@ -516,6 +519,7 @@
         let Self { caught_up, owner_seen_at, log_read_at, covered_until, response_time, .. } =
             *self;
         let can_own = caught_up && !self.is_draining;
+        let owned_until = self.append_sent_at;
         let shard_status = ShardStatus {
             epoch,
             claim,
@@ -524,6 +528,7 @@
             caught_up,
             log_read_at,
             covered_until,
+            owned_until,
             can_own,
             response_time,
         };
--- a/crates/daemon/src/shard/steward/peers.rs
+++ b/crates/daemon/src/shard/steward/peers.rs
@@ -37,6 +37,9 @@
             }
         }
         self.peers.retain(|p| now.since(p.seen) < MEMBER_TIMEOUT);
+        let others = self.peers.iter().filter(|p| p.member.name != self.duty.name);
+        let addresses = others.map(|p| p.member.address.clone()).collect();
+        self.duty.peer_addresses.send_replace(addresses);
         self.update_askers(now);
     }
 
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -13,6 +13,9 @@
 /// Reading of the steady clock when the machine starts, in milliseconds. It is above zero so that
 /// times before that can be computed.
 const FIRST_READING_MS: u64 = 1_000_000;
+/// Age of a replica whose log reads are neither refused nor delayed, apart from the duration of a
+/// read: two intervals between reads, and a margin.
+const MAX_LAG: Millis = Millis(450);
 
 /// Ownership and log progress, published by the steward to the other duties.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -31,6 +34,9 @@
     pub log_read_at: Millis,
     /// When that read was sent: the replica contains everything appended before.
     pub covered_until: Millis,
+    /// When the last append as the owner that the store acknowledged was sent: no other daemon was
+    /// the owner then.
+    pub owned_until: Millis,
     /// Whether this daemon could take over the shard: it has caught up and is not draining.
     pub can_own: bool,
     /// Latency estimate of the store's log reads.
@@ -43,12 +49,22 @@
         self.log_read_at.since(self.owner_seen_at)
     }
 
+    /// Returns whether the replica is older than reads at the usual intervals make it. That of the
+    /// owner, which alone changes the states of jobs, is as recent as its last append.
+    pub fn lags(&self, now: Millis) -> bool {
+        let current_until = self.covered_until.max(self.owned_until);
+        !self.caught_up || now.since(current_until) > MAX_LAG + self.response_time.typical()
+    }
+
     /// Returns whether this daemon owns the shard.
     pub const fn owns(&self) -> bool {
         self.epoch.is_some()
     }
 }
 
+/// Addresses of the other daemons, published by the steward.
+pub type Peers = Arc<[Box<str>]>;
+
 /// The configuration, published by the ledger duty to the other duties.
 #[derive(Clone, Debug, Default)]
 pub struct Configuration {
