Spread claims while the store is slow, and gather on more workers

Cause: the store makes the appends of a topic one by one, and a slow one makes few. A gang gathered room on just as many workers as it has members, and waited for the last of them. Change: succession::claim_delay spreads claims over 16 read times while the store is slow, larger daemons first. A gang gathers on twice the workers that it needs; at most 16 gangs gather, which bounds the work of a pass.

--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -17,9 +17,14 @@
 
 /// Number of gangs that may gather room whatever they need.
 pub(super) const MIN_GATHERING: usize = 2;
-/// Share of the workers' processor time that further gangs may gather, in percent.
+/// Maximum number of gangs that gather room, each of which examines its workers in every pass.
+pub(super) const MAX_GATHERING: usize = 16;
+/// Share of the workers' processor time that the members of further gangs may need, in percent.
 pub(super) const GATHERED_PERCENT: u64 = 30;
 
+/// Number of members for which a gang gathers room, for each of its members.
+const GATHERED_PER_MEMBER: usize = 2;
+
 /// Whether the members of a gang may start on a worker.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Access {
@@ -283,8 +288,9 @@
 /// Returns workers that will soon have room for a gang, each with the number of members for which
 /// it keeps room, or `None` if all of them are too small together.
 ///
-/// A worker keeps its room and that of one more member. Those with the most room come first.
-/// Workers that a gang of higher rank keeps, as `is_reserved` says, only give what they have left.
+/// A worker keeps its room and that of one more member. Those with the most room come first. More
+/// workers than needed keep room, since the gang starts when the first of them have enough. Workers that
+/// a gang of higher rank keeps, as `is_reserved` says, only give what they have left.
 fn gather(
     sites: &[Site],
     count: usize,
@@ -292,16 +298,19 @@
 ) -> Option<Vec<(&Site, usize)>> {
     let mut order: Vec<(&Site, bool)> = sites.iter().map(|s| (s, is_reserved(s.host))).collect();
     order.sort_by_key(|(s, is_reserved)| (std::cmp::Reverse(s.free), *is_reserved, s.host));
-    let mut left = count;
+    let mut total = 0;
     let mut gathered: Vec<(&Site, usize)> = Vec::new();
     for (site, is_reserved) in &order {
-        let soon = if *is_reserved { site.free } else { site.whole.min(site.free + 1) };
-        let members = soon.min(left);
+        if total >= count * GATHERED_PER_MEMBER {
+            break;
+        }
+        let members = if *is_reserved { site.free } else { site.whole.min(site.free + 1) };
         if members > 0 {
             gathered.push((site, members));
-            left -= members;
+            total += members;
         }
     }
+    let mut left = count.saturating_sub(total);
     // Too few workers for that: some have to become empty.
     for (site, members) in &mut gathered {
         let more = (site.whole - *members).min(left);
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -8,7 +8,7 @@
 
 use super::advice::Permission;
 use super::backlog::Candidate;
-use super::gang::{GATHERED_PERCENT, MIN_GATHERING, scatter};
+use super::gang::{GATHERED_PERCENT, MAX_GATHERING, MIN_GATHERING, scatter};
 use super::order::StopReason;
 use super::{Effect, Owner, Phase, Running, Usage};
 use crate::clock::Millis;
@@ -81,7 +81,7 @@
 
     /// Returns whether one more gang may gather room.
     pub(super) const fn may_gather(&self) -> bool {
-        self.gathering < MIN_GATHERING || self.gather_budget > 0
+        self.gathering < MIN_GATHERING || self.gathering < MAX_GATHERING && self.gather_budget > 0
     }
 
     /// Counts a gang with `count` members that gathers room.
--- a/crates/core/src/ledger/shard/succession.rs
+++ b/crates/core/src/ledger/shard/succession.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Millis;
 use crate::link::response_time::ResponseTime;
+use crate::machine::allotment::MAX_TAKEOVER;
 use serde::{Deserialize, Serialize};
 
 #[cfg(test)]
@@ -24,6 +25,14 @@
 /// records and their delivery to this daemon.
 const OWNER_TIMEOUT_READS: u64 = 3;
 
+/// Upper bound of the random part of a daemon's claim delay, which differs between daemons of the same
+/// size so that one of them claims first.
+const MAX_STAGGER: Millis = Millis(120);
+/// The same while the store is slow, in typical log read times. A claim is seen by the others after an
+/// append and a read; until then each further claim delays all appends, which the store makes one by
+/// one.
+const SLOW_STAGGER_READS: u64 = 16;
+
 /// What a daemon says about its own ownership of the shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tenure {
@@ -75,3 +84,15 @@
         }
     }
 }
+
+/// Returns the time that a daemon waits before it claims a shard that may be claimed, so that the
+/// daemon that can serve it best claims first, and few others before they see that claim. `takeover`
+/// is the estimated time of a takeover, `nonce` a random number of the daemon.
+pub fn claim_delay(takeover: Millis, nonce: u64, response_time: &ResponseTime) -> Millis {
+    if !response_time.is_slow() {
+        return takeover + Millis(nonce % MAX_STAGGER.get());
+    }
+    let range = MAX_STAGGER.max(response_time.typical().times(SLOW_STAGGER_READS));
+    let preference = range.get().saturating_mul(takeover.get()) / MAX_TAKEOVER.get();
+    takeover + Millis(preference) + Millis(nonce % range.get())
+}
--- a/crates/core/src/ledger/shard/succession/tests.rs
+++ b/crates/core/src/ledger/shard/succession/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of the time after which the shard may be claimed.
 
-use super::{Standing, Tenure};
+use super::{Standing, Tenure, claim_delay};
 use crate::clock::Millis;
 use crate::link::response_time::ResponseTime;
 use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const OWNS: Tenure = Tenure { epoch: Some(4), claim: 4, caught_up: true, appends_succeed: true };
 
@@ -49,3 +51,51 @@
         expect_that!(standing.timeout(&slow), eq(usual + Millis(1200)));
     }
 }
+
+/// Returns the claim delays of the daemons of a large site, 18 large and 79 small ones, in ascending
+/// order, each with whether the daemon is small.
+fn delays(response_time: &ResponseTime, seed: u64) -> Vec<(Millis, bool)> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let takeover = |is_small| if is_small { Millis(630) } else { Millis(40) };
+    let mut delays: Vec<(Millis, bool)> = (0..97)
+        .map(|i| i >= 18)
+        .map(|small| (claim_delay(takeover(small), random.random(), response_time), small))
+        .collect();
+    delays.sort_unstable();
+    delays
+}
+
+/// Regression: the owner was stopped while the store was slow, and nearly all daemons claimed before
+/// they could see the first claim. The queue of claims kept all appends waiting, and a small daemon owned
+/// the shard for 5 s (large trouble-2: three windows of 2 s at 0.15 to 0.26).
+#[gtest]
+fn few_daemons_claim_before_they_can_see_the_first_claim() {
+    for read in [65, 200, 400, 1000] {
+        let mut response_time = ResponseTime::default();
+        response_time.record(Millis(read));
+        let delays = delays(&response_time, read);
+        let (first, is_small) = delays[0];
+        expect_that!(is_small, eq(false));
+        expect_that!(first, le(Millis(40) + Millis(read).times(6)));
+        let seen = first + Millis(read).times(2);
+        let small = delays.iter().filter(|(at, is_small)| *is_small && *at <= seen).count();
+        expect_that!(small, eq(0), "{read} ms");
+    }
+    let mut slow = ResponseTime::default();
+    slow.record(Millis(400));
+    let early = |seed| {
+        let delays = delays(&slow, seed);
+        let seen = delays[0].0 + Millis(800);
+        delays.iter().filter(|(at, _)| *at <= seen).count()
+    };
+    let claims: usize = (0..20).map(early).sum();
+    expect_that!(claims, le(20 * 5), "five claims on average");
+}
+
+#[gtest]
+fn a_claim_is_not_delayed_by_more_than_its_usual_stagger_while_the_store_is_quick() {
+    for nonce in [0, 1, 119, u64::MAX] {
+        let delay = claim_delay(Millis(40), nonce, &ResponseTime::default());
+        expect_that!(delay, all![ge(Millis(40)), lt(Millis(160))]);
+    }
+}
--- a/crates/core/src/machine/allotment.rs
+++ b/crates/core/src/machine/allotment.rs
@@ -14,7 +14,7 @@
 const TAKEOVER_KBIT: u64 = 2000;
 /// Upper bound of the estimate, so that a shard whose larger instances are all gone gets an owner
 /// soon.
-const MAX_TAKEOVER: Millis = Millis(800);
+pub const MAX_TAKEOVER: Millis = Millis(800);
 
 /// Processor share and link bandwidth of a daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -32,7 +32,7 @@
 use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
 use pimentovalve_core::ledger::shard::replica::{Applied, Replica};
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
-use pimentovalve_core::ledger::shard::succession::Standing;
+use pimentovalve_core::ledger::shard::succession::{self, Standing};
 use pimentovalve_core::ledger::shard::{Entry, Record};
 use pimentovalve_core::link::response_time::ResponseTime;
 use pimentovalve_core::machine::host::WorkerEntry;
@@ -46,9 +46,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time since its last record after which the owner appends a liveness record.
 const ALIVE_INTERVAL: Millis = Millis(300);
-/// Upper bound of the random part of a daemon's claim delay, in milliseconds. Delays differ between
-/// daemons of the same size so that one of them claims first.
-const MAX_CLAIM_STAGGER_MS: u64 = 120;
 /// Maximum number of events between two looks at the periodic work, so that a flood of events does not
 /// keep leases from being renewed.
 const MAX_BATCH: u64 = 256;
@@ -494,8 +491,8 @@
         // ended, or from a tenure that this process gave up.
         let is_vacant = claim.owner.is_empty() || claim.owner == self.duty.name;
         let timeout = if is_vacant { Millis::ZERO } else { timeout };
-        let stagger = Millis(self.duty.nonce % MAX_CLAIM_STAGGER_MS);
-        let delay = self.duty.takeover + stagger;
+        let delay =
+            succession::claim_delay(self.duty.takeover, self.duty.nonce, &self.response_time);
         // The process that says it does not own the shard writes no record that could be unread.
         let until = if standing == Standing::Disowned { now } else { self.log_read_at };
         if until.since(self.owner_seen_at) < timeout + delay {
