Let daemons that can take over soon read the log first

Change: a daemon defers its first read by the time by which its takeover would take longer than that of a quarter of a core; callers' submissions are appended and their questions passed on meanwhile. Test: daemons_that_can_take_over_soon_read_the_log_first.

--- a/crates/core/src/machine/allotment.rs
+++ b/crates/core/src/machine/allotment.rs
@@ -12,6 +12,8 @@
 const TAKEOVER_CPU_MILLI: u64 = 250;
 /// Size of the answers to these polls, in kilobits.
 const TAKEOVER_KBIT: u64 = 2000;
+/// Takeover time up to which a daemon begins to read the log at once: that of a quarter of a core.
+const QUICK_TAKEOVER: Millis = Millis(130);
 /// Upper bound of the estimate, so that a shard whose larger instances are all gone gets an owner
 /// soon.
 pub const MAX_TAKEOVER: Millis = Millis(800);
@@ -37,4 +39,11 @@
         let receiving = TAKEOVER_KBIT * 1000 / self.link_kbps.max(1);
         MAX_TAKEOVER.min(Millis(computing.saturating_add(receiving)))
     }
+
+    /// Returns the time for which this daemon defers its first read of the log. After a loss of power
+    /// everywhere all daemons read it at once and share the store's bandwidth; those that can take over
+    /// soon read first.
+    pub fn replay_delay(&self) -> Millis {
+        self.takeover().since(QUICK_TAKEOVER)
+    }
 }
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -118,6 +118,8 @@
     pub store: Arc<dyn Store>,
     /// Announcement of this daemon to its peers.
     pub member: Member,
+    /// Time for which the first read of the log is deferred.
+    pub replay_delay: Millis,
     /// Entries from this daemon's callers.
     pub intake: Receiver<Intake>,
     /// Writes that the steward requests.
@@ -146,6 +148,7 @@
             let Self {
                 store,
                 member,
+                replay_delay,
                 intake,
                 appends,
                 owner,
@@ -185,6 +188,7 @@
             let loops = [
                 tokio::spawn(tail(
                     Arc::clone(&store),
+                    replay_delay,
                     steward.clone(),
                     shard_status.clone(),
                     claimed,
@@ -285,15 +289,17 @@
     }
 }
 
-/// Reads the log from the newest snapshot, or from its start, and follows it. When the store has
+/// Reads the log from the newest snapshot, or from its start, after `replay_delay`, and follows it. When the store has
 /// trimmed unread records, resumes from the newest snapshot.
 async fn tail(
     store: Arc<dyn Store>,
+    replay_delay: Millis,
     steward: Sender<Event>,
     mut shard_status: Latest<ShardStatus>,
     claimed: Arc<Notify>,
     answered: Publisher<Millis>,
 ) {
+    sleep(replay_delay.into()).await;
     let mut from = 0;
     let (mut outage, mut backoff) = (OutageLog::new("log"), Backoff::new());
     let mut replay = Some(Replay::new());
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -159,6 +159,7 @@
         duties.start(Box::new(Ledger {
             store: Arc::clone(&platform.store),
             member,
+            replay_delay: settings.allotment.replay_delay(),
             intake,
             appends,
             owner: appends_in.clone(),
