Send no start order that was decided before a pause

Cause: a process that was paused between the owner's decision and the call sent the order when it woke; by then another daemon may own the shard, the job may be cancelled, and the ticket may have expired. Workers reject orders only if the later owner has reached them. Change: an order older than 1.5 s is not sent, and counts as a start that did not happen; an unanswered one is not repeated after that time.

--- a/crates/daemon/src/shard/orders.rs
+++ b/crates/daemon/src/shard/orders.rs
@@ -26,10 +26,16 @@
 /// answer.
 const SECOND_TIMEOUT: Millis = Millis(600);
 
+/// Age of a start order from which it is not sent. The process was paused, or can't keep up; another
+/// daemon may own the shard by now, the job may be cancelled, and the ticket may have expired.
+const MAX_START_AGE: Millis = Millis(1500);
+
 /// A call to a worker.
 pub struct Call {
     /// Epoch of the owner that decided the call; the fencing token of the call.
     pub epoch: u64,
+    /// When it was decided, on the steady clock.
+    pub decided: Millis,
     /// Order to start or stop a run, or a lease renewal with a status poll.
     pub order: Order,
 }
@@ -91,10 +97,10 @@
 }
 
 /// Sends a call and returns the answer as an event for the steward.
-async fn send(workers: &dyn Workers, Call { epoch, order }: Call) -> Event {
+async fn send(workers: &dyn Workers, Call { epoch, decided, order }: Call) -> Event {
     match order {
         Order::Start(start) => {
-            let (answer, clock) = self::start(workers, epoch, &start).await;
+            let (answer, clock) = self::start(workers, epoch, decided, &start).await;
             Event::Started(epoch, start, answer, clock)
         }
         Order::Stop(stop) => {
@@ -108,9 +114,25 @@
     }
 }
 
-async fn start(workers: &dyn Workers, epoch: u64, order: &Start) -> (StartAnswer, Option<u64>) {
+async fn start(
+    workers: &dyn Workers,
+    epoch: u64,
+    decided: Millis,
+    order: &Start,
+) -> (StartAnswer, Option<u64>) {
+    let is_too_old = || {
+        let age = view::now().since(decided);
+        if age > MAX_START_AGE {
+            let Run { task, number } = order.run;
+            tracing::warn!(job = %task.step_id.job, %task, number, %age, "start order too old to send");
+        }
+        age > MAX_START_AGE
+    };
+    if is_too_old() {
+        return (StartAnswer::Refused, None);
+    }
     let first = workers.start(epoch, order, FIRST_TIMEOUT).await;
-    if first.0 != StartAnswer::Unknown {
+    if first.0 != StartAnswer::Unknown || is_too_old() {
         return first;
     }
     log_repeat(&order.run, &order.on);
--- a/crates/daemon/src/shard/orders/tests.rs
+++ b/crates/daemon/src/shard/orders/tests.rs
@@ -1,8 +1,9 @@
 //! Tests of orders that get no answer.
 
-use super::{Call, FIRST_TIMEOUT, SECOND_TIMEOUT, send};
+use super::{Call, FIRST_TIMEOUT, MAX_START_AGE, SECOND_TIMEOUT, send};
 use crate::shard::border::Workers;
 use crate::shard::steward::Event;
+use crate::shard::view;
 use googletest::prelude::*;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::order::{Order, Poll, Start, Stop, StopReason};
@@ -18,6 +19,8 @@
     stops: Mutex<Vec<StopAnswer>>,
     /// Time-outs of the orders that it got.
     timeouts: Mutex<Vec<Millis>>,
+    /// Time for which this process is paused while it waits for the answer to a start order.
+    pause: Millis,
 }
 
 impl Scripted {
@@ -26,6 +29,7 @@
             starts: Mutex::new(starts.to_vec()),
             stops: Mutex::new(stops.to_vec()),
             timeouts: Mutex::default(),
+            pause: Millis::ZERO,
         }
     }
 }
@@ -39,6 +43,7 @@
     ) -> Pending<'a, (StartAnswer, Option<u64>)> {
         self.timeouts.lock().unwrap().push(timeout);
         let answer = self.starts.lock().unwrap().remove(0);
+        std::thread::sleep(self.pause.into());
         Box::pin(async move { (answer, Some(7)) })
     }
 
@@ -74,7 +79,11 @@
 /// Sends a start order to a worker with these answers; returns the answer that the owner gets and the
 /// number of orders sent.
 fn started(answers: &[StartAnswer]) -> (StartAnswer, usize) {
-    let worker = Scripted::new(answers, &[]);
+    start(&Scripted::new(answers, &[]), view::now())
+}
+
+/// Sends a start order that was decided at `decided`; returns as [`started`] does.
+fn start(worker: &Scripted, decided: Millis) -> (StartAnswer, usize) {
     let policy = Policy {
         queue: "q".into(),
         pool: "pool".into(),
@@ -96,7 +105,8 @@
         ticket: None,
     };
     let order = Order::Start(Box::new(start));
-    let Event::Started(_, _, answer, _) = block_on(send(&worker, Call { epoch: 1, order })) else {
+    let call = Call { epoch: 1, decided, order };
+    let Event::Started(_, _, answer, _) = block_on(send(worker, call)) else {
         unreachable!("a start is answered as a start")
     };
     let sent = worker.timeouts.lock().unwrap().len();
@@ -139,7 +149,23 @@
     let worker = Scripted::new(&[], &[StopAnswer::Unknown, StopAnswer::Taken]);
     let (on, run, reason) = (on(), run(), StopReason::Over);
     let order = Order::Stop(Stop { on, address: "127.0.0.1:1".into(), run, reason });
-    let event = block_on(send(&worker, Call { epoch: 1, order }));
+    let event = block_on(send(&worker, Call { epoch: 1, decided: view::now(), order }));
     expect_that!(matches!(event, Event::Stopped(_, _, StopAnswer::Taken, _)), eq(true));
     expect_that!(*worker.timeouts.lock().unwrap(), eq(&vec![FIRST_TIMEOUT, SECOND_TIMEOUT]));
 }
+
+/// A process that was paused after the owner's decision may not be the owner any more.
+#[gtest]
+fn a_start_order_that_was_decided_before_a_pause_is_not_sent() {
+    let worker = Scripted::new(&[StartAnswer::Taken], &[]);
+    let decided = view::now().since(MAX_START_AGE + Millis(1));
+    expect_that!(start(&worker, decided), eq((StartAnswer::Refused, 0)));
+}
+
+#[gtest]
+fn a_start_order_is_not_repeated_after_a_pause() {
+    let pause = Millis(200);
+    let worker = Scripted { pause, ..Scripted::new(&[StartAnswer::Unknown], &[]) };
+    let decided = view::now().since(MAX_START_AGE.since(Millis(100)));
+    expect_that!(start(&worker, decided), eq((StartAnswer::Unknown, 1)));
+}
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -45,7 +45,7 @@
             match effect {
                 Effect::Record(entry) => entries.push(entry),
                 Effect::QueryAdvisor(query) => self.ask(epoch, query),
-                Effect::Order(order) => self.send_order(Call { epoch, order }),
+                Effect::Order(order) => self.send_order(Call { epoch, decided: now, order }),
             }
         }
         if !entries.is_empty() {
@@ -76,7 +76,7 @@
             let (task, number, worker, epoch) = (run.task, run.number, &on.worker, call.epoch);
             tracing::info!(job = %task.step_id.job, %task, number, %worker, why = ?reason, epoch, "stop ordered");
         }
-        if let Err(Call { epoch, order }) = self.duty.orders.offer_back(call) {
+        if let Err(Call { epoch, order, .. }) = self.duty.orders.offer_back(call) {
             let now = view::now();
             tracing::warn!("order ring full; call to a worker not sent");
             let Some(owner) = owner_of(&mut self.tenure, epoch) else { return };
