Learn the owner from a peer while the log can't be read

Change: while its replica lags, a daemon asks a random peer every 0.5 s which claim it has read and whom it names, and passes entries and questions on to that owner.

--- a/crates/core/src/ledger/shard/succession.rs
+++ b/crates/core/src/ledger/shard/succession.rs
@@ -34,7 +34,7 @@
 const SLOW_STAGGER_READS: u64 = 16;
 
 /// What a daemon says about its own ownership of the shard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tenure {
     /// Epoch under which it owns the shard, `None` if it does not.
     pub epoch: Option<u64>,
@@ -44,6 +44,9 @@
     pub caught_up: bool,
     /// Whether the store accepted its last append.
     pub appends_succeed: bool,
+    /// Peer address of the owner that `claim` names; empty if there is none.
+    #[serde(default)]
+    pub owner: Box<str>,
 }
 
 /// Standing of the daemon that the newest claim names.
--- a/crates/core/src/ledger/shard/succession/tests.rs
+++ b/crates/core/src/ledger/shard/succession/tests.rs
@@ -7,17 +7,21 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const OWNS: Tenure = Tenure { epoch: Some(4), claim: 4, caught_up: true, appends_succeed: true };
+/// Returns what an owner says whose appends succeed.
+fn owns() -> Tenure {
+    let owner = "127.0.0.1:1".into();
+    Tenure { epoch: Some(4), claim: 4, caught_up: true, appends_succeed: true, owner }
+}
 
 #[gtest]
 fn an_owner_whose_appends_succeed_keeps_its_whole_time() {
-    expect_that!(Standing::of(&OWNS, 4), eq(Standing::Unknown));
+    expect_that!(Standing::of(&owns(), 4), eq(Standing::Unknown));
     expect_that!(Standing::Unknown.timeout(&ResponseTime::default()), eq(Millis(1400)));
 }
 
 #[gtest]
 fn an_owner_that_the_store_refuses_is_replaced_sooner() {
-    let failing = Tenure { appends_succeed: false, ..OWNS };
+    let failing = Tenure { appends_succeed: false, ..owns() };
     expect_that!(Standing::of(&failing, 4), eq(Standing::Failing));
     let timeout = |standing: Standing| standing.timeout(&ResponseTime::default());
     expect_that!(timeout(Standing::Failing), lt(timeout(Standing::Unknown)));
@@ -28,16 +32,16 @@
 /// A process that starts again at the owner's address does not own the shard under the old claim.
 #[gtest]
 fn a_restarted_owner_is_replaced_at_once() {
-    let restarted = Tenure { epoch: None, claim: 0, caught_up: false, appends_succeed: true };
+    let restarted = Tenure { epoch: None, claim: 0, caught_up: false, ..owns() };
     expect_that!(Standing::of(&restarted, 4), eq(Standing::Disowned));
     expect_that!(Standing::Disowned.timeout(&ResponseTime::default()), eq(Millis::ZERO));
 }
 
 #[gtest]
 fn an_owner_that_has_not_read_its_own_claim_yet_is_not_replaced() {
-    let claiming = Tenure { epoch: None, claim: 3, ..OWNS };
+    let claiming = Tenure { epoch: None, claim: 3, ..owns() };
     expect_that!(Standing::of(&claiming, 4), eq(Standing::Unknown));
-    let released = Tenure { epoch: None, claim: 4, ..OWNS };
+    let released = Tenure { epoch: None, claim: 4, ..owns() };
     expect_that!(Standing::of(&released, 4), eq(Standing::Disowned));
 }
 
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -12,7 +12,7 @@
 
 use super::border::{Chunk, Failure, Member, Store};
 use super::steward::Event;
-use super::view::{self, Configuration, ShardStatus};
+use super::view::{self, Configuration, Peers, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
 use pimentovalve_core::clock::Millis;
@@ -126,8 +126,10 @@
     pub appends: Receiver<Append>,
     /// Sending end of `appends`, for callers' entries while this daemon owns the shard.
     pub owner: Sender<Append>,
-    /// HTTP client for forwarding entries to the owner.
+    /// HTTP client for forwarding entries to the owner, and for questions to peers.
     pub client: Arc<Client>,
+    /// Addresses of the other daemons, published by the steward.
+    pub peers: Latest<Peers>,
     /// Ring to the steward.
     pub steward: Sender<Event>,
     /// Ownership and log progress, published by the steward.
@@ -153,6 +155,7 @@
                 appends,
                 owner,
                 client,
+                peers,
                 steward,
                 shard_status,
                 configuration,
@@ -200,7 +203,17 @@
                     steward.clone(),
                     shard_status.clone(),
                 )),
-                tokio::spawn(follow::owner(client, steward.clone(), shard_status.clone())),
+                tokio::spawn(follow::owner(
+                    Arc::clone(&client),
+                    steward.clone(),
+                    shard_status.clone(),
+                )),
+                tokio::spawn(follow::successor(
+                    client,
+                    steward.clone(),
+                    peers,
+                    shard_status.clone(),
+                )),
                 tokio::spawn(follow::members(store, member, steward, shard_status)),
             ];
             stop.cancelled().await;
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -1,10 +1,13 @@
 //! Loops that follow the configuration, the list of workers, the list of members and the owner.
+//!
+//! [`owner`] learns whether the owner can go on, [`successor`] who owns the shard while the log can't
+//! be read.
 
 use super::{Backoff, OutageLog, TENURE_PATH};
 use crate::ring::{Latest, Publisher, Sender};
 use crate::shard::border::{self, Member, Store};
 use crate::shard::steward::Event;
-use crate::shard::view::{self, Configuration, ShardStatus};
+use crate::shard::view::{self, Configuration, Peers, ShardStatus};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::ledger::shard::succession::{self, Standing, Tenure};
 use pimentovalve_wire::http::client::{Client, Error};
@@ -29,6 +32,9 @@
 /// Time-out of a question to the owner: twice the longest round trip between regions, and a margin.
 const TENURE_TIMEOUT: Millis = Millis(300);
 
+/// Interval between two questions for the owner while the replica lags.
+const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Publishes each new version of the configuration, and when it was last read; older versions are
 /// ignored.
 pub(super) async fn catalog(store: Arc<dyn Store>, configuration: Publisher<Configuration>) {
@@ -164,3 +170,43 @@
         sleep(TENURE_INTERVAL).await;
     }
 }
+
+/// Asks peers for the owner while this daemon's replica lags: the shard may have changed hands, and
+/// callers' entries have to reach the present owner.
+pub(super) async fn successor(
+    client: Arc<Client>,
+    steward: Sender<Event>,
+    peers: Latest<Peers>,
+    shard_status: Latest<ShardStatus>,
+) {
+    let mut known = 0;
+    loop {
+        sleep(SUCCESSOR_INTERVAL).await;
+        let claim = {
+            let status = shard_status.borrow();
+            if status.owns() || !status.lags(view::now()) {
+                continue;
+            }
+            status.claim.max(known)
+        };
+        let peer = {
+            let peers = peers.borrow();
+            let at = rand::random_range(0..peers.len().max(1));
+            peers.get(at).cloned()
+        };
+        let Some(peer) = peer else { continue };
+        // A peer that does not answer is not asked again soon: there are others.
+        let Ok(Tenure { claim: newer, owner, .. }) =
+            client.exchange(&peer, TENURE_PATH, &claim, TENURE_TIMEOUT).await
+        else {
+            continue;
+        };
+        if newer > claim && !owner.is_empty() {
+            known = newer;
+            tracing::info!(claim = newer, %owner, %peer, "owner learnt from a peer");
+            if steward.push(Event::OwnerFound { claim: newer, address: owner }).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -143,7 +143,7 @@
             callers: Arc::clone(&platform.callers),
             configuration,
             intake: intake_in,
-            inquiries: Inquiries::new(reader.clone(), peers),
+            inquiries: Inquiries::new(reader.clone(), peers.clone()),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
         };
@@ -164,6 +164,7 @@
             appends,
             owner: appends_in.clone(),
             client: Arc::new(Client::new()),
+            peers,
             steward: events_in.clone(),
             shard_status,
             configuration: configuration_in,
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -82,7 +82,8 @@
         let status = self.shard_status.borrow();
         let appends_succeed = self.appends_succeed.load(Ordering::Relaxed);
         let ShardStatus { epoch, claim, caught_up, .. } = *status;
-        Tenure { epoch, claim, caught_up, appends_succeed }
+        let owner = status.owner.clone();
+        Tenure { epoch, claim, caught_up, appends_succeed, owner }
     }
 
     fn metrics(&self) -> Response {
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -112,6 +112,13 @@
         /// Its standing.
         standing: Standing,
     },
+    /// A peer has read a newer claim, which names the owner with this address.
+    OwnerFound {
+        /// Epoch of the claim.
+        claim: u64,
+        /// Peer address of the owner.
+        address: Box<str>,
+    },
     /// A caller requests the state of a job.
     Status(Id, Reply<Option<Status>>),
     /// A caller requests the number of jobs of a queue that have not started.
@@ -182,6 +189,8 @@
     owner_seen_at: Millis,
     /// What the owner last said, or what its silence means, with the epoch of its claim.
     standing: (u64, Standing),
+    /// Newest claim that a peer has read, and the address of the owner that it names.
+    found_owner: (u64, Box<str>),
     /// When the log was last read to its end.
     log_read_at: Millis,
     /// When that read was sent: the replica contains everything appended before.
@@ -224,6 +233,7 @@
             tenure: None,
             owner_seen_at: now,
             standing: (0, Standing::Unknown),
+            found_owner: (0, "".into()),
             log_read_at: Millis::ZERO,
             covered_until: Millis::ZERO,
             append_sent_at: Millis::ZERO,
@@ -319,6 +329,10 @@
             }
             Event::Members(members) => self.update_members(members, now),
             Event::OwnerAsked { claim, standing } => self.standing = (claim, standing),
+            Event::OwnerFound { claim, address } => {
+                self.found_owner = (claim, address);
+                self.publish();
+            }
             Event::Status(id, reply) => {
                 // The receiver is gone when the caller has disconnected.
                 let _ = reply.send(self.replica.status(id));
@@ -512,7 +526,9 @@
     fn publish(&self) {
         let epoch = self.tenure.as_ref().map(|t| t.epoch);
         let claim = self.replica.claim();
-        let (claim, owner) = (claim.epoch, claim.address.clone());
+        let (found, address) = &self.found_owner;
+        let owner = if *found > claim.epoch { address } else { &claim.address };
+        let (claim, owner) = (claim.epoch, owner.clone());
         let Self { caught_up, owner_seen_at, log_read_at, covered_until, response_time, .. } =
             *self;
         let can_own = caught_up && !self.is_draining;
