--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -2,8 +2,8 @@
 //! ticket with a limited validity for each of them.
 //!
 //! The advisor serves one query at a time per daemon, and its response time grows with the number
-//! of workers named. A step is asked about in rounds: [`plan`] says how many workers a round names
-//! and over how many queries it is spread, [`relay`] through which daemons they go. The set of
+//! of workers named. A step is asked about in rounds: `plan` says how many workers a round names
+//! and over how many queries it is spread, `relay` through which daemons they go. The set of
 //! allowed workers never changes for a step; only tickets expire.
 
 mod plan;
