--- a/crates/daemon/src/shard/orders/tests.rs
+++ b/crates/daemon/src/shard/orders/tests.rs
@@ -164,8 +164,8 @@
 
 #[gtest]
 fn a_start_order_is_not_repeated_after_a_pause() {
-    let pause = Millis(200);
+    let pause = Millis(1000);
     let worker = Scripted { pause, ..Scripted::new(&[StartAnswer::Unknown], &[]) };
-    let decided = view::now().since(MAX_START_AGE.since(Millis(100)));
+    let decided = view::now().since(MAX_START_AGE.since(Millis(800)));
     expect_that!(start(&worker, decided), eq((StartAnswer::Unknown, 1)));
 }
