--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -24,6 +24,7 @@
 #[cfg(test)]
 mod tests;
 mod turnover;
+mod wait;
 
 use crate::clock::Millis;
 use crate::contract::work::{Outcome, StepId};
@@ -40,6 +41,7 @@
 
 pub use answer::{StartAnswer, StopAnswer};
 pub use poll::{PollError, Progress, Report};
+pub use wait::{Wait, Waited};
 
 /// Upper bound of the estimated time to record a start. It must stay below the validity of
 /// tickets: otherwise every ticket would count as expired after an outage of the store.
@@ -166,6 +168,8 @@
     /// Usage after the last placement pass.
     usage: Usage,
     turnover: Turnover,
+    /// Gangs that became late or started since [`Self::waited`] was last called.
+    waited: Vec<Waited>,
     /// Number of releases of capacity so far.
     releases: u64,
     /// Whether an input since the last placement pass may allow new placements.
@@ -192,6 +196,7 @@
             effort: Effort::default(),
             usage: Usage::default(),
             turnover: Turnover::default(),
+            waited: Vec::new(),
             releases: 0,
             is_dirty: true,
         };
@@ -298,6 +303,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Drains the gangs that became late or started since the last call.
+    pub fn waited(&mut self) -> Vec<Waited> {
+        std::mem::take(&mut self.waited)
+    }
+
     /// Returns the state of the advisor queries.
     pub const fn queries_mut(&mut self) -> &mut Queries {
         &mut self.queries
--- a/crates/core/src/contract/owner/backlog.rs
+++ b/crates/core/src/contract/owner/backlog.rs
@@ -3,6 +3,7 @@
 //! The list is compact and is brought up to date before each placement pass, so that a pass looks
 //! up a step in the replica only if it may place some of its tasks.
 
+use super::wait::{Turn, Wait, Waited};
 use super::{Owner, place};
 use crate::clock::Millis;
 use crate::contract::work::{StepId, Task};
@@ -44,6 +45,8 @@
     /// Latest start with which the job's result has value; `None` for a lasting step.
     worthless_after: Option<Millis>,
     latest_start: Millis,
+    /// How it has waited, if it is a gang.
+    wait: Wait,
 }
 
 /// The open steps of the shard.
@@ -65,6 +68,22 @@
         &self.steps[at]
     }
 
+    /// Notes what a pass did for a waiting gang. Returns its wait if it became late or starts.
+    pub(super) fn note_turn(&mut self, at: usize, turn: Turn, now: Millis) -> Option<Waited> {
+        let candidate = &mut self.steps[at];
+        let Candidate { step_id, tasks, wait, .. } = candidate;
+        let (step_id, tasks) = (*step_id, *tasks);
+        let was_late = wait.late > Millis::ZERO;
+        wait.late = candidate.late_after.map_or(Millis::ZERO, |limit| now.since(limit));
+        wait.add(turn, now);
+        let (wait, has_started) = (*wait, turn == Turn::Started);
+        if has_started {
+            candidate.wait = wait.after_start();
+        }
+        let is_news = has_started || !was_late && wait.late > Millis::ZERO;
+        is_news.then_some(Waited { step_id, tasks, has_started, wait })
+    }
+
     /// Returns the steps with tasks that can start, in the order of placement.
     pub(super) fn ranks(&self, now: Millis) -> Vec<Rank> {
         let startable = self.steps.iter().enumerate().filter(|(_, c)| c.startable > 0);
@@ -133,6 +152,7 @@
             late_after: latest_start(1),
             worthless_after: latest_start(WORTHLESS_OBJECTIVES),
             latest_start: (state.seen + state.objective).since(left),
+            wait: Wait::default(),
         })
     }
 
--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -9,6 +9,7 @@
 use super::Owner;
 use super::advice::{Permission, Plan, TICKET_TRANSIT};
 use super::place::{Round, WaitingStep, counted, select_workers};
+use super::wait::Turn;
 use crate::clock::Millis;
 use crate::contract::work::{AdvisorTiming, StepId, Task};
 use crate::ledger::shard::Run;
@@ -52,13 +53,15 @@
 }
 
 impl Owner {
+    /// Starts a gang if its workers have room and tickets, and otherwise does what brings it closer
+    /// to its start.
     pub(super) fn place_gang(
         &mut self,
         waiting: &WaitingStep<'_>,
         replica: &Replica,
         round: &mut Round,
         now: Millis,
-    ) {
+    ) -> Turn {
         let count = waiting.state.tasks.len();
         let sites = self.allowed_sites(waiting, round, now);
         if let Some(hosts) = assignments(&sites, count) {
@@ -67,7 +70,7 @@
             for (task, host) in tasks.into_iter().zip(hosts) {
                 self.add_run(waiting, Run { task, number }, host, round, now);
             }
-            return;
+            return Turn::Started;
         }
         let timing = waiting.job.policy.advisor_timing;
         if let Some(held) = roomy(&sites, count) {
@@ -80,8 +83,9 @@
             if !is_asked {
                 round.gather(&needs, count);
             }
-            return;
+            return Turn::Renewing;
         }
+        let mut turn = Turn::PassedOver;
         if round.may_gather() && sites.iter().map(|s| s.whole).sum::<usize>() >= count {
             let needs = counted(waiting.step);
             // Also if it can't: gangs of higher rank keep too many workers for more to gather.
@@ -92,15 +96,22 @@
                 let members = u64::try_from(*members).unwrap_or(u64::MAX);
                 round.reserve(site.host, &self.hosts[site.host], &needs.times(members));
             }
+            if !gathered.is_empty() {
+                turn = Turn::Gathering;
+            }
             if let Some(timing) = timing
                 && self.keep_tickets(waiting, timing, &gathered, round, now)
             {
-                return;
+                return turn;
             }
         }
         if let Some(timing) = timing {
             self.explore(waiting, timing, &sites, count, round, now);
+            if turn == Turn::PassedOver && self.queries.is_asked(&waiting.step_id) {
+                return Turn::Exploring;
+            }
         }
+        turn
     }
 
     /// Returns the eligible workers that the advisor allows: all of them if the step needs no advice.
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -9,6 +9,7 @@
 use super::backlog::Candidate;
 use super::gang::{GATHERED_PERCENT, MAX_GATHERING, MIN_GATHERING, scatter};
 use super::order::StopReason;
+use super::wait::Turn;
 use super::{Effect, Owner, Phase, Running, Usage};
 use crate::clock::Millis;
 use crate::contract::work::{AdvisorTiming, Job, Step, StepId, Task};
@@ -140,14 +141,19 @@
                 break;
             }
             let candidate = self.backlog.candidate(rank.at);
+            let (is_gang, startable) = (candidate.is_gang, candidate.startable);
             if self.is_hopeless(candidate, &round) {
+                if is_gang && startable == candidate.tasks {
+                    self.note_turn(rank.at, Turn::PassedOver, now);
+                }
                 continue;
             }
-            let (is_gang, startable) = (candidate.is_gang, candidate.startable);
             // A gang that may gather room keeps it anew in each pass.
             let may_wait = candidate.is_advised && !(is_gang && round.may_gather());
             if may_wait && self.queries.is_stuck(&rank.step_id, &self.hosts, now) {
-                if !is_gang {
+                if is_gang {
+                    self.note_turn(rank.at, Turn::PassedOver, now);
+                } else {
                     round.take_query_budget(candidate.needs.cpu_milli, startable);
                 }
                 continue;
@@ -156,7 +162,8 @@
             self.effort.steps += 1;
             let before = round.count;
             if is_gang {
-                self.place_gang(&waiting, replica, &mut round, now);
+                let turn = self.place_gang(&waiting, replica, &mut round, now);
+                self.note_turn(rank.at, turn, now);
             } else {
                 self.place_singles(&waiting, startable, replica, &mut round, now);
             }
@@ -173,6 +180,10 @@
         }
     }
 
+    fn note_turn(&mut self, at: usize, turn: Turn, now: Millis) {
+        self.waited.extend(self.backlog.note_turn(at, turn, now));
+    }
+
     fn round(&mut self, now: Millis) -> Round {
         let reserved = vec![Capacity::ZERO; self.hosts.len()];
         let mut round = Round { reserved, ..Round::default() };
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -10,7 +10,7 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::Query;
 use pimentovalve_core::contract::owner::order::{Order, Poll, Start, Stop};
-use pimentovalve_core::contract::owner::{Effect, PollError, StartAnswer, StopAnswer};
+use pimentovalve_core::contract::owner::{Effect, PollError, StartAnswer, StopAnswer, Waited};
 use pimentovalve_core::ledger::shard::{Entry, Record, Run};
 use std::time::Instant;
 
@@ -39,6 +39,7 @@
             tenure.next_placement =
                 now + MIN_PLACEMENT_INTERVAL.max(took.times(PLACEMENT_INTERVAL_FACTOR));
         }
+        tenure.owner.waited().iter().for_each(log_wait);
         let effects = tenure.owner.effects();
         let mut entries = Vec::new();
         for effect in effects {
@@ -111,6 +112,24 @@
     }
 }
 
+/// Logs that a gang became late or started, and how it waited.
+fn log_wait(waited: &Waited) {
+    let Waited { step_id, tasks, has_started, wait } = waited;
+    tracing::info!(
+        job = %step_id.job,
+        step = step_id.step,
+        tasks,
+        has_started,
+        late_ms = wait.late.get(),
+        passed_over_ms = wait.passed_over.get(),
+        gathering_ms = wait.gathering.get(),
+        renewing_ms = wait.renewing.get(),
+        exploring_ms = wait.exploring.get(),
+        runs = wait.runs,
+        "gang waited"
+    );
+}
+
 /// Logs the answer to a start order unless the worker took it.
 pub(super) fn log_start(run: &Run, answer: StartAnswer) {
     if answer != StartAnswer::Taken {
