Give late steps a last chance before their results lose all value

Cause: late work was ranked behind all work that could still be in time, so that a wide gang never had its turn while traffic lasted.

Now up to four late steps, the oldest, are ranked as if they were in time once their results lose all value within one objective. Not limited to gangs: wide steps of single tasks starve in the same way.

--- a/crates/core/src/contract/owner/backlog.rs
+++ b/crates/core/src/contract/owner/backlog.rs
@@ -12,13 +12,17 @@
 
 /// Multiple of its objective after which a job's result has no value.
 const WORTHLESS_OBJECTIVES: u64 = 3;
+/// Maximum number of late steps that are ranked as if they were in time. Each takes room from work
+/// that can still meet its objective.
+const MAX_LAST_CHANCES: usize = 4;
 
 /// Order in which waiting steps are placed, the smallest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     /// Whether the job can't finish before its result loses its value.
     is_worthless: bool,
-    /// Whether the job can't meet its objective.
+    /// Whether the job can't meet its objective and has no last chance; see
+    /// [`Backlog::give_last_chances`].
     is_late: bool,
     priority: u32,
     latest_start: Millis,
@@ -42,6 +46,8 @@
     priority: u32,
     /// Latest start with which the job meets its objective; `None` for a lasting step.
     late_after: Option<Millis>,
+    /// One objective before [`Self::worthless_after`].
+    last_chance_after: Option<Millis>,
     /// Latest start with which the job's result has value; `None` for a lasting step.
     worthless_after: Option<Millis>,
     latest_start: Millis,
@@ -88,9 +94,24 @@
     pub(super) fn ranks(&self, now: Millis) -> Vec<Rank> {
         let startable = self.steps.iter().enumerate().filter(|(_, c)| c.startable > 0);
         let mut ranks: Vec<Rank> = startable.map(|(at, c)| c.rank(at, now)).collect();
+        self.give_last_chances(&mut ranks, now);
         ranks.sort_unstable();
         ranks
     }
+
+    /// Ranks late steps as if they were in time, the oldest first, once their results lose all value
+    /// within one objective. While more work arrives than fits, no room is left for a wide step
+    /// behind all work that can still be in time.
+    fn give_last_chances(&self, ranks: &mut [Rank], now: Millis) {
+        let has_last_chance = |rank: &Rank| {
+            let candidate = &self.steps[rank.at];
+            let is_near_end = candidate.last_chance_after.is_some_and(|limit| now > limit);
+            is_near_end && !rank.is_worthless
+        };
+        let mut late: Vec<&mut Rank> = ranks.iter_mut().filter(|r| has_last_chance(r)).collect();
+        late.sort_unstable_by_key(|rank| (rank.latest_start, rank.step_id));
+        late.into_iter().take(MAX_LAST_CHANCES).for_each(|rank| rank.is_late = false);
+    }
 }
 
 impl Candidate {
@@ -150,6 +171,7 @@
             is_advised: state.job.policy.advisor_timing.is_some(),
             priority: state.job.policy.priority,
             late_after: latest_start(1),
+            last_chance_after: latest_start(WORTHLESS_OBJECTIVES - 1),
             worthless_after: latest_start(WORTHLESS_OBJECTIVES),
             latest_start: (state.seen + state.objective).since(left),
             wait: Wait::default(),
