Give a task up under which three workers have crashed

Cause: only ends `failed` count as attempts, and a run that is lost with its worker has no end; the log did not know that the task had taken its workers with it.

The owner now records which runs a worker may have executed when it ends without leaving (Entry::Crashed, an entry that earlier builds skip). A task that is one crash from the limit does not share a worker with such tasks of other jobs, so that the one that crashes its workers takes no other job with it.

a_task_that_crashes_its_workers_is_given_up failed before (8 crashes of 8, still running).

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -14,6 +14,7 @@
 pub mod advice;
 mod answer;
 mod backlog;
+mod crash;
 mod gang;
 mod incarnation;
 pub mod order;
@@ -27,7 +28,7 @@
 mod wait;
 
 use crate::clock::Millis;
-use crate::contract::work::{Outcome, StepId};
+use crate::contract::work::{Outcome, StepId, Task};
 use crate::ledger::shard::replica::{Applied, Replica};
 use crate::ledger::shard::{Entry, Incarnation, Run};
 use crate::machine::capacity::Capacity;
@@ -111,6 +112,8 @@
     reason: StopReason,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
+    /// Whether the end of its worker's incarnation is known not to be its fault, or is counted already.
+    is_settled: bool,
 }
 
 /// An action that the caller of [`Owner`] must carry out.
@@ -156,6 +159,8 @@
     /// Runs whose worker is not known in the incarnation that they were started on, sorted.
     strays: Vec<Run>,
     backlog: Backlog,
+    /// Tasks under which one more crash of a worker makes their jobs fail, sorted.
+    suspects: Vec<Task>,
     queries: Queries,
     /// Number of the last poll that was sent.
     last_poll: u64,
@@ -188,6 +193,7 @@
             runs: Runs::default(),
             strays: Vec::new(),
             backlog: Backlog::default(),
+            suspects: crash::suspects(replica),
             queries: Queries::default(),
             last_poll: 0,
             record_delay: Millis::ZERO,
@@ -263,6 +269,7 @@
                     }
                 }
             }
+            Entry::Crashed { runs, .. } => self.crashes_recorded(runs, replica, now),
             _ => {}
         }
         self.is_dirty = true;
@@ -284,7 +291,7 @@
             self.retry_stops(now);
             self.poll(replica, now);
         }
-        self.record_lost_orphans(now);
+        self.record_lost_orphans(replica, now);
     }
 
     /// Records due occurrences of scheduled jobs and, if an input may allow new placements, runs a
@@ -452,7 +459,7 @@
     }
 
     /// Returns whether the task has a run whose end or loss is not recorded yet.
-    fn is_running(&self, task: &crate::contract::work::Task) -> bool {
+    fn is_running(&self, task: &Task) -> bool {
         self.runs.has(task)
     }
 
@@ -524,6 +531,7 @@
             stop_requested: false,
             reason: StopReason::Stray,
             progress: (0, now),
+            is_settled: false,
         }
     }
 }
--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -169,12 +169,13 @@
         let state = &self.hosts[host];
         let whole = Self::fits(waiting.step, &state.entry.capacity);
         let worker = &state.incarnation.worker;
+        let is_apart = self.keeps_suspects_apart(waiting, host, round);
         (whole > 0).then(|| Site {
             host,
             access,
             until,
             is_named: self.queries.is_named(&waiting.step_id, worker),
-            free: Self::fits(waiting.step, &round.room(host, state)),
+            free: if is_apart { Self::fits(waiting.step, &round.room(host, state)) } else { 0 },
             whole,
         })
     }
--- a/crates/core/src/contract/owner/incarnation.rs
+++ b/crates/core/src/contract/owner/incarnation.rs
@@ -33,12 +33,28 @@
         now: Millis,
     ) {
         self.expire_tickets(i);
+        self.end_host(i, replica);
         let host = self.new_host(entry, replica, now);
         let old = std::mem::replace(&mut self.hosts[i], host);
         old.runs.into_iter().for_each(|run| self.add_stray(run));
         self.is_dirty = true;
     }
 
+    /// Handles that a host's incarnation has ended: it has left if it was draining, and otherwise
+    /// crashed.
+    fn end_host(&mut self, i: usize, replica: &Replica) {
+        let host = &self.hosts[i];
+        let (on, runs) = (Arc::clone(&host.incarnation), host.runs.clone());
+        if !host.entry.draining {
+            return self.record_crash(&on, &runs, replica);
+        }
+        for run in runs {
+            if let Ok(i) = self.run_index(&run) {
+                self.runs[i].is_settled = true;
+            }
+        }
+    }
+
     /// Returns the runs that were started on an incarnation, sorted.
     fn runs_on(&self, on: &Incarnation) -> Vec<Run> {
         if let Some(host) = self.host(on) {
@@ -55,6 +71,7 @@
     pub(super) fn resolve_previous_incarnations(
         &mut self,
         incarnation: &Arc<Incarnation>,
+        replica: &Replica,
         now: Millis,
     ) {
         let is_old =
@@ -80,16 +97,28 @@
             self.stop_at(i, now);
             self.try_stop(i);
         }
+        self.record_crashes(&lost, replica);
         self.record_lost(&lost);
     }
 
+    /// Records crashes under runs of earlier incarnations, those that ended before this owner listed
+    /// their workers included.
+    fn record_crashes(&mut self, runs: &[Run], replica: &Replica) {
+        for run in runs {
+            if let Ok(i) = self.run_index(run) {
+                let on = Arc::clone(&self.runs[i].on);
+                self.record_crash(&on, &[*run], replica);
+            }
+        }
+    }
+
     /// Records runs as lost that can't be executing any more:
     ///
     /// - runs on workers that are not known, once every lease of earlier owners has expired;
     /// - runs in an earlier incarnation of a worker, unless the new incarnation could still execute
     ///   their start order. That holds for an unanswered order of this owner, and for an order of
     ///   an earlier owner until that owner's leases have expired.
-    pub(super) fn record_lost_orphans(&mut self, now: Millis) {
+    pub(super) fn record_lost_orphans(&mut self, replica: &Replica, now: Millis) {
         self.effort.runs += u64::try_from(self.strays.len()).unwrap_or(u64::MAX);
         let earlier_leases_expired = self.earlier_leases_expired(now);
         let is_orphan = |r: &Running| match self.host_index(&r.on.worker) {
@@ -104,12 +133,23 @@
         let strays = self.strays.iter().copied();
         let is_lost = |run: &Run| self.run_index(run).is_ok_and(|i| is_orphan(&self.runs[i]));
         let lost: Vec<Run> = strays.filter(is_lost).collect();
+        let is_known = |run: &Run| {
+            let on = self.run_index(run).map(|i| &self.runs[i].on.worker);
+            on.is_ok_and(|worker| self.host_index(worker).is_ok())
+        };
+        let crashed: Vec<Run> = lost.iter().copied().filter(is_known).collect();
+        self.record_crashes(&crashed, replica);
         self.record_lost(&lost);
     }
 
     /// Handles the end of a worker's incarnation: none of its runs executes, and orders addressed
     /// to it have no effect.
     pub(super) fn end_incarnation(&mut self, on: &Incarnation, replica: &Replica, now: Millis) {
+        if let Ok(i) = self.host_index(&on.worker)
+            && *self.hosts[i].incarnation == *on
+        {
+            self.end_host(i, replica);
+        }
         let lost = self.record_lost_of(self.runs_on(on));
         for run in &lost {
             self.break_gang(run, replica, now);
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -12,7 +12,7 @@
 use super::wait::Turn;
 use super::{Effect, Owner, Phase, Running, Usage};
 use crate::clock::Millis;
-use crate::contract::work::{AdvisorTiming, Job, Step, StepId, Task};
+use crate::contract::work::{AdvisorTiming, Id, Job, Step, StepId, Task};
 use crate::ledger::shard::replica::Replica;
 use crate::ledger::shard::state::StepState;
 use crate::ledger::shard::{Entry, Incarnation, Run};
@@ -62,6 +62,8 @@
     room: Capacity,
     /// Indices of the workers that accept work, by pool and required label.
     eligible: Vec<Rc<Eligible>>,
+    /// Workers that execute suspected tasks, each with a job of such a task.
+    pub(super) suspects: Vec<(usize, Id)>,
     /// Runs to record as started, grouped by worker.
     starts: Vec<(Arc<Incarnation>, Vec<Run>)>,
     /// Number of runs in `starts`.
@@ -193,6 +195,7 @@
         let free = round.room.cpu_milli;
         let released = self.turnover.expected(QUERY_AHEAD, now).min(whole);
         round.expects_room = released > 0;
+        round.suspects = self.suspects_on();
         round.gather_budget = whole * GATHERED_PERCENT / 100;
         round.query_budget =
             free * QUERY_FREE_TENTHS / 10 + released.max(whole * QUERY_TOTAL_PERCENT / 100);
@@ -287,7 +290,9 @@
             for i in hosts {
                 let has_room = |owner: &Self, round: &Round| {
                     let host = &owner.hosts[i];
-                    round.room(i, host).holds(&needs) && owner.is_spread(waiting, host)
+                    round.room(i, host).holds(&needs)
+                        && owner.is_spread(waiting, host)
+                        && owner.keeps_suspects_apart(waiting, i, round)
                 };
                 while let Some(task) = tasks.next_if(|_| has_room(self, round)) {
                     let number = self.last_run(waiting, &task) + 1;
@@ -392,7 +397,11 @@
             stop_requested: false,
             reason: StopReason::Stray,
             progress: (0, now),
+            is_settled: false,
         });
+        if self.is_suspect(&run.task) {
+            round.suspects.push((i, run.task.step_id.job));
+        }
         round.count += 1;
         match round.starts.iter_mut().find(|(incarnation, _)| *incarnation == on) {
             Some((_, runs)) => runs.push(run),
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -132,7 +132,7 @@
         let incarnation = Arc::clone(&host.incarnation);
         if was_silent {
             self.is_dirty = true;
-            self.resolve_previous_incarnations(&incarnation, now);
+            self.resolve_previous_incarnations(&incarnation, replica, now);
         }
         self.record_ends(on, report, now);
         self.reconcile(on, number, report, replica, now);
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner in virtual time. The store records entries at once, and each test supplies
 //! the workers' answers.
 
+mod crashes;
 mod effort;
 mod fleet;
 mod gangs;
--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -110,6 +110,14 @@
     },
     /// These runs can no longer be active, and no worker reports their end.
     Lost(Vec<Run>),
+    /// A worker crashed while it may have executed these runs. Whether they can still be active is
+    /// recorded separately.
+    Crashed {
+        /// The incarnation that ended.
+        on: Incarnation,
+        /// The runs.
+        runs: Vec<Run>,
+    },
 }
 
 /// An entry with the epoch and sequence number under which it was appended.
--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -218,6 +218,7 @@
                 }
                 Applied::Progress
             }
+            Entry::Crashed { runs, .. } => self.crash(&runs, now),
         }
     }
 
@@ -343,9 +344,7 @@
             let is_exhausted = step_state.end(step, job.policy.attempts, end);
             let is_done = step_state.is_done();
             if is_exhausted && !state.has_ended() {
-                state.failed = true;
-                state.end(now);
-                self.remove_open_steps(id);
+                self.fail(id, now);
                 applied = Applied::Over(id);
             } else if is_done {
                 self.update_open_steps(id, now);
@@ -355,6 +354,29 @@
         applied
     }
 
+    fn crash(&mut self, runs: &[Run], now: Millis) -> Applied {
+        let mut applied = Applied::Progress;
+        for run in runs {
+            let id = run.task.step_id.job;
+            let Some(state) = self.job_mut(id).filter(|j| !j.has_ended()) else { continue };
+            if state.step_mut(&run.task).is_some_and(|step| step.crash(*run)) {
+                self.fail(id, now);
+                self.update_backlog(id);
+                applied = Applied::Over(id);
+            }
+        }
+        applied
+    }
+
+    /// Ends a job as failed.
+    fn fail(&mut self, id: Id, now: Millis) {
+        if let Some(state) = self.job_mut(id) {
+            state.failed = true;
+            state.end(now);
+        }
+        self.remove_open_steps(id);
+    }
+
     fn record_last_end(&mut self, incarnation: &Incarnation, number: u64) {
         match self.recorded_ends.binary_search_by(|(l, _)| l.cmp(incarnation)) {
             Ok(i) => self.recorded_ends[i].1 = self.recorded_ends[i].1.max(number),
--- a/crates/core/src/ledger/shard/replica/tests.rs
+++ b/crates/core/src/ledger/shard/replica/tests.rs
@@ -97,6 +97,26 @@
     expect_that!(status(&replica), eq(Status::Failed));
 }
 
+#[gtest]
+fn the_third_worker_that_crashes_under_a_task_ends_its_job() {
+    let mut replica = replica(vec![step(2, &[])], vec![]);
+    let crashed = |number| {
+        let on = Incarnation { worker: "w".into(), born: number };
+        Entry::Crashed { on, runs: vec![run(0, 0, u32::try_from(number).unwrap())] }
+    };
+    for number in 1..=2 {
+        replica.apply(started(&[run(0, 0, number)]), NOW);
+        replica.apply(Entry::Lost(vec![run(0, 0, number)]), NOW);
+        // A crash that is recorded twice, as around a takeover, counts once.
+        replica.apply(crashed(number.into()), NOW);
+        expect_that!(replica.apply(crashed(number.into()), NOW), eq(Applied::Progress));
+        expect_that!(status(&replica), eq(Status::Queued));
+    }
+    replica.apply(started(&[run(0, 0, 3)]), NOW);
+    expect_that!(replica.apply(crashed(3), NOW), eq(Applied::Over(Id(1))));
+    expect_that!(status(&replica), eq(Status::Failed));
+}
+
 #[gtest]
 fn one_end_of_a_gang_ends_all_its_tasks() {
     let gang = Step { gang: true, ..step(3, &[]) };
--- a/crates/core/src/ledger/shard/snapshot/tests.rs
+++ b/crates/core/src/ledger/shard/snapshot/tests.rs
@@ -76,3 +76,20 @@
     let bytes = rmp_serde::to_vec(&replica).expect("bytes").len();
     expect_that!(replica.size_estimate(), all![ge(bytes / 4), le(bytes * 4)]);
 }
+
+#[gtest]
+fn a_snapshot_keeps_how_often_workers_crashed_under_a_task() {
+    let mut replica = restored();
+    let on = Incarnation { worker: "worker".into(), born: 7 };
+    let before = rmp_serde::to_vec(&replica).expect("bytes");
+    replica.apply(Entry::Crashed { on, runs: vec![run(2, 4)] }, WRITTEN);
+    let crashes = |replica: &Replica| {
+        let job = replica.job(Id(2)).expect("the job");
+        job.occurrences[0].steps[0].tasks[0].crashes
+    };
+    let bytes = rmp_serde::to_vec(&replica).expect("bytes");
+    expect_that!(crashes(&rmp_serde::from_slice(&bytes).expect("a replica")), eq(1));
+    // Snapshots of earlier builds, and those without crashes, don't have the field.
+    expect_that!(crashes(&rmp_serde::from_slice(&before).expect("a replica")), eq(0));
+    expect_that!(bytes.len(), eq(before.len() + 2));
+}
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+/// Number of workers that may crash under a task before its job fails.
+pub const MAX_CRASHES: u32 = 3;
+
 /// A run that may be active.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placed {
@@ -29,9 +32,25 @@
     pub done: bool,
     /// Last checkpoint; empty if there is none.
     pub saved: Box<str>,
+    /// Workers that crashed under a run. Left out of snapshots while it is zero, for earlier builds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+    /// Number of the last run in [`Self::crashes`].
+    #[serde(default, skip_serializing_if = "is_zero")]
+    crashed_run: u32,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
+const fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 impl TaskState {
+    /// Returns whether one more crash of a worker under the task makes its job fail.
+    pub const fn is_suspect(&self) -> bool {
+        !self.done && self.crashes + 1 == MAX_CRASHES
+    }
+
     /// Returns whether the task is neither done nor placed.
     pub const fn is_waiting(&self) -> bool {
         !self.done && self.placed.is_none()
@@ -112,6 +131,19 @@
         self.tasks[index].failures >= attempts
     }
 
+    /// Counts the crash of a worker under a run, once for each run. Returns whether the task has
+    /// crashed as many workers as it may.
+    pub(super) fn crash(&mut self, run: Run) -> bool {
+        let Ok(index) = usize::try_from(run.task.index) else { return false };
+        let Some(task) = self.tasks.get_mut(index) else { return false };
+        if task.done || run.number <= task.crashed_run {
+            return false;
+        }
+        task.crashed_run = run.number;
+        task.crashes += 1;
+        task.crashes >= MAX_CRASHES
+    }
+
     /// Stores a checkpoint. A checkpoint of one task of a gang applies to the whole gang.
     fn store_checkpoint(&mut self, step: &Step, index: usize, saved: &str) {
         if step.gang {
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -414,6 +414,10 @@
         if let Some(tenure) = &mut self.tenure {
             if epoch == tenure.epoch {
                 self.recorded.add(&entry, epoch, &self.duty.metrics);
+                if let (Entry::Crashed { on, .. }, Applied::Over(job)) = (&entry, applied) {
+                    let worker = &on.worker;
+                    tracing::warn!(%job, %worker, epoch, "job given up: workers crashed under its task");
+                }
                 tenure.owner.entry_recorded(&entry, &self.replica, now);
             }
             tenure.owner.entry_applied(applied, now);
--- a/crates/daemon/src/shard/steward/recorded.rs
+++ b/crates/daemon/src/shard/steward/recorded.rs
@@ -15,6 +15,7 @@
     starts: List,
     ends: List,
     losses: List,
+    crashes: List,
 }
 
 /// Runs as text, separated by spaces: `TASK#NUMBER`, then `@WORKER` and `=OUTCOME` where they apply.
@@ -66,6 +67,13 @@
                     self.log_if_full();
                 }
             }
+            Entry::Crashed { on, runs } => {
+                metrics.recorded("crash", runs.len());
+                for run in runs {
+                    self.crashes.push(run, format_args!("@{}", on.worker));
+                    self.log_if_full();
+                }
+            }
             _ => {}
         }
     }
@@ -82,10 +90,16 @@
         if let Some(runs) = self.losses.take() {
             tracing::info!(epoch, runs, "losses recorded");
         }
+        if let Some(runs) = self.crashes.take() {
+            tracing::warn!(epoch, runs, "workers crashed under runs");
+        }
     }
 
     fn log_if_full(&mut self) {
-        if [&self.starts, &self.ends, &self.losses].iter().any(|l| l.count == MAX_RUNS) {
+        if [&self.starts, &self.ends, &self.losses, &self.crashes]
+            .iter()
+            .any(|l| l.count == MAX_RUNS)
+        {
             self.log();
         }
     }
--- a/src/commands/explain/cause.rs
+++ b/src/commands/explain/cause.rs
@@ -87,6 +87,7 @@
         let what = match (line.message.as_str(), line.field("outcome")) {
             ("end recorded", Some(outcome)) if outcome != "Done" => format!("ended {outcome}"),
             ("loss recorded", _) => "were lost with their worker, or never began".into(),
+            ("worker crashed under run", _) => "were on a worker that crashed".into(),
             ("start not taken", _) => {
                 format!("were not taken: {}", line.field("answer").unwrap_or("no answer"))
             }
--- a/src/commands/explain/line.rs
+++ b/src/commands/explain/line.rs
@@ -9,10 +9,11 @@
 const COMMON_FIELDS: [&str; 4] = ["timestamp", "level", "target", "message"];
 
 /// Messages of lines about several runs, each with the message of a line about one run.
-const RUN_LISTS: [(&str, &str); 3] = [
+const RUN_LISTS: [(&str, &str); 4] = [
     ("starts recorded", "start recorded"),
     ("ends recorded", "end recorded"),
     ("losses recorded", "loss recorded"),
+    ("workers crashed under runs", "worker crashed under run"),
 ];
 
 /// A line of a daemon's log.
