Send no start that no longer fits once its worker's room has shrunk

The room is checked again before the order, as whether the worker drains was; room that grows makes a placement pass due. The new test failed before: four starts in place of two.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -224,7 +224,8 @@
                 Ok(i) if self.hosts[i].incarnation.born == entry.incarnation.born => {
                     let host = &mut self.hosts[i];
                     host.is_listed = true;
-                    self.is_dirty |= host.entry.draining != entry.draining;
+                    self.is_dirty |= host.entry.draining != entry.draining
+                        || host.entry.capacity != entry.capacity;
                     host.entry = entry.clone();
                 }
                 Ok(i) if self.hosts[i].incarnation.born < entry.incarnation.born => {
@@ -394,7 +395,7 @@
             return self.abandon_start(run, replica, now);
         };
         // The list may have changed while the start was recorded.
-        if host.entry.draining {
+        if host.entry.draining || !host.entry.capacity.holds(&host.used) {
             return self.abandon_start(run, replica, now);
         }
         let address = host.entry.address.clone();
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -223,6 +223,26 @@
     expect_that!(world.starts, len(eq(8)));
 }
 
+/// Regression: runs that were being recorded when their worker's room shrank were started beyond it.
+#[gtest]
+fn a_worker_whose_room_has_shrunk_while_starts_were_recorded_is_not_filled_beyond_it() {
+    let mut world = World::new(&["a"], vec![]);
+    world.answer_polls();
+    let submitted = Entry::Submitted(Box::new(job(1, vec![step(4, &[])])));
+    let applied = world.replica.apply(submitted, world.now);
+    world.owner.entry_applied(applied, world.now);
+    world.step();
+    expect_that!(world.unrecorded, len(eq(1)));
+    let small = Capacity::new(2000, 8192, 0);
+    world.list(&[WorkerEntry { capacity: small, ..worker_entry("a", 1) }]);
+    world.settle();
+    expect_that!(world.starts, len(eq(2)));
+    // Room that grows again is used.
+    world.list(&[worker_entry("a", 1)]);
+    world.pass(100);
+    expect_that!(world.starts, len(eq(4)));
+}
+
 #[gtest]
 fn a_start_without_answer_is_stopped_before_the_task_starts_again() {
     let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
