--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// Number of workers that may crash under a task before its job fails.
+/// Number of workers that crash under a task until its job fails (source: the users' rules allow that
+/// from the second on, and forbid three more starts after the third).
 pub const MAX_CRASHES: u32 = 3;
 
 /// A run that may be active.
