--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -112,8 +112,9 @@
     reason: StopReason,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
-    /// Whether the end of its worker's incarnation is known not to be its fault, or is counted already.
-    is_settled: bool,
+    /// Whether the end of its worker's incarnation is accounted for: the worker left, or its crash is
+    /// recorded.
+    is_accounted: bool,
 }
 
 /// An action that the caller of [`Owner`] must carry out.
@@ -532,7 +533,7 @@
             stop_requested: false,
             reason: StopReason::Stray,
             progress: (0, now),
-            is_settled: false,
+            is_accounted: false,
         }
     }
 }
--- a/crates/core/src/contract/owner/crash.rs
+++ b/crates/core/src/contract/owner/crash.rs
@@ -22,12 +22,14 @@
             let Ok(i) = self.run_index(run) else { return false };
             let running = &self.runs[i];
             let is_lasting = step_of(replica, &run.task.step_id).is_some_and(|s| s.lasting);
-            !running.is_settled && running.may_have_begun() && !(is_lasting && running.has_worked())
+            !running.is_accounted
+                && running.may_have_begun()
+                && !(is_lasting && running.has_worked())
         };
         let runs: Vec<Run> = runs.iter().copied().filter(may_be_cause).collect();
         for run in &runs {
             if let Ok(i) = self.run_index(run) {
-                self.runs[i].is_settled = true;
+                self.runs[i].is_accounted = true;
             }
         }
         if !runs.is_empty() {
@@ -35,7 +37,8 @@
         }
     }
 
-    /// Handles that crashes under `runs` are recorded in the log and applied to `replica`.
+    /// Handles that a crash under `runs` is recorded in the log and applied to `replica`: stops the jobs
+    /// that it ended, and notes the tasks that it made suspected.
     pub(super) fn crashes_recorded(&mut self, runs: &[Run], replica: &Replica, now: Millis) {
         for run in runs {
             let task = run.task;
@@ -61,13 +64,18 @@
     }
 
     /// Returns the workers that execute suspected tasks, each with a job of such a task.
-    pub(super) fn suspects_on(&self) -> Vec<(usize, Id)> {
-        let runs = self.suspects.iter().flat_map(|task| {
+    pub(super) fn suspect_hosts(&self) -> Vec<(usize, Id)> {
+        let mut hosts = Vec::new();
+        for task in &self.suspects {
             let runs = self.runs.of_step(&task.step_id).iter();
-            runs.filter(move |(run, _)| run.task == *task)
-        });
-        let host = |running: &Running| self.host_index(&running.on.worker).ok();
-        runs.filter_map(|(run, r)| host(r).map(|i| (i, run.task.step_id.job))).collect()
+            for (_, running) in runs.filter(|(run, _)| run.task == *task) {
+                // Nothing is placed on a worker that is not known.
+                if let Ok(i) = self.host_index(&running.on.worker) {
+                    hosts.push((i, task.step_id.job));
+                }
+            }
+        }
+        hosts
     }
 
     /// Returns whether a step may run on a worker without bringing suspected tasks of different jobs
--- a/crates/core/src/contract/owner/incarnation.rs
+++ b/crates/core/src/contract/owner/incarnation.rs
@@ -33,16 +33,16 @@
         now: Millis,
     ) {
         self.expire_tickets(i);
-        self.end_host(i, replica);
+        self.account_for_end(i, replica);
         let host = self.new_host(entry, replica, now);
         let old = std::mem::replace(&mut self.hosts[i], host);
         old.runs.into_iter().for_each(|run| self.add_stray(run));
         self.is_dirty = true;
     }
 
-    /// Handles that a host's incarnation has ended: it has left if it was draining, and otherwise
+    /// Accounts for the end of a host's incarnation: it has left if it was draining, and otherwise
     /// crashed.
-    fn end_host(&mut self, i: usize, replica: &Replica) {
+    fn account_for_end(&mut self, i: usize, replica: &Replica) {
         let host = &self.hosts[i];
         let (on, runs) = (Arc::clone(&host.incarnation), host.runs.clone());
         if !host.entry.draining {
@@ -50,7 +50,7 @@
         }
         for run in runs {
             if let Ok(i) = self.run_index(&run) {
-                self.runs[i].is_settled = true;
+                self.runs[i].is_accounted = true;
             }
         }
     }
@@ -148,7 +148,7 @@
         if let Ok(i) = self.host_index(&on.worker)
             && *self.hosts[i].incarnation == *on
         {
-            self.end_host(i, replica);
+            self.account_for_end(i, replica);
         }
         let lost = self.record_lost_of(self.runs_on(on));
         for run in &lost {
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -196,7 +196,7 @@
         let free = round.room.cpu_milli;
         let released = self.turnover.expected(QUERY_AHEAD, now).min(whole);
         round.expects_room = released > 0;
-        round.suspects = self.suspects_on();
+        round.suspects = self.suspect_hosts();
         round.gather_budget = whole * GATHERED_PERCENT / 100;
         round.query_budget =
             free * QUERY_FREE_TENTHS / 10 + released.max(whole * QUERY_TOTAL_PERCENT / 100);
@@ -398,7 +398,7 @@
             stop_requested: false,
             reason: StopReason::Stray,
             progress: (0, now),
-            is_settled: false,
+            is_accounted: false,
         });
         if self.is_suspect(&run.task) {
             round.suspects.push((i, run.task.step_id.job));
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -41,11 +41,6 @@
     crashed_run: u32,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
-const fn is_zero(number: &u32) -> bool {
-    *number == 0
-}
-
 impl TaskState {
     /// Returns whether one more crash of a worker under the task makes its job fail.
     pub const fn is_suspect(&self) -> bool {
@@ -312,3 +307,8 @@
         occurrence.steps.get_mut(usize::from(task.step_id.step))
     }
 }
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
+const fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
