Count crashes only against runs that their workers were seen to execute

Cause: a start order without evidence that it reached its worker counted as a crash under its task. The list still names workers that have crashed; each start is answered with 421 by the next incarnation, or gets no answer at all, and the end of the old incarnation was charged to every run in a phase after its record. Three such starts end a job. Ruled out: crashes of workers that were executing a run, since the stand-ins began none; attempts that ended failed, since none was listed.

A run counts now only once its worker has accepted the start or listed the run. That covers each phase of a run and each way in which an incarnation ends: refused starts, stops and polls, orders in flight and without answer, and starts that an earlier owner recorded. The counting of runs that were resolved after the end of an incarnation had no evidence left to go by and is removed.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -112,6 +112,8 @@
     reason: StopReason,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
+    /// Whether its worker has accepted the start order or listed the run.
+    has_begun: bool,
     /// Whether the end of its worker's incarnation is accounted for: the worker left, or its crash is
     /// recorded.
     is_accounted: bool,
@@ -293,7 +295,7 @@
             self.retry_stops(now);
             self.poll(replica, now);
         }
-        self.record_lost_orphans(replica, now);
+        self.record_lost_orphans(now);
     }
 
     /// Records due occurrences of scheduled jobs and, if an input may allow new placements, runs a
@@ -533,6 +535,7 @@
             stop_requested: false,
             reason: StopReason::Stray,
             progress: (0, now),
+            has_begun: false,
             is_accounted: false,
         }
     }
--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -61,6 +61,7 @@
             StartAnswer::Taken => {
                 self.runs[i].phase = Phase::Working { since: self.last_poll };
                 self.runs[i].progress = (0, now);
+                self.runs[i].has_begun = true;
                 if self.runs[i].stop_requested {
                     self.stop(run, StopReason::Over, now);
                 }
--- a/crates/core/src/contract/owner/crash.rs
+++ b/crates/core/src/contract/owner/crash.rs
@@ -1,10 +1,13 @@
 //! Crashes of workers, and the tasks that may have caused them.
 //!
-//! A worker's crash counts against every task that it may have executed. Its cause can't be told from
-//! one crash, so a task under which [`MAX_CRASHES`] workers crashed is given up. One crash before
+//! A worker's crash counts against every task that it was seen to execute. Its cause can't be told
+//! from one crash, so a task under which [`MAX_CRASHES`] workers crashed is given up. One crash before
 //! that a task is *suspected*, and does not share a worker with suspected tasks of other jobs: a task
 //! that crashes its workers then takes no other job with it.
 //!
+//! A start order that was refused or got no answer is no evidence: it may never have reached its
+//! worker, and a job must not fail by crashes that happened without it.
+//!
 //! [`MAX_CRASHES`]: crate::ledger::shard::state::MAX_CRASHES
 
 use super::place::{Round, WaitingStep};
@@ -15,7 +18,7 @@
 use crate::ledger::shard::{Entry, Incarnation, Run};
 
 impl Owner {
-    /// Records that a worker crashed while it may have executed those of `runs` that can have caused
+    /// Records that a worker crashed after it was seen to execute those of `runs` that can have caused
     /// that.
     pub(super) fn record_crash(&mut self, on: &Incarnation, runs: &[Run], replica: &Replica) {
         let may_be_cause = |run: &Run| {
@@ -23,7 +26,8 @@
             let running = &self.runs[i];
             let is_lasting = step_of(replica, &run.task.step_id).is_some_and(|s| s.lasting);
             !running.is_accounted
-                && running.may_have_begun()
+                && running.has_begun
+                && running.phase != Phase::Ending
                 && !(is_lasting && running.has_worked())
         };
         let runs: Vec<Run> = runs.iter().copied().filter(may_be_cause).collect();
@@ -97,11 +101,6 @@
 }
 
 impl Running {
-    /// Returns whether its worker may have begun to execute it.
-    const fn may_have_begun(&self) -> bool {
-        !matches!(self.phase, Phase::Recording | Phase::Ending)
-    }
-
     /// Returns whether its worker has reported progress, or may have reported it to an earlier owner.
     const fn has_worked(&self) -> bool {
         matches!(self.phase, Phase::Working { since: BEFORE_FIRST_POLL }) || self.progress.0 > 0
--- a/crates/core/src/contract/owner/incarnation.rs
+++ b/crates/core/src/contract/owner/incarnation.rs
@@ -71,7 +71,6 @@
     pub(super) fn resolve_previous_incarnations(
         &mut self,
         incarnation: &Arc<Incarnation>,
-        replica: &Replica,
         now: Millis,
     ) {
         let is_old =
@@ -97,28 +96,16 @@
             self.stop_at(i, now);
             self.try_stop(i);
         }
-        self.record_crashes(&lost, replica);
         self.record_lost(&lost);
     }
 
-    /// Records crashes under runs of earlier incarnations, those that ended before this owner listed
-    /// their workers included.
-    fn record_crashes(&mut self, runs: &[Run], replica: &Replica) {
-        for run in runs {
-            if let Ok(i) = self.run_index(run) {
-                let on = Arc::clone(&self.runs[i].on);
-                self.record_crash(&on, &[*run], replica);
-            }
-        }
-    }
-
     /// Records runs as lost that can't be executing any more:
     ///
     /// - runs on workers that are not known, once every lease of earlier owners has expired;
     /// - runs in an earlier incarnation of a worker, unless the new incarnation could still execute
     ///   their start order. That holds for an unanswered order of this owner, and for an order of
     ///   an earlier owner until that owner's leases have expired.
-    pub(super) fn record_lost_orphans(&mut self, replica: &Replica, now: Millis) {
+    pub(super) fn record_lost_orphans(&mut self, now: Millis) {
         self.effort.runs += u64::try_from(self.strays.len()).unwrap_or(u64::MAX);
         let earlier_leases_expired = self.earlier_leases_expired(now);
         let is_orphan = |r: &Running| match self.host_index(&r.on.worker) {
@@ -133,12 +120,6 @@
         let strays = self.strays.iter().copied();
         let is_lost = |run: &Run| self.run_index(run).is_ok_and(|i| is_orphan(&self.runs[i]));
         let lost: Vec<Run> = strays.filter(is_lost).collect();
-        let is_known = |run: &Run| {
-            let on = self.run_index(run).map(|i| &self.runs[i].on.worker);
-            on.is_ok_and(|worker| self.host_index(worker).is_ok())
-        };
-        let crashed: Vec<Run> = lost.iter().copied().filter(is_known).collect();
-        self.record_crashes(&crashed, replica);
         self.record_lost(&lost);
     }
 
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -398,6 +398,7 @@
             stop_requested: false,
             reason: StopReason::Stray,
             progress: (0, now),
+            has_begun: false,
             is_accounted: false,
         });
         if self.is_suspect(&run.task) {
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -132,7 +132,7 @@
         let incarnation = Arc::clone(&host.incarnation);
         if was_silent {
             self.is_dirty = true;
-            self.resolve_previous_incarnations(&incarnation, replica, now);
+            self.resolve_previous_incarnations(&incarnation, now);
         }
         self.record_ends(on, report, now);
         self.reconcile(on, number, report, replica, now);
@@ -187,6 +187,7 @@
             let Ok(i) = self.run_index(&run) else { continue };
             let running = &mut self.runs[i];
             let found = listed.binary_search_by(|w| w.run.cmp(&running.run));
+            running.has_begun |= found.is_ok();
             match (found, running.phase) {
                 (Ok(_), Phase::Working { .. }) if running.stop_requested => {
                     hung.push((running.run, false));
@@ -228,7 +229,8 @@
             return;
         }
         let needs = super::needs_of(replica, &run);
-        self.insert(Running::recovered(run, Arc::new(on.clone()), needs, now));
+        let recovered = Running::recovered(run, Arc::new(on.clone()), needs, now);
+        self.insert(Running { has_begun: true, ..recovered });
         self.stop(&run, StopReason::Stray, now);
     }
 }
