Resolve the runs of a restarted worker by what its new incarnation reports

Cause: a start order names the worker, and the next incarnation has that name too, so it accepts orders that were meant for the one before. The owner took each answer for one of the incarnation that it knew. Once the list showed the new one, it recorded the runs of the old one as lost without a stop, and started their tasks again while they executed. Nothing looked at the worker any more, so a later cancellation did not reach such a run either. Ruled out: two owners (one epoch throughout) and expired leases (the first run ends done).

Now a run is given up with its incarnation only if it certainly began there: the worker listed it, or accepted it with a reading of its clock, which starts anew with each incarnation, that no later one can give. The others move to the new incarnation, and its first report decides: listed runs go on there, an order without answer is stopped there first, the rest is lost. The same cause on related paths: answers to repeated orders, whose first copy may arrive in the next incarnation; stops that the next incarnation acknowledged; runs that an earlier owner recorded; leases, which the next incarnation takes up to the longest one that it grants, as their ends are times on the old clock; workers that leave the list before they answer; and acknowledgements of ends, whose numbers start anew: while a run may be in the next incarnation no end is acknowledged, as that would make it discard an end that is not recorded.

One check of a repeated order expects the new answer TakenOnRepeat in place of Taken, which is stricter: the owner tells them apart.

--- a/crates/core/benches/owner/fleet.rs
+++ b/crates/core/benches/owner/fleet.rs
@@ -24,6 +24,7 @@
 const EXPIRY_INTERVAL: Millis = Millis::from_secs(10);
 const LIMITS: Limits = Limits {
     lease: Millis::from_secs(6),
+    max_lease: Millis::from_secs(10),
     max_store_silence: Millis::from_secs(12),
     poll_wait: Millis(1500),
     poll_pause: Millis(40),
@@ -322,6 +323,7 @@
                         self.owner.stop_answered(on, run, answer, clock, &self.replica, self.now);
                     }
                     Effect::QueryAdvisor(query) => self.queries.push(query),
+                    Effect::Moved(..) => {}
                 }
             }
             effects = self.owner.effects();
--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -53,6 +53,8 @@
 pub struct Limits {
     /// Duration of the lease that a worker holds for its runs.
     pub lease: Millis,
+    /// Longest lease that a worker grants. It shortens a longer one to this.
+    pub max_lease: Millis,
     /// Longest time for which an owner renews leases while the store does not answer. A later
     /// owner waits for this time plus one lease before it gives up a worker that never answers.
     pub max_store_silence: Millis,
@@ -112,8 +114,10 @@
     reason: StopReason,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
-    /// Whether its worker has accepted the start order or listed the run.
+    /// Whether the incarnation `on` has certainly accepted the start order, or listed the run.
     has_begun: bool,
+    /// Whether a start order got no answer and may still be carried out.
+    has_open_order: bool,
     /// Whether the end of its worker's incarnation is accounted for: the worker left, or its crash is
     /// recorded.
     is_accounted: bool,
@@ -128,6 +132,8 @@
     Order(Order),
     /// Query the advisor through one of the daemons; then call [`Owner::advisor_answered`].
     QueryAdvisor(advice::Query),
+    /// Log that a run counts as one of this incarnation of its worker from now on.
+    Moved(Run, Arc<Incarnation>),
 }
 
 /// Work of an owner since it was created, in objects that it has examined.
@@ -244,7 +250,9 @@
             }
         }
         for i in (0..self.hosts.len()).rev() {
-            if !self.hosts[i].is_listed && self.hosts[i].runs.is_empty() {
+            let host = &self.hosts[i];
+            if !host.is_listed && host.runs.is_empty() && !self.has_strays(&host.incarnation.worker)
+            {
                 self.hosts.remove(i);
                 self.queries.host_removed(i);
             }
@@ -508,6 +516,13 @@
         }
     }
 
+    /// Returns whether runs of a worker's earlier incarnations are not resolved.
+    fn has_strays(&self, worker: &str) -> bool {
+        let is_there =
+            |run: &Run| self.run_index(run).is_ok_and(|i| &*self.runs[i].on.worker == worker);
+        self.strays.iter().any(is_there)
+    }
+
     fn remove_stray(&mut self, run: &Run) {
         if let Ok(at) = self.strays.binary_search(run) {
             self.strays.remove(at);
@@ -524,6 +539,12 @@
 }
 
 impl Running {
+    /// Returns whether it ended with its incarnation at the latest: it began there, and no order for it
+    /// can reach a later one.
+    const fn is_bound(&self) -> bool {
+        self.has_begun && !self.has_open_order
+    }
+
     fn recovered(run: Run, on: Arc<Incarnation>, needs: Capacity, now: Millis) -> Self {
         Self {
             run,
@@ -536,6 +557,7 @@
             reason: StopReason::Stray,
             progress: (0, now),
             has_begun: false,
+            has_open_order: false,
             is_accounted: false,
         }
     }
--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -15,6 +15,9 @@
 pub enum StartAnswer {
     /// The worker has accepted the run.
     Taken,
+    /// The worker has accepted the run from a repeated order. The first order got no answer and may
+    /// still be carried out.
+    TakenOnRepeat,
     /// The worker has rejected the run, and it will not begin.
     Refused,
     /// The worker is unhealthy and has not executed the order.
@@ -56,12 +59,18 @@
         if self.runs[i].phase != Phase::Ordered || *self.runs[i].on != *on {
             return;
         }
+        let is_own_clock = |clock| self.host(on).is_some_and(|host| host.is_own_clock(clock, now));
+        let is_own_answer = clock.is_some_and(is_own_clock);
         self.update_clock(on, clock, now);
         match answer {
-            StartAnswer::Taken => {
+            StartAnswer::Taken | StartAnswer::TakenOnRepeat => {
                 self.runs[i].phase = Phase::Working { since: self.last_poll };
                 self.runs[i].progress = (0, now);
-                self.runs[i].has_begun = true;
+                self.runs[i].has_begun = is_own_answer;
+                self.runs[i].has_open_order = answer == StartAnswer::TakenOnRepeat;
+                if !is_own_answer {
+                    self.inherit_leases(on, now);
+                }
                 if self.runs[i].stop_requested {
                     self.stop(run, StopReason::Over, now);
                 }
@@ -79,6 +88,7 @@
                 // The order may still arrive. Only an acknowledged stop rules that out.
                 self.stop_at(i, now);
                 self.runs[i].reason = StopReason::Unanswered;
+                self.runs[i].has_open_order = true;
                 if let Some(host) = self.host_mut(on) {
                     host.exclude_until(now + UNHEALTHY_BACKOFF);
                 }
@@ -118,6 +128,14 @@
         }
     }
 
+    /// Notes that a later incarnation of a worker may have accepted an order for `on`.
+    fn inherit_leases(&mut self, on: &Incarnation, now: Millis) {
+        let max_lease = self.limits.max_lease;
+        if let Some(host) = self.host_mut(on) {
+            host.inherit_leases(max_lease, now);
+        }
+    }
+
     fn update_clock(&mut self, on: &Incarnation, clock: Option<u64>, now: Millis) {
         if let (Some(host), Some(clock)) = (self.host_mut(on), clock) {
             host.update_clock(clock, now);
--- a/crates/core/src/contract/owner/incarnation.rs
+++ b/crates/core/src/contract/owner/incarnation.rs
@@ -1,7 +1,7 @@
 //! Incarnations of workers ([`Incarnation`]): resolves the runs of incarnations that have ended.
 
 use super::order::StopReason;
-use super::{BEFORE_FIRST_POLL, Owner, Phase, Running};
+use super::{Effect, Owner, Phase, Running};
 use crate::clock::Millis;
 use crate::ledger::shard::replica::Replica;
 use crate::ledger::shard::{Incarnation, Run};
@@ -34,7 +34,8 @@
     ) {
         self.expire_tickets(i);
         self.account_for_end(i, replica);
-        let host = self.new_host(entry, replica, now);
+        let mut host = self.new_host(entry, replica, now);
+        host.inherit_leases(self.limits.max_lease, now);
         let old = std::mem::replace(&mut self.hosts[i], host);
         old.runs.into_iter().for_each(|run| self.add_stray(run));
         self.is_dirty = true;
@@ -65,55 +66,67 @@
     }
 
     /// Resolves the runs of a worker's earlier incarnations once the new one has accepted this
-    /// owner's epoch: it then rejects the orders of earlier owners. An unanswered order of this
-    /// owner can still arrive there, so its run is stopped in the new incarnation; a run whose stop
-    /// was acknowledged can't begin any more.
+    /// owner's epoch: it then rejects the orders of earlier owners. Runs that ended with their
+    /// incarnation are lost. The others may execute in the new one, or start there later if an order
+    /// got no answer, so they are treated as runs of the new one from now on. Its report tells which
+    /// of them it executes; those whose order is open are stopped.
     pub(super) fn resolve_previous_incarnations(
         &mut self,
         incarnation: &Arc<Incarnation>,
         now: Millis,
     ) {
-        let is_old =
-            |r: &Running| r.on.worker == incarnation.worker && r.on.born < incarnation.born;
         let mut lost = Vec::new();
         for run in self.strays.clone() {
             let Ok(i) = self.run_index(&run) else { continue };
-            let running = &mut self.runs[i];
-            if !is_old(running) {
+            let running = &self.runs[i];
+            if running.on.worker != incarnation.worker || running.on.born >= incarnation.born {
                 continue;
             }
-            if !matches!(running.phase, Phase::Ordered | Phase::Stopping { .. }) {
-                lost.push(running.run);
-                continue;
-            }
-            running.on = Arc::clone(incarnation);
-            running.reason = StopReason::Unanswered;
-            let needs = running.needs;
-            if let Some(host) = self.host_mut(incarnation) {
-                host.add(run, &needs);
+            if running.phase == Phase::Recording || running.is_bound() {
+                lost.push(run);
+            } else if running.phase != Phase::Ending {
+                self.move_run(i, incarnation, now);
             }
-            self.remove_stray(&run);
+        }
+        self.record_lost(&lost);
+    }
+
+    /// Moves a run to a later incarnation of its worker, and stops it there unless its order was
+    /// answered once and for all.
+    fn move_run(&mut self, i: usize, to: &Arc<Incarnation>, now: Millis) {
+        let running = &mut self.runs[i];
+        running.on = Arc::clone(to);
+        running.has_begun = false;
+        running.is_accounted = false;
+        let (run, needs) = (running.run, running.needs);
+        let is_answered = matches!(running.phase, Phase::Working { .. }) && !running.has_open_order;
+        if let Some(host) = self.host_mut(to) {
+            host.add(run, &needs);
+        }
+        self.remove_stray(&run);
+        self.effects.push(Effect::Moved(run, Arc::clone(to)));
+        if !is_answered {
+            self.runs[i].reason = StopReason::Unanswered;
             self.stop_at(i, now);
             self.try_stop(i);
         }
-        self.record_lost(&lost);
     }
 
     /// Records runs as lost that can't be executing any more:
     ///
     /// - runs on workers that are not known, once every lease of earlier owners has expired;
-    /// - runs in an earlier incarnation of a worker, unless the new incarnation could still execute
-    ///   their start order. That holds for an unanswered order of this owner, and for an order of
-    ///   an earlier owner until that owner's leases have expired.
+    /// - runs that ended with an earlier incarnation of their worker;
+    /// - runs that the new incarnation could still execute, once every lease under which it can has
+    ///   expired. An order of an earlier owner can be executed until that owner's leases have expired.
     pub(super) fn record_lost_orphans(&mut self, now: Millis) {
         self.effort.runs += u64::try_from(self.strays.len()).unwrap_or(u64::MAX);
         let earlier_leases_expired = self.earlier_leases_expired(now);
         let is_orphan = |r: &Running| match self.host_index(&r.on.worker) {
             Err(_) => earlier_leases_expired,
             Ok(i) if self.hosts[i].incarnation.born > r.on.born => match r.phase {
-                Phase::Working { since } => since > BEFORE_FIRST_POLL || earlier_leases_expired,
-                Phase::Recording | Phase::Stopped { .. } => true,
-                Phase::Ordered | Phase::Stopping { .. } | Phase::Ending => false,
+                Phase::Recording => true,
+                Phase::Ending => false,
+                _ => r.is_bound() || self.hosts[i].leases_expired(now),
             },
             Ok(_) => false,
         };
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -399,6 +399,7 @@
             reason: StopReason::Stray,
             progress: (0, now),
             has_begun: false,
+            has_open_order: false,
             is_accounted: false,
         });
         if self.is_suspect(&run.task) {
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -81,12 +81,27 @@
             let lease_end =
                 if host.failed_polls > MAX_FAILED_POLLS { None } else { host.grant(lease, now) };
             let (on, address) = (Arc::clone(&host.incarnation), host.entry.address.clone());
-            let recorded_end = host.recorded_end.max(replica.recorded_end(&host.incarnation));
+            let recorded_end = self.acknowledgeable_end(i, replica);
             let poll = Poll { on, address, number, recorded_end, lease_end, wait };
             self.effects.push(Effect::Order(Order::Poll(poll)));
         }
     }
 
+    /// Returns the number of the last end that a worker may discard. The numbers start anew with each
+    /// incarnation, so while a run may be in the next one, that one must not discard any end.
+    fn acknowledgeable_end(&self, i: usize, replica: &Replica) -> u64 {
+        let host = &self.hosts[i];
+        let is_elsewhere = |run: &Run| {
+            let running = self.run_index(run).map(|i| &self.runs[i]);
+            running
+                .is_ok_and(|r| !r.has_begun && !matches!(r.phase, Phase::Recording | Phase::Ending))
+        };
+        if host.is_replaced || host.runs.iter().any(is_elsewhere) {
+            return 0;
+        }
+        host.recorded_end.max(replica.recorded_end(&host.incarnation))
+    }
+
     /// Handles the result of a poll.
     pub fn poll_answered(
         &mut self,
@@ -116,7 +131,8 @@
                 return;
             }
         };
-        if report.born.is_some_and(|b| b != on.born) {
+        host.is_replaced = report.born.is_some_and(|b| b != on.born);
+        if host.is_replaced {
             // The worker has restarted. Its new incarnation will appear in the worker list.
             host.next_poll = now + RETRY_DELAY;
             host.is_responsive = false;
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -6,9 +6,10 @@
 mod fleet;
 mod gangs;
 mod load;
+mod restarts;
 
 use super::advice::{Allowed, Query};
-use super::order::{Order, Poll, Start, Stop};
+use super::order::{Order, Poll, Start, Stop, StopReason};
 use super::{Effect, Limits, Owner, PollError, Progress, Report, StartAnswer, StopAnswer};
 use crate::clock::Millis;
 use crate::contract::work::tests::{job, step};
@@ -22,6 +23,7 @@
 
 const LIMITS: Limits = Limits {
     lease: Millis::from_secs(6),
+    max_lease: Millis::from_secs(10),
     max_store_silence: Millis::from_secs(12),
     poll_wait: Millis(1500),
     poll_pause: Millis(40),
@@ -90,6 +92,7 @@
                 }
                 Effect::Order(Order::Poll(poll)) => self.polls.push(poll),
                 Effect::QueryAdvisor(query) => self.asks.push(query),
+                Effect::Moved(..) => {}
             }
         }
     }
--- a/crates/core/src/machine/host.rs
+++ b/crates/core/src/machine/host.rs
@@ -21,6 +21,9 @@
 const CLOCK_DRIFT_PER_MILLE: u64 = 30;
 /// Allowance for order delivery and timer delay, in addition to the clock drift.
 const EXPIRY_MARGIN: Millis = Millis(400);
+/// Longest delay of an answer, in addition to the clock drift, with which its clock reading still
+/// tells the incarnations of a worker apart.
+const MAX_READING_DELAY: Millis = Millis(300);
 
 /// A worker's entry in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,9 +87,14 @@
     pub recorded_end: u64,
     /// Sequence number of the last ended run that has been submitted to the log.
     pub submitted_end: u64,
+    /// Whether the last report came from another incarnation, which is not listed yet.
+    pub is_replaced: bool,
     clock: Option<ClockReference>,
     /// Time by which every lease granted so far has expired on the worker.
     leases_expire_at: Millis,
+    /// Time by which every lease has expired that was granted to an earlier incarnation and that this
+    /// one may have taken for its own.
+    inherited_leases_expire_at: Millis,
     /// Failed runs since the last success or exclusion.
     consecutive_failures: u32,
     /// Exclusions since the last success.
@@ -116,8 +124,10 @@
             failed_polls: 0,
             recorded_end,
             submitted_end: recorded_end,
+            is_replaced: false,
             clock: None,
             leases_expire_at,
+            inherited_leases_expire_at: Millis::ZERO,
             consecutive_failures: 0,
             exclusions: 0,
             excluded_until: Millis::ZERO,
@@ -163,6 +173,25 @@
         }
     }
 
+    /// Returns whether a clock reading that has just arrived certainly comes from this incarnation. The
+    /// clock of a later one has started anew, after the reading to which this one is compared.
+    pub fn is_own_clock(&self, clock: u64, now: Millis) -> bool {
+        let Some(reference) = self.clock else { return false };
+        let elapsed = now.since(reference.local).get();
+        let tolerance = MAX_READING_DELAY.get() + elapsed * CLOCK_DRIFT_PER_MILLE / 1000;
+        let is_expected = clock.abs_diff(reference.worker + elapsed) <= tolerance;
+        let latest_of_next = elapsed + tolerance;
+        is_expected && clock > latest_of_next
+    }
+
+    /// Extends the leases to those of orders for an earlier incarnation that this one may have accepted
+    /// until `now`. It shortens them to `max_lease`, whatever end they name.
+    pub fn inherit_leases(&mut self, max_lease: Millis, now: Millis) {
+        let expire_at = now + max_lease_lifetime(max_lease);
+        self.inherited_leases_expire_at = self.inherited_leases_expire_at.max(expire_at);
+        self.leases_expire_at = self.leases_expire_at.max(expire_at);
+    }
+
     /// Grants a lease of `lease` from `now`. Returns its end on the worker's clock, or `None` while
     /// that clock is unknown.
     pub fn grant(&mut self, lease: Millis, now: Millis) -> Option<u64> {
@@ -175,9 +204,10 @@
     }
 
     /// Records that the worker has accepted this owner's epoch. Previous owners can no longer
-    /// extend leases, so no existing lease outlasts one granted now.
+    /// extend leases, so no existing lease outlasts one granted now, except for inherited ones.
     pub fn confirm(&mut self, lease: Millis, now: Millis) {
-        self.leases_expire_at = self.leases_expire_at.min(now + max_lease_lifetime(lease));
+        let expire_at = self.leases_expire_at.min(now + max_lease_lifetime(lease));
+        self.leases_expire_at = expire_at.max(self.inherited_leases_expire_at);
     }
 
     /// Returns whether every lease granted so far has expired on the worker.
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -239,6 +239,7 @@
 pub const fn limits(max_lease: Millis) -> Limits {
     Limits {
         lease: if max_lease.get() < LEASE.get() { max_lease } else { LEASE },
+        max_lease,
         max_store_silence: STORE_GRACE,
         poll_wait: POLL_WAIT,
         poll_pause: POLL_PAUSE,
--- a/crates/daemon/src/shard/orders.rs
+++ b/crates/daemon/src/shard/orders.rs
@@ -86,7 +86,9 @@
 /// Returns the metric labels of a call: its kind and its answer.
 const fn metric_labels(event: &Event) -> (&'static str, &'static str) {
     match event {
-        Event::Started(_, _, StartAnswer::Taken, _) => ("start", "taken"),
+        Event::Started(_, _, StartAnswer::Taken | StartAnswer::TakenOnRepeat, _) => {
+            ("start", "taken")
+        }
         Event::Started(_, _, StartAnswer::Unknown, _) => ("start", "unknown"),
         Event::Started(..) => ("start", "refused"),
         Event::Stopped(_, _, StopAnswer::Taken, _) => ("stop", "taken"),
@@ -137,7 +139,7 @@
     }
     log_repeat(&order.run, &order.on);
     match workers.start(epoch, order, SECOND_TIMEOUT).await {
-        taken @ (StartAnswer::Taken, _) => taken,
+        (StartAnswer::Taken, clock) => (StartAnswer::TakenOnRepeat, clock),
         // A refusal says nothing about the first order: its run may have ended already.
         (_, clock) => (StartAnswer::Unknown, clock),
     }
--- a/crates/daemon/src/shard/orders/tests.rs
+++ b/crates/daemon/src/shard/orders/tests.rs
@@ -121,8 +121,8 @@
 /// worker got no work for 2 s (large trouble-1: one order in twenty for 16 s).
 #[gtest]
 fn a_start_order_without_answer_is_sent_once_more() {
-    use StartAnswer::{Taken, Unknown};
-    expect_that!(started(&[Unknown, Taken]), eq((Taken, 2)));
+    use StartAnswer::{Taken, TakenOnRepeat, Unknown};
+    expect_that!(started(&[Unknown, Taken]), eq((TakenOnRepeat, 2)));
     expect_that!(started(&[Unknown, Unknown]), eq((Unknown, 2)));
 }
 
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -11,7 +11,7 @@
 use pimentovalve_core::contract::owner::advice::Query;
 use pimentovalve_core::contract::owner::order::{Order, Poll, Start, Stop};
 use pimentovalve_core::contract::owner::{Effect, PollError, StartAnswer, StopAnswer, Waited};
-use pimentovalve_core::ledger::shard::{Entry, Record, Run};
+use pimentovalve_core::ledger::shard::{Entry, Incarnation, Record, Run};
 use std::time::Instant;
 
 /// Minimum time between two placement passes; jobs that arrive in between are placed together.
@@ -46,6 +46,7 @@
             match effect {
                 Effect::Record(entry) => entries.push(entry),
                 Effect::QueryAdvisor(query) => self.ask(epoch, query),
+                Effect::Moved(run, to) => log_move(&run, &to),
                 Effect::Order(order) => self.send_order(Call { epoch, decided: now, order }),
             }
         }
@@ -130,9 +131,17 @@
     );
 }
 
+/// Logs that a run may execute in a later incarnation of its worker than it was meant for.
+fn log_move(run: &Run, to: &Incarnation) {
+    let Run { task, number } = run;
+    let Incarnation { worker, born } = to;
+    tracing::info!(job = %task.step_id.job, %task, number, %worker, born,
+        "run moved to the worker's new incarnation");
+}
+
 /// Logs the answer to a start order unless the worker took it.
 pub(super) fn log_start(run: &Run, answer: StartAnswer) {
-    if answer != StartAnswer::Taken {
+    if !matches!(answer, StartAnswer::Taken | StartAnswer::TakenOnRepeat) {
         let (task, number) = (run.task, run.number);
         tracing::info!(job = %task.step_id.job, %task, number, ?answer, "start not taken");
     }
