Count jobs as waiting whose starts got no answer

Cause: a job leaves the count when a start of it is recorded, before any worker has begun it. A start that gets no answer keeps the job out until the worker acknowledges a stop or its lease has expired, 6 s and more on a worker that is cut off. Other daemons can't tell such a start from one that was accepted, since the log says nothing about it.

The owner now records that a start got no answer, and its job counts as waiting until it is started elsewhere or an end of the run is reported. The entry and the fields are left out where no start is unanswered; earlier builds skip the entry.

The test a_job_whose_start_got_no_answer_counts_as_waiting failed before (0 waiting, 1 expected). The property test of the counts draws the new entry too, and as many ends as before.

--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -1,10 +1,10 @@
 //! Answers of workers to start and stop orders.
 
 use super::order::StopReason;
-use super::{Owner, Phase};
+use super::{Effect, Owner, Phase};
 use crate::clock::Millis;
 use crate::ledger::shard::replica::Replica;
-use crate::ledger::shard::{Incarnation, Run};
+use crate::ledger::shard::{Entry, Incarnation, Run};
 
 /// Time for which no work is placed on a worker that reports itself unhealthy or does not answer a
 /// start order.
@@ -89,6 +89,7 @@
                 self.stop_at(i, now);
                 self.runs[i].reason = StopReason::Unanswered;
                 self.runs[i].has_open_order = true;
+                self.effects.push(Effect::Record(Entry::Unanswered(vec![*run])));
                 if let Some(host) = self.host_mut(on) {
                     host.exclude_until(now + UNHEALTHY_BACKOFF);
                 }
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -266,6 +266,26 @@
     expect_that!(world.started().last(), some(eq(&Run { number: 2, ..first })));
 }
 
+/// Regression: jobs whose only start got no answer were left out of the count of waiting jobs until the
+/// start was given up.
+#[gtest]
+fn a_job_whose_start_got_no_answer_counts_as_waiting() {
+    let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    let waiting = |world: &World| {
+        let queue = &world.replica.job(Id(1)).expect("a known job").job.policy.queue;
+        world.replica.backlog(queue).queued
+    };
+    world.answer_polls();
+    let run = world.started()[0];
+    expect_that!(waiting(&world), eq(0));
+    world.answer_start(&run, StartAnswer::Unknown);
+    expect_that!(waiting(&world), eq(1));
+    let end = End { run, number: 1, outcome: Outcome::Stopped, saved: "".into() };
+    world.answer_stop(&run, StopAnswer::Taken);
+    world.report(&[], &[end]);
+    expect_that!(waiting(&world), eq(0));
+}
+
 #[gtest]
 fn a_worker_discards_an_end_only_after_it_is_recorded() {
     let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -110,7 +110,7 @@
     },
     /// These runs can no longer be active, and no worker reports their end.
     Lost(Vec<Run>),
-    /// A worker crashed while it may have executed these runs. Whether they can still be active is
+    /// A worker crashed after it was seen to execute these runs. Whether they can still be active is
     /// recorded separately.
     Crashed {
         /// The incarnation that ended.
@@ -118,6 +118,8 @@
         /// The runs.
         runs: Vec<Run>,
     },
+    /// The start orders of these runs got no answer, so the runs may not have begun.
+    Unanswered(Vec<Run>),
 }
 
 /// An entry with the epoch and sequence number under which it was appended.
--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -219,6 +219,16 @@
                 Applied::Progress
             }
             Entry::Crashed { runs, .. } => self.crash(&runs, now),
+            Entry::Unanswered(runs) => {
+                for run in runs {
+                    let id = run.task.step_id.job;
+                    if let Some(step) = self.job_mut(id).and_then(|j| j.step_mut(&run.task)) {
+                        step.doubt(run);
+                    }
+                    self.update_backlog(id);
+                }
+                Applied::Nothing
+            }
         }
     }
 
--- a/crates/core/src/ledger/shard/replica/backlog.rs
+++ b/crates/core/src/ledger/shard/replica/backlog.rs
@@ -10,9 +10,9 @@
 /// Jobs of a queue that have not ended and of which no run has ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backlog {
-    /// Jobs without a run that may be active.
+    /// Jobs without a run that may be active, other than runs whose start order got no answer.
     pub queued: usize,
-    /// Jobs with a recorded start. Their workers may not have received the order yet.
+    /// Jobs with a recorded start. Their workers may not have answered the order yet.
     pub starting: usize,
 }
 
@@ -22,7 +22,7 @@
     /// It is not: it has ended, or a run has ended.
     #[default]
     Past,
-    /// It has no run that may be active.
+    /// It has no run that is thought to be active.
     Queued,
     /// It has a recorded start.
     Starting,
--- a/crates/core/src/ledger/shard/replica/backlog/tests.rs
+++ b/crates/core/src/ledger/shard/replica/backlog/tests.rs
@@ -50,6 +50,7 @@
         4 => Entry::Due { job: Id(id), occurrence: step.into() },
         5..8 => Entry::Started { on, runs },
         8..10 => Entry::Lost(runs),
+        10..12 => Entry::Unanswered(runs),
         kind => {
             let outcome = OUTCOMES[kind % OUTCOMES.len()];
             let end = |run| End { run, number: 1, outcome, saved: "".into() };
@@ -75,7 +76,7 @@
 
     #[test]
     fn counts_equal_those_of_a_walk_over_all_jobs(
-        draws in prop::collection::vec((0..14usize, 0..JOBS, 0..2u16, 1..4u32), 1..120),
+        draws in prop::collection::vec((0..16usize, 0..JOBS, 0..2u16, 1..4u32), 1..120),
         restored_after in 0..120usize,
     ) {
         let mut replica = Replica::default();
--- a/crates/core/src/ledger/shard/state.rs
+++ b/crates/core/src/ledger/shard/state.rs
@@ -18,6 +18,10 @@
     pub number: u32,
     /// Incarnation of the worker on which it was started.
     pub on: Arc<Incarnation>,
+    /// Whether its start order got no answer. Left out of snapshots while it is not set, for earlier
+    /// builds.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_unanswered: bool,
 }
 
 /// State of a task.
@@ -67,6 +71,10 @@
     /// Number of the last run in [`Self::gang_failures`]. Several members may report the failure
     /// of one run, which counts once.
     pub gang_failed_run: u32,
+    /// Number of tasks in [`Self::placed`] whose start order got no answer. Left out of snapshots
+    /// while it is zero, for earlier builds.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub unanswered: usize,
 }
 
 impl StepState {
@@ -81,8 +89,9 @@
     }
 
     fn clear_placement(&mut self, index: usize) {
-        if self.tasks[index].placed.take().is_some() {
+        if let Some(placed) = self.tasks[index].placed.take() {
             self.placed -= 1;
+            self.unanswered -= usize::from(placed.is_unanswered);
         }
     }
 
@@ -152,11 +161,22 @@
     pub(super) fn start(&mut self, run: Run, on: &Arc<Incarnation>) {
         let Ok(index) = usize::try_from(run.task.index) else { return };
         let Some(task) = self.tasks.get_mut(index) else { return };
-        if task.placed.is_none() {
-            self.placed += 1;
-        }
+        let placed = Placed { number: run.number, on: Arc::clone(on), is_unanswered: false };
         task.last_run = task.last_run.max(run.number);
-        task.placed = Some(Placed { number: run.number, on: Arc::clone(on) });
+        match task.placed.replace(placed) {
+            Some(before) => self.unanswered -= usize::from(before.is_unanswered),
+            None => self.placed += 1,
+        }
+    }
+
+    /// Notes that the start order of a run got no answer.
+    pub(super) fn doubt(&mut self, run: Run) {
+        let Ok(index) = usize::try_from(run.task.index) else { return };
+        let placed = self.tasks.get_mut(index).and_then(|t| t.placed.as_mut());
+        if let Some(placed) = placed.filter(|p| p.number == run.number && !p.is_unanswered) {
+            placed.is_unanswered = true;
+            self.unanswered += 1;
+        }
     }
 
     /// Clears the placement of a task if it is still that of `run`.
@@ -280,9 +300,10 @@
     }
 
     /// Returns whether a worker has reported the end of a run or a run may be active. A run that was
-    /// recorded and then refused by the worker does not count.
+    /// refused by the worker, or whose start order got no answer, does not count.
     fn has_started(&self) -> bool {
-        self.begun || self.has_placed()
+        let mut steps = self.occurrences.iter().flat_map(|p| &p.steps);
+        self.begun || steps.any(|s| s.placed > s.unanswered)
     }
 
     /// Returns whether any run may be active.
@@ -312,3 +333,8 @@
 const fn is_zero(number: &u32) -> bool {
     *number == 0
 }
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde requires")]
+const fn is_none(count: &usize) -> bool {
+    *count == 0
+}
