Wait for one lease after a takeover once the earlier owner is known to have ended

Cause: an earlier owner that the store does not serve may go on granting leases for 8 s, so a later one waits for that time and one lease before it gives up a worker that never answers. It did so also when the earlier owner's process had ended, which it never found out after the takeover.

The process at the earlier owner's address is asked for its standing until it says that it does not own the shard. It then grants no lease any more, and the wait ends one lease later, 6.6 s, if the leases of all owners before it have expired. A refused connection is no such answer: cuts may refuse connections while the owner goes on behind them. The rule on leases itself is as before.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -222,6 +222,15 @@
         owner
     }
 
+    /// Handles that the earlier owners can't grant leases any more, before those could have run out that
+    /// they may grant while the store is silent to them.
+    pub fn earlier_owners_ended(&mut self, now: Millis) {
+        let expire_at = now + host::max_lease_lifetime(self.limits.lease);
+        self.earlier_leases_expire_at = self.earlier_leases_expire_at.min(expire_at);
+        let expire_at = self.earlier_leases_expire_at;
+        self.hosts.iter_mut().for_each(|host| host.limit_earlier_leases(expire_at));
+    }
+
     /// Updates the hosts from the current list of workers. A host that is no longer listed is kept
     /// while it has runs.
     pub fn update_workers(&mut self, list: &[WorkerEntry], replica: &Replica, now: Millis) {
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -401,6 +401,33 @@
     expect_that!(second.starts, len(eq(1)));
 }
 
+/// Regression: tasks of workers that were lost for good before a takeover waited for 14.6 s, also if the
+/// earlier owner's process had ended.
+#[gtest]
+fn runs_wait_for_one_lease_only_once_the_earlier_owner_has_ended() {
+    let mut first = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    first.answer_polls();
+    // One worker has left the list, the other one is listed and silent.
+    for listed in [&["b"][..], &["a", "b"]] {
+        let mut second = World::taking_over(first.replica.clone(), listed);
+        second.pass(2000);
+        second.owner.earlier_owners_ended(second.now);
+        let since = second.now;
+        while second.starts.is_empty() && second.now.since(since) < Millis::from_secs(60) {
+            for poll in std::mem::take(&mut second.polls) {
+                let report = Report { born: Some(1), clock: 1, ..Report::default() };
+                let is_silent = &*poll.on.worker == "a";
+                let answer = if is_silent { Err(PollError::NoAnswer) } else { Ok(&report) };
+                let World { owner, replica, now, .. } = &mut second;
+                owner.poll_answered(&poll.on, poll.number, answer, replica, *now);
+            }
+            second.pass(100);
+        }
+        // One lease of 6 s expires 6.58 s after it was granted.
+        expect_that!(second.now.since(since), all![gt(Millis(6500)), le(Millis(7600))]);
+    }
+}
+
 /// Runs that certainly ended with a worker's incarnation are restarted without waiting for the new
 /// incarnation, which may be unreachable.
 #[gtest]
--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -101,6 +101,11 @@
         self.settled >= self.claim.epoch
     }
 
+    /// Returns whether, of all previous owners, only the last one may still grant leases.
+    pub const fn only_last_owner_unsettled(&self) -> bool {
+        self.settled + 1 >= self.claim.epoch
+    }
+
     /// Returns the number of the last snapshot, 0 before the first.
     pub const fn snapshot_number(&self) -> u64 {
         self.snapshot_number
--- a/crates/core/src/machine/host.rs
+++ b/crates/core/src/machine/host.rs
@@ -210,6 +210,15 @@
         self.leases_expire_at = expire_at.max(self.inherited_leases_expire_at);
     }
 
+    /// Handles that all leases of previous owners expire by `at`. Those of a worker that has answered
+    /// this owner have expired before.
+    pub fn limit_earlier_leases(&mut self, at: Millis) {
+        if self.clock.is_none() {
+            self.leases_expire_at =
+                self.leases_expire_at.min(at).max(self.inherited_leases_expire_at);
+        }
+    }
+
     /// Returns whether every lease granted so far has expired on the worker.
     pub fn leases_expired(&self, now: Millis) -> bool {
         now >= self.leases_expire_at
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -139,7 +139,8 @@
 }
 
 /// Asks the owner for its standing while no record of it is read, and once after the start: the owner
-/// may have ended before this daemon could notice a silence.
+/// may have ended before this daemon could notice a silence. After a takeover the earlier owner is
+/// asked until it is known to grant no leases any more.
 pub(super) async fn owner(
     client: Arc<Client>,
     steward: Sender<Event>,
@@ -147,14 +148,16 @@
 ) {
     let mut has_asked = false;
     loop {
-        let is_due = |s: &ShardStatus| {
+        let asked = |s: &ShardStatus| {
+            if s.owns() {
+                return s.earlier_owner.clone();
+            }
             let is_silent = s.owner_silence() >= succession::ASK_AFTER;
-            s.caught_up && !s.owns() && !s.owner.is_empty() && (is_silent || !has_asked)
-        };
-        let (claim, address) = match shard_status.wait_for(is_due).await {
-            Ok(status) => (status.claim, status.owner.clone()),
-            Err(_) => return,
+            let is_due = s.caught_up && !s.owner.is_empty() && (is_silent || !has_asked);
+            is_due.then(|| (s.claim, s.owner.clone()))
         };
+        let due = shard_status.wait_for(|s| asked(s).is_some()).await;
+        let Some((claim, address)) = due.ok().and_then(|status| asked(&status)) else { return };
         has_asked = true;
         let answer =
             client.exchange::<_, Tenure>(&address, TENURE_PATH, &claim, TENURE_TIMEOUT).await;
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -189,6 +189,8 @@
     owner_seen_at: Millis,
     /// What the owner last said, or what its silence means, with the epoch of its claim.
     standing: (u64, Standing),
+    /// Epoch and peer address of the owner before this daemon, while it may still grant leases.
+    earlier_owner: Option<(u64, Box<str>)>,
     /// Newest claim that a peer has read, and the address of the owner that it names.
     found_owner: (u64, Box<str>),
     /// When the log was last read to its end.
@@ -233,6 +235,7 @@
             tenure: None,
             owner_seen_at: now,
             standing: (0, Standing::Unknown),
+            earlier_owner: None,
             found_owner: (0, "".into()),
             log_read_at: Millis::ZERO,
             covered_until: Millis::ZERO,
@@ -328,7 +331,10 @@
                 }
             }
             Event::Members(members) => self.update_members(members, now),
-            Event::OwnerAsked { claim, standing } => self.standing = (claim, standing),
+            Event::OwnerAsked { claim, standing } => {
+                self.standing = (claim, standing);
+                self.consider_earlier_owner(now);
+            }
             Event::OwnerFound { claim, address } => {
                 self.found_owner = (claim, address);
                 self.publish();
@@ -410,6 +416,7 @@
             }
             self.last_applied = (epoch, sequence);
         }
+        let before = (self.replica.claim().epoch, self.replica.claim().address.clone());
         let applied = self.replica.apply(entry.clone(), now);
         if let Some(tenure) = &mut self.tenure {
             if epoch == tenure.epoch {
@@ -427,6 +434,7 @@
         }
         if applied == Applied::Claimed {
             self.owner_seen_at = now;
+            self.earlier_owner = Some(before).filter(|(_, address)| !address.is_empty());
             self.claimed(now);
         }
     }
@@ -454,6 +462,22 @@
                 next_placement: now,
             });
             self.update_askers(now);
+            self.consider_earlier_owner(now);
+        }
+        self.publish();
+    }
+
+    /// Shortens the wait for the leases of the owner before this daemon once the process at its address
+    /// has said that it does not own the shard. Leases of owners before that one must have expired.
+    fn consider_earlier_owner(&mut self, now: Millis) {
+        let (asked, standing) = self.standing;
+        let is_it = self.earlier_owner.as_ref().is_some_and(|(epoch, _)| *epoch == asked);
+        let has_ended = is_it && standing == Standing::Disowned;
+        let Some(tenure) = self.tenure.as_mut().filter(|_| has_ended) else { return };
+        self.earlier_owner = None;
+        if self.replica.only_last_owner_unsettled() {
+            tracing::info!(epoch = tenure.epoch, "earlier owner grants no leases any more");
+            tenure.owner.earlier_owners_ended(now);
         }
         self.publish();
     }
@@ -537,10 +561,13 @@
             *self;
         let can_own = caught_up && !self.is_draining;
         let owned_until = self.append_sent_at;
+        let is_waiting = epoch.is_some() && !self.replica.old_leases_expired();
+        let earlier_owner = self.earlier_owner.clone().filter(|_| is_waiting);
         let shard_status = ShardStatus {
             epoch,
             claim,
             owner,
+            earlier_owner,
             owner_seen_at,
             caught_up,
             log_read_at,
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -26,6 +26,8 @@
     pub claim: u64,
     /// Peer address of the owner; empty while the shard has no owner.
     pub owner: Box<str>,
+    /// Epoch and peer address of the owner before this daemon, while it may still grant leases.
+    pub earlier_owner: Option<(u64, Box<str>)>,
     /// When a record of the owner was last read, on the steady clock.
     pub owner_seen_at: Millis,
     /// Whether the log has been read to its end since the start, or since a snapshot was restored.
