Accept delayed clock readings as those of the present incarnation

An answer to a start that was delayed by more than 0.3 s counted as one that the next incarnation may have given, so its worker's runs were given up 10.7 s after it went silent in place of 6.6 s. A reading is that of the present incarnation if it is no more than 1.5 s behind what the clock should show and more than a later incarnation's clock can show.

--- a/crates/core/src/machine/host.rs
+++ b/crates/core/src/machine/host.rs
@@ -4,6 +4,9 @@
 //! eligible for placement only after it has answered under the owner's epoch: until then it may
 //! hold runs whose start was never confirmed to a previous owner.
 
+#[cfg(test)]
+mod tests;
+
 use crate::clock::Millis;
 use crate::ledger::shard::{Incarnation, Run};
 use crate::machine::capacity::Capacity;
@@ -21,9 +24,12 @@
 const CLOCK_DRIFT_PER_MILLE: u64 = 30;
 /// Allowance for order delivery and timer delay, in addition to the clock drift.
 const EXPIRY_MARGIN: Millis = Millis(400);
-/// Longest delay of an answer, in addition to the clock drift, with which its clock reading still
-/// tells the incarnations of a worker apart.
-const MAX_READING_DELAY: Millis = Millis(300);
+/// Usual upper bound of the time from a reading of a worker's clock to its arrival: a round trip
+/// between regions, and a margin.
+const READING_DELAY: Millis = Millis(300);
+/// Largest such time with which a reading still shows the incarnation: the time-outs of an order and
+/// of its repetition, and a margin for a busy process.
+const MAX_READING_DELAY: Millis = Millis(1500);
 
 /// A worker's entry in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -173,15 +179,17 @@
         }
     }
 
-    /// Returns whether a clock reading that has just arrived certainly comes from this incarnation. The
-    /// clock of a later one has started anew, after the reading to which this one is compared.
+    /// Returns whether a clock reading that has just arrived certainly comes from this incarnation. It
+    /// fits the reference, and is more than a later incarnation can show, whose clock has started anew
+    /// after the worker gave that reference.
     pub fn is_own_clock(&self, clock: u64, now: Millis) -> bool {
         let Some(reference) = self.clock else { return false };
         let elapsed = now.since(reference.local).get();
-        let tolerance = MAX_READING_DELAY.get() + elapsed * CLOCK_DRIFT_PER_MILLE / 1000;
-        let is_expected = clock.abs_diff(reference.worker + elapsed) <= tolerance;
-        let latest_of_next = elapsed + tolerance;
-        is_expected && clock > latest_of_next
+        let tolerance = READING_DELAY.get() + elapsed * CLOCK_DRIFT_PER_MILLE / 1000;
+        let expected = reference.worker + elapsed;
+        let is_expected = clock <= expected + tolerance
+            && clock + tolerance + MAX_READING_DELAY.get() >= expected;
+        is_expected && clock > elapsed + tolerance
     }
 
     /// Extends the leases to those of orders for an earlier incarnation that this one may have accepted
