Take the clock of a worker only from answers of its present incarnation

Found by reading: the reading of a next incarnation's clock became the reference if it was larger than the last one, which it is on a worker that was young then and idle since. The next run that the new incarnation accepted then seemed to be one of the old, and was given up with it while it executed.

Readings that come with answers to orders are used only if they certainly come from the incarnation that the order was for. The test the_clock_of_the_next_incarnation_does_not_become_that_of_the_present_one failed before (a third start).

--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -59,9 +59,7 @@
         if self.runs[i].phase != Phase::Ordered || *self.runs[i].on != *on {
             return;
         }
-        let is_own_clock = |clock| self.host(on).is_some_and(|host| host.is_own_clock(clock, now));
-        let is_own_answer = clock.is_some_and(is_own_clock);
-        self.update_clock(on, clock, now);
+        let is_own_answer = self.update_clock(on, clock, now);
         match answer {
             StartAnswer::Taken | StartAnswer::TakenOnRepeat => {
                 self.runs[i].phase = Phase::Working { since: self.last_poll };
@@ -137,10 +135,15 @@
         }
     }
 
-    fn update_clock(&mut self, on: &Incarnation, clock: Option<u64>, now: Millis) {
-        if let (Some(host), Some(clock)) = (self.host_mut(on), clock) {
+    /// Updates the clock of a worker by a reading that came with the answer to an order. Returns whether
+    /// it certainly comes from the incarnation `on`; otherwise it is ignored.
+    fn update_clock(&mut self, on: &Incarnation, clock: Option<u64>, now: Millis) -> bool {
+        let (Some(host), Some(clock)) = (self.host_mut(on), clock) else { return false };
+        let is_own = host.is_own_clock(clock, now);
+        if is_own {
             host.update_clock(clock, now);
         }
+        is_own
     }
 
     /// Schedules the next poll of a worker at `at` or earlier.
--- a/crates/core/src/contract/owner/tests/restarts.rs
+++ b/crates/core/src/contract/owner/tests/restarts.rs
@@ -74,6 +74,27 @@
     expect_that!(world.replica.status(Id(1)), some(eq(Status::Completed)));
 }
 
+/// As above, with a worker that was young when it last gave its clock: that of the next incarnation has
+/// passed this reading meanwhile, and must not become the reference for the second run.
+#[gtest]
+fn the_clock_of_the_next_incarnation_does_not_become_that_of_the_present_one() {
+    let mut world = World::new(&["a"], vec![]);
+    report_as(&mut world, 1, &[], &[]);
+    world.pass(60_000);
+    let submitted = Entry::Submitted(Box::new(job(1, vec![step(2, &[])])));
+    let applied = world.replica.apply(submitted, world.now);
+    world.owner.entry_applied(applied, world.now);
+    world.settle();
+    for (start, clock) in world.starts.clone().iter().zip([30_000, 30_050]) {
+        let World { owner, replica, now, .. } = &mut world;
+        owner.start_answered(&start.on, &start.run, StartAnswer::Taken, Some(clock), replica, *now);
+        world.pass(50);
+    }
+    list_next(&mut world);
+    answer_idle(&mut world);
+    expect_that!(world.starts, len(eq(2)));
+}
+
 /// As above, with a run that ends before the next incarnation is listed.
 #[gtest]
 fn the_end_of_a_run_in_an_unlisted_incarnation_is_recorded_once_it_is_listed() {
