--- a/src/commands/explain/cause.rs
+++ b/src/commands/explain/cause.rs
@@ -88,6 +88,9 @@
             ("end recorded", Some(outcome)) if outcome != "Done" => format!("ended {outcome}"),
             ("loss recorded", _) => "were lost with their worker, or never began".into(),
             ("worker crashed under run", _) => "were on a worker that crashed".into(),
+            ("run moved to the worker's new incarnation", _) => {
+                "may have begun after their worker had restarted".into()
+            }
             ("start not taken", _) => {
                 format!("were not taken: {}", line.field("answer").unwrap_or("no answer"))
             }
