Acknowledge ends while an order has just been sent

Cause: ends were held back for every order in flight, and a worker with ends that are not acknowledged answers each poll at once. An order that is in flight for so short a time can't have been executed by the next incarnation, together with the end of its run, unless the run is shorter than that.

An order holds ends back only after 0.2 s; runs that were accepted or stopped without proof of their incarnation do as before.

--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -18,6 +18,9 @@
 const RETRY_DELAY: Millis = Millis(250);
 /// Maximum delay after a failed poll, as a multiple of [`RETRY_DELAY`].
 const MAX_RETRY_DELAYS: u32 = 4;
+/// Time from the placement of a run within which it is not expected to have been ordered and to have
+/// ended. To hold ends back for every order in flight would make busy workers answer polls at once.
+const MAX_QUICK_RUN: Millis = Millis(200);
 /// Polls in the time of one lease while the append of ends is in flight. They only renew the lease.
 const POLLS_PER_LEASE: u64 = 4;
 
@@ -81,7 +84,7 @@
             let lease_end =
                 if host.failed_polls > MAX_FAILED_POLLS { None } else { host.grant(lease, now) };
             let (on, address) = (Arc::clone(&host.incarnation), host.entry.address.clone());
-            let recorded_end = self.acknowledgeable_end(i, replica);
+            let recorded_end = self.acknowledgeable_end(i, replica, now);
             let poll = Poll { on, address, number, recorded_end, lease_end, wait };
             self.effects.push(Effect::Order(Order::Poll(poll)));
         }
@@ -89,14 +92,19 @@
 
     /// Returns the number of the last end that a worker may discard. The numbers start anew with each
     /// incarnation, so while a run may be in the next one, that one must not discard any end.
-    fn acknowledgeable_end(&self, i: usize, replica: &Replica) -> u64 {
+    fn acknowledgeable_end(&self, i: usize, replica: &Replica, now: Millis) -> u64 {
         let host = &self.hosts[i];
-        let is_elsewhere = |run: &Run| {
-            let running = self.run_index(run).map(|i| &self.runs[i]);
-            running
-                .is_ok_and(|r| !r.has_begun && !matches!(r.phase, Phase::Recording | Phase::Ending))
+        let may_have_ended_elsewhere = |run: &Run| {
+            let Ok(i) = self.run_index(run) else { return false };
+            let running = &self.runs[i];
+            let has_time = match running.phase {
+                Phase::Recording | Phase::Ending => false,
+                Phase::Ordered => now.since(running.progress.1) > MAX_QUICK_RUN,
+                Phase::Working { .. } | Phase::Stopping { .. } | Phase::Stopped { .. } => true,
+            };
+            has_time && !running.has_begun
         };
-        if host.is_replaced || host.runs.iter().any(is_elsewhere) {
+        if host.is_replaced || host.runs.iter().any(may_have_ended_elsewhere) {
             return 0;
         }
         host.recorded_end.max(replica.recorded_end(&host.incarnation))
