Tell the ends of jobs with their open runs, and runs that are listed wrongly

No line says that an owner has applied a cancellation, which runs it found in which phase, that a successor has recovered runs of an ended job, or that a worker lists a run whose stop it acknowledged or that no owner knows.

--- a/crates/core/benches/owner/fleet.rs
+++ b/crates/core/benches/owner/fleet.rs
@@ -323,7 +323,7 @@
                         self.owner.stop_answered(on, run, answer, clock, &self.replica, self.now);
                     }
                     Effect::QueryAdvisor(query) => self.queries.push(query),
-                    Effect::Moved(..) => {}
+                    Effect::Moved(..) | Effect::Notice(_) => {}
                 }
             }
             effects = self.owner.effects();
--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -17,6 +17,7 @@
 mod crash;
 mod gang;
 mod incarnation;
+mod notice;
 pub mod order;
 mod place;
 mod poll;
@@ -41,6 +42,7 @@
 use turnover::Turnover;
 
 pub use answer::{StartAnswer, StopAnswer};
+pub use notice::{Leftover, Notice, Tally};
 pub use poll::{PollError, Progress, Report};
 pub use wait::{Wait, Waited};
 
@@ -112,6 +114,10 @@
     stop_requested: bool,
     /// Reason of the stop; meaningful only once the run stops.
     reason: StopReason,
+    /// When its stop was first ordered.
+    stopping_since: Option<Millis>,
+    /// When its stop was acknowledged. Cleared when the run is noted as listed too long after that.
+    stopped_at: Option<Millis>,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
     /// Whether the incarnation `on` has certainly accepted the start order, or listed the run.
@@ -134,6 +140,8 @@
     QueryAdvisor(advice::Query),
     /// Log that a run counts as one of this incarnation of its worker from now on.
     Moved(Run, Arc<Incarnation>),
+    /// Log the event.
+    Notice(Notice),
 }
 
 /// Work of an owner since it was created, in objects that it has examined.
@@ -219,6 +227,7 @@
             let needs = needs_of(replica, &run);
             owner.insert(Running::recovered(run, on, needs, now));
         }
+        owner.notice_recovered_runs(replica);
         owner
     }
 
@@ -299,7 +308,10 @@
     /// Handles the change that an applied entry made, whichever process appended the entry.
     pub fn entry_applied(&mut self, applied: Applied, now: Millis) {
         match applied {
-            Applied::Over(id) => self.stop_job(id, now),
+            Applied::Over(id) => {
+                self.notice_over(id);
+                self.stop_job(id, now);
+            }
             Applied::Accepted(_) | Applied::Progress => self.is_dirty = true,
             Applied::Claimed | Applied::Saved | Applied::Nothing => {}
         }
@@ -456,6 +468,7 @@
             self.break_gang(run, replica, now);
         }
         if replica.job(run.task.step_id.job).is_none_or(|j| j.has_ended()) {
+            self.notice_unstopped_runs(run.task.step_id.job);
             self.stop_job(run.task.step_id.job, now);
         }
     }
@@ -564,6 +577,8 @@
             valid_until: Millis::MAX,
             stop_requested: false,
             reason: StopReason::Stray,
+            stopping_since: None,
+            stopped_at: None,
             progress: (0, now),
             has_begun: false,
             has_open_order: false,
--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -116,6 +116,7 @@
         match answer {
             StopAnswer::Taken => {
                 self.runs[i].phase = Phase::Stopped { since: self.last_poll };
+                self.runs[i].stopped_at = Some(now);
                 self.poll_by(on, now);
             }
             StopAnswer::OtherLife => self.end_incarnation(on, replica, now),
--- a/crates/core/src/contract/owner/crash.rs
+++ b/crates/core/src/contract/owner/crash.rs
@@ -48,6 +48,7 @@
             let task = run.task;
             let job = replica.job(task.step_id.job);
             if job.is_none_or(|j| j.has_ended()) {
+                self.notice_unstopped_runs(task.step_id.job);
                 self.stop_job(task.step_id.job, now);
             }
             let is_suspect = job.and_then(|j| j.task(&task)).is_some_and(|t| t.is_suspect());
--- a/crates/core/src/contract/owner/order.rs
+++ b/crates/core/src/contract/owner/order.rs
@@ -51,6 +51,8 @@
     pub run: Run,
     /// The reason, for the log.
     pub reason: StopReason,
+    /// When a stop of the run was first ordered, for the log.
+    pub since: Millis,
 }
 
 /// A status poll of a worker, which also renews its lease.
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -397,6 +397,8 @@
             valid_until: valid_until.unwrap_or(Millis::MAX),
             stop_requested: false,
             reason: StopReason::Stray,
+            stopping_since: None,
+            stopped_at: None,
             progress: (0, now),
             has_begun: false,
             has_open_order: false,
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -1,6 +1,7 @@
 //! Status polls of workers. A poll renews the worker's lease, and its answer lists the runs that
 //! execute and those that have ended.
 
+use super::notice::{MAX_STOP, Notice};
 use super::order::{Order, Poll, StopReason};
 use super::{Effect, Owner, Phase, Running};
 use crate::clock::Millis;
@@ -226,6 +227,13 @@
                 (Err(_), Phase::Working { since } | Phase::Stopped { since }) if number > since => {
                     lost.push(running.run);
                 }
+                (Ok(_), Phase::Stopped { since }) if number > since => {
+                    if let Some(at) = running.stopped_at.take_if(|at| now.since(*at) > MAX_STOP) {
+                        let on = Arc::clone(&running.on);
+                        let notice = Notice::Unstopped(running.run, on, now.since(at));
+                        self.effects.push(Effect::Notice(notice));
+                    }
+                }
                 _ => {}
             }
         }
@@ -253,7 +261,9 @@
             return;
         }
         let needs = super::needs_of(replica, &run);
-        let recovered = Running::recovered(run, Arc::new(on.clone()), needs, now);
+        let on = Arc::new(on.clone());
+        self.notice(Notice::Unknown(run, Arc::clone(&on)));
+        let recovered = Running::recovered(run, on, needs, now);
         self.insert(Running { has_begun: true, ..recovered });
         self.stop(&run, StopReason::Stray, now);
     }
--- a/crates/core/src/contract/owner/runs.rs
+++ b/crates/core/src/contract/owner/runs.rs
@@ -40,6 +40,11 @@
         &self.list[from..from + count]
     }
 
+    /// Returns the runs of each job that has any.
+    pub(super) fn by_job(&self) -> impl Iterator<Item = &[(Run, Box<Running>)]> {
+        self.list.chunk_by(|(a, _), (b, _)| a.task.step_id.job == b.task.step_id.job)
+    }
+
     pub(super) fn of_step(&self, step_id: &StepId) -> &[(Run, Box<Running>)] {
         &self.list[self.range(step_id)]
     }
--- a/crates/core/src/contract/owner/stop.rs
+++ b/crates/core/src/contract/owner/stop.rs
@@ -59,6 +59,7 @@
     /// Puts a run into the phase in which its next stop order is due at `at`.
     pub(super) fn stop_at(&mut self, i: usize, at: Millis) {
         self.runs[i].phase = Phase::Stopping { next: Some(at) };
+        self.runs[i].stopping_since.get_or_insert(at);
         self.runs.add_stop(at, self.runs[i].run);
     }
 
@@ -68,6 +69,7 @@
         let Some(host) = self.host(&on) else { return };
         let address = host.entry.address.clone();
         self.runs[i].phase = Phase::Stopping { next: None };
-        self.effects.push(Effect::Order(Order::Stop(Stop { on, address, run, reason })));
+        let since = self.runs[i].stopping_since.unwrap_or_default();
+        self.effects.push(Effect::Order(Order::Stop(Stop { on, address, run, reason, since })));
     }
 }
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -6,11 +6,12 @@
 mod fleet;
 mod gangs;
 mod load;
+mod notices;
 mod restarts;
 
 use super::advice::{Allowed, Query};
 use super::order::{Order, Poll, Start, Stop, StopReason};
-use super::{Effect, Limits, Owner, PollError, Progress, Report, StartAnswer, StopAnswer};
+use super::{Effect, Limits, Notice, Owner, PollError, Progress, Report, StartAnswer, StopAnswer};
 use crate::clock::Millis;
 use crate::contract::work::tests::{job, step};
 use crate::contract::work::{AdvisorTiming, Id, Job, Outcome, Step};
@@ -43,6 +44,7 @@
     stopped_on: Vec<Arc<Incarnation>>,
     polls: Vec<Poll>,
     asks: Vec<Query>,
+    notices: Vec<Notice>,
 }
 
 impl World {
@@ -61,9 +63,19 @@
         let owner = Owner::new(LIMITS, &replica, now);
         let (unrecorded, starts, stops) = (Vec::new(), Vec::new(), Vec::new());
         let (polls, asks) = (Vec::new(), Vec::new());
-        let stopped_on = Vec::new();
-        let mut world =
-            Self { now, replica, owner, unrecorded, starts, stops, stopped_on, polls, asks };
+        let (stopped_on, notices) = (Vec::new(), Vec::new());
+        let mut world = Self {
+            now,
+            replica,
+            owner,
+            unrecorded,
+            starts,
+            stops,
+            stopped_on,
+            polls,
+            asks,
+            notices,
+        };
         let list: Vec<WorkerEntry> = workers.iter().map(|w| worker_entry(w, 1)).collect();
         world.list(&list);
         world
@@ -92,6 +104,7 @@
                 }
                 Effect::Order(Order::Poll(poll)) => self.polls.push(poll),
                 Effect::QueryAdvisor(query) => self.asks.push(query),
+                Effect::Notice(notice) => self.notices.push(notice),
                 Effect::Moved(..) => {}
             }
         }
--- a/crates/core/src/contract/owner/tests/fleet.rs
+++ b/crates/core/src/contract/owner/tests/fleet.rs
@@ -134,7 +134,7 @@
                 Effect::Order(Order::Stop(stop)) => self.stops.push(stop),
                 Effect::Order(Order::Poll(poll)) => self.polls.push(poll),
                 Effect::QueryAdvisor(query) => self.serve(query),
-                Effect::Moved(..) => {}
+                Effect::Moved(..) | Effect::Notice(_) => {}
             }
         }
     }
