Log the way from the end of a job to the last stop of its runs

The logs of a daemon do not say, by a job's id, whether an owner has applied the cancellation, with which runs, whether a successor recovered them, what a worker answered to a stop, and whether it lists the run afterwards.

--- a/crates/daemon/src/shard/orders/tests.rs
+++ b/crates/daemon/src/shard/orders/tests.rs
@@ -147,8 +147,8 @@
 #[gtest]
 fn a_stop_order_without_answer_is_sent_once_more() {
     let worker = Scripted::new(&[], &[StopAnswer::Unknown, StopAnswer::Taken]);
-    let (on, run, reason) = (on(), run(), StopReason::Over);
-    let order = Order::Stop(Stop { on, address: "127.0.0.1:1".into(), run, reason });
+    let (on, run, reason, since) = (on(), run(), StopReason::Over, view::now());
+    let order = Order::Stop(Stop { on, address: "127.0.0.1:1".into(), run, reason, since });
     let event = block_on(send(&worker, Call { epoch: 1, decided: view::now(), order }));
     expect_that!(matches!(event, Event::Stopped(_, _, StopAnswer::Taken, _)), eq(true));
     expect_that!(*worker.timeouts.lock().unwrap(), eq(&vec![FIRST_TIMEOUT, SECOND_TIMEOUT]));
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -7,6 +7,7 @@
 
 mod effects;
 mod load;
+mod notices;
 mod peers;
 mod recorded;
 mod snapshots;
@@ -353,7 +354,9 @@
                     owner.start_answered(&on, &run, answer, clock, &self.replica, now);
                 }
             }
-            Event::Stopped(epoch, Stop { on, run, .. }, answer, clock) => {
+            Event::Stopped(epoch, stop, answer, clock) => {
+                notices::log_stop(&stop, answer, epoch, now);
+                let Stop { on, run, .. } = stop;
                 if let Some(owner) = owner_of(&mut self.tenure, epoch) {
                     owner.stop_answered(&on, &run, answer, clock, &self.replica, now);
                 }
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -1,7 +1,7 @@
 //! Executes the owner's effects: records go to the ledger duty, calls to the orders duty, queries
 //! to the advice duty. When a ring is full, the owner gets a failed answer at once.
 
-use super::{State, owner_of};
+use super::{State, notices, owner_of};
 use crate::shard::advice::Ask;
 use crate::shard::freshness::MAX_LIST_AGE;
 use crate::shard::ledger::Append;
@@ -47,6 +47,7 @@
                 Effect::Record(entry) => entries.push(entry),
                 Effect::QueryAdvisor(query) => self.ask(epoch, query),
                 Effect::Moved(run, to) => log_move(&run, &to),
+                Effect::Notice(notice) => notices::log(&notice, epoch, &self.replica, now),
                 Effect::Order(order) => self.send_order(Call { epoch, decided: now, order }),
             }
         }
