Stop the runs of jobs that ended before the owner's claim

Cause: an owner stopped the runs of a job when it applied the entry that ended the job, and only then. A daemon that had applied the entry before it took the shard over recovered the runs as working and never looked at the state of their jobs. The obligation hung on an event, which falls between two owners when the earlier one has left, rather than on the replicated state.

The four tests in owner/tests/endings.rs failed before: no stop was ordered.

Change: a new owner stops the runs of ended jobs that it recovers, and each report of a worker is compared with the state of the jobs: a listed run of an ended job is stopped, however its job ended. The clause in `reconcile` for runs whose stop had been requested could not be reached any more.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -228,6 +228,7 @@
             owner.insert(Running::recovered(run, on, needs, now));
         }
         owner.notice_recovered_runs(replica);
+        owner.stop_runs_of_ended_jobs(replica, now);
         owner
     }
 
@@ -417,7 +418,7 @@
         let waited = now.since(self.runs[i].progress.1);
         self.record_delay =
             MAX_RECORD_DELAY.min(waited.max(Millis(self.record_delay.get() * 9 / 10)));
-        let over = replica.job(run.task.step_id.job).is_none_or(|j| j.has_ended());
+        let over = replica.has_ended(run.task.step_id.job);
         let expired = self.runs[i].ticket.is_some() && now >= self.runs[i].valid_until;
         if over || expired || self.runs[i].stop_requested {
             return self.abandon_start(run, replica, now);
@@ -467,7 +468,7 @@
         if outcome != Outcome::Done {
             self.break_gang(run, replica, now);
         }
-        if replica.job(run.task.step_id.job).is_none_or(|j| j.has_ended()) {
+        if replica.has_ended(run.task.step_id.job) {
             self.notice_unstopped_runs(run.task.step_id.job);
             self.stop_job(run.task.step_id.job, now);
         }
--- a/crates/core/src/contract/owner/notice.rs
+++ b/crates/core/src/contract/owner/notice.rs
@@ -87,10 +87,11 @@
     pub fn leftover(&self, replica: &Replica, now: Millis) -> Leftover {
         let mut leftover = Leftover::default();
         for runs in self.runs.by_job() {
-            let job = replica.job(runs[0].0.task.step_id.job);
-            if job.is_some_and(|j| !j.has_ended()) {
+            let id = runs[0].0.task.step_id.job;
+            if !replica.has_ended(id) {
                 continue;
             }
+            let job = replica.job(id);
             let count = runs.iter().filter(|(_, r)| r.phase != Phase::Ending).count();
             if count > 0 {
                 let age = job.and_then(|j| j.ended).map_or(Millis::ZERO, |at| now.since(at));
@@ -119,7 +120,7 @@
     pub(super) fn notice_recovered_runs(&mut self, replica: &Replica) {
         for runs in self.runs.by_job() {
             let job = runs[0].0.task.step_id.job;
-            if replica.job(job).is_none_or(|j| j.has_ended()) {
+            if replica.has_ended(job) {
                 let notice = Notice::Over { job, open: Tally::of(runs), is_recovered: true };
                 self.effects.push(Effect::Notice(notice));
             }
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -194,7 +194,7 @@
     }
 
     /// Reconciles the runs that a worker reports with those expected there. Missing runs are lost;
-    /// hung and unexpected runs are stopped.
+    /// hung and unexpected runs and those of ended jobs are stopped.
     fn reconcile(
         &mut self,
         on: &Incarnation,
@@ -205,7 +205,7 @@
     ) {
         let mut listed: Vec<&Progress> = report.running.iter().collect();
         listed.sort_by_key(|w| w.run);
-        let (mut lost, mut hung) = (Vec::new(), Vec::new());
+        let (mut lost, mut stops) = (Vec::new(), Vec::new());
         let Some(host) = self.host(on) else { return };
         for run in host.runs.clone() {
             self.effort.runs += 1;
@@ -214,14 +214,14 @@
             let found = listed.binary_search_by(|w| w.run.cmp(&running.run));
             running.has_begun |= found.is_ok();
             match (found, running.phase) {
-                (Ok(_), Phase::Working { .. }) if running.stop_requested => {
-                    hung.push((running.run, false));
+                (Ok(_), Phase::Working { .. }) if replica.has_ended(run.task.step_id.job) => {
+                    stops.push((run, StopReason::Over));
                 }
                 (Ok(at), Phase::Working { .. }) => {
                     if listed[at].percent > running.progress.0 {
                         running.progress = (listed[at].percent, now);
                     } else if is_hung(replica, running, now) {
-                        hung.push((running.run, true));
+                        stops.push((run, StopReason::Hung));
                     }
                 }
                 (Err(_), Phase::Working { since } | Phase::Stopped { since }) if number > since => {
@@ -241,9 +241,8 @@
         for run in &lost {
             self.break_gang(run, replica, now);
         }
-        for (run, is_blamed) in hung {
-            let reason = if is_blamed { StopReason::Hung } else { StopReason::Stray };
-            if let Some(host) = self.host_mut(on).filter(|_| is_blamed) {
+        for (run, reason) in stops {
+            if let Some(host) = self.host_mut(on).filter(|_| reason == StopReason::Hung) {
                 host.record_failure(now);
             }
             self.stop(&run, reason, now);
--- a/crates/core/src/contract/owner/stop.rs
+++ b/crates/core/src/contract/owner/stop.rs
@@ -24,6 +24,14 @@
         runs.iter().for_each(|r| self.stop(r, StopReason::Over, now));
     }
 
+    /// Stops the open runs of all jobs that have ended. An earlier owner may have been gone when they
+    /// ended.
+    pub(super) fn stop_runs_of_ended_jobs(&mut self, replica: &Replica, now: Millis) {
+        let jobs = self.runs.by_job().map(|runs| runs[0].0.task.step_id.job);
+        let ended: Vec<Id> = jobs.filter(|id| replica.has_ended(*id)).collect();
+        ended.into_iter().for_each(|id| self.stop_job(id, now));
+    }
+
     /// Stops a run, now if its worker has accepted it, else once its start order is answered.
     pub(super) fn stop(&mut self, run: &Run, reason: StopReason, now: Millis) {
         let Ok(i) = self.run_index(run) else { return };
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod effort;
+mod endings;
 mod fleet;
 mod gangs;
 mod load;
--- a/crates/core/src/ledger/shard/replica.rs
+++ b/crates/core/src/ledger/shard/replica.rs
@@ -127,6 +127,11 @@
         self.job(id).map(JobState::status).or_else(ended)
     }
 
+    /// Returns whether none of a job's tasks may run any more: it has ended, or it is unknown.
+    pub fn has_ended(&self, id: Id) -> bool {
+        self.job(id).is_none_or(JobState::has_ended)
+    }
+
     /// Returns the jobs whose tasks are still kept, sorted by id.
     pub fn jobs(&self) -> &[JobState] {
         &self.jobs
