--- a/crates/daemon/src/shard/metrics.rs
+++ b/crates/daemon/src/shard/metrics.rs
@@ -20,6 +20,7 @@
     answer_ms: Histogram<u64>,
     orders: Counter<u64>,
     order_ms: Histogram<u64>,
+    stop_ms: Histogram<u64>,
     entries: Counter<u64>,
 }
 
@@ -40,6 +41,20 @@
         gauge(&meter, name, "Epoch of the own claim, 0 without one", "shard", move || {
             vec![("0", epochs.borrow().epoch.unwrap_or_default())]
         });
+        let leftovers = shard_status.clone();
+        let name = "pimentovalve_ended_job_runs";
+        gauge(&meter, name, "Runs of ended jobs that may still execute", "shard", move || {
+            vec![("0", leftovers.borrow().leftover.runs as u64)]
+        });
+        let ages = shard_status.clone();
+        let name = "pimentovalve_ended_job_runs_age_ms";
+        gauge(
+            &meter,
+            name,
+            "Longest time since the end of such a job, in ms",
+            "shard",
+            move || vec![("0", ages.borrow().leftover.oldest.get())],
+        );
         let name = "pimentovalve_log_age_ms";
         gauge(&meter, name, "Age of the replica, in ms", "shard", move || {
             vec![("0", view::now().since(shard_status.borrow().covered_until).get())]
@@ -59,6 +74,10 @@
             answer_ms: histogram("pimentovalve_answer_ms", "Time to answer a caller, in ms"),
             orders: counter("pimentovalve_orders", "Calls to workers, by kind and answer"),
             order_ms: histogram("pimentovalve_order_ms", "Time of a call to a worker, in ms"),
+            stop_ms: histogram(
+                "pimentovalve_stop_ms",
+                "Time from the end of a job to the acknowledged stop of a run, in ms",
+            ),
             entries: counter("pimentovalve_entries", "Own entries in the log, by kind"),
         })
     }
@@ -76,6 +95,11 @@
         self.order_ms.record(took.get(), &[kind]);
     }
 
+    /// Records the time from the end of a job to the acknowledged stop of one of its runs.
+    pub fn stopped(&self, took: Millis) {
+        self.stop_ms.record(took.get(), &[]);
+    }
+
     /// Counts entries of one kind that this daemon has recorded in the log.
     pub fn recorded(&self, kind: &'static str, count: usize) {
         self.entries.add(count as u64, &[KeyValue::new("entry", kind)]);
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -27,7 +27,7 @@
 use pimentovalve_core::contract::owner::advice::{Allowed, Query};
 use pimentovalve_core::contract::owner::order::{Poll, Start, Stop};
 use pimentovalve_core::contract::owner::{
-    Limits, Owner, PollError, Report, StartAnswer, StopAnswer,
+    Leftover, Limits, Owner, PollError, Report, StartAnswer, StopAnswer,
 };
 use pimentovalve_core::contract::work::{Id, Status};
 use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
@@ -224,6 +224,8 @@
     /// Size of the log after the last snapshot, or after the last attempt.
     unsaved_bytes: usize,
     load: Load,
+    /// Runs of ended jobs that may still execute, by the last count as the owner.
+    leftover: Leftover,
     recorded: recorded::Runs,
 }
 
@@ -255,6 +257,7 @@
             snapshot_tried: 0,
             unsaved_bytes: 0,
             load: Load::default(),
+            leftover: Leftover::default(),
             recorded: recorded::Runs::default(),
         }
     }
@@ -356,6 +359,7 @@
             }
             Event::Stopped(epoch, stop, answer, clock) => {
                 notices::log_stop(&stop, answer, epoch, now);
+                notices::record_stop(&stop, answer, &self.replica, &self.duty.metrics, now);
                 let Stop { on, run, .. } = stop;
                 if let Some(owner) = owner_of(&mut self.tenure, epoch) {
                     owner.stop_answered(&on, &run, answer, clock, &self.replica, now);
@@ -456,6 +460,7 @@
             owner.update_workers(&self.workers, &self.replica, now);
             let runs = owner.run_count();
             tracing::info!(epoch, jobs = self.replica.jobs().len(), runs, "ownership taken");
+            self.leftover = owner.leftover(&self.replica, now);
             self.tenure = Some(Tenure {
                 epoch,
                 owner,
@@ -566,6 +571,7 @@
         let owned_until = self.append_sent_at;
         let is_waiting = epoch.is_some() && !self.replica.old_leases_expired();
         let earlier_owner = self.earlier_owner.clone().filter(|_| is_waiting);
+        let leftover = epoch.map(|_| self.leftover).unwrap_or_default();
         let shard_status = ShardStatus {
             epoch,
             claim,
@@ -578,6 +584,7 @@
             owned_until,
             can_own,
             response_time,
+            leftover,
         };
         self.duty.shard_status.send_replace(shard_status);
     }
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -54,6 +54,7 @@
         let now = view::now();
         let over = now.since(self.load.logged_at);
         let Some(tenure) = self.tenure.as_ref().filter(|_| over >= LOG_INTERVAL) else { return };
+        self.leftover = tenure.owner.leftover(&self.replica, now);
         let effort = tenure.owner.effort();
         let usage = tenure.owner.usage();
         let percent = |part: u64| (part * 100).checked_div(usage.total).unwrap_or_default();
--- a/crates/daemon/src/shard/steward/notices.rs
+++ b/crates/daemon/src/shard/steward/notices.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::shard::metrics::Metrics;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::order::Stop;
 use pimentovalve_core::contract::owner::{Notice, StopAnswer, Tally};
@@ -42,6 +43,20 @@
     }
 }
 
+/// Records the time from the end of a job, as this daemon applied it, to an acknowledged stop of a run.
+pub(super) fn record_stop(
+    stop: &Stop,
+    answer: StopAnswer,
+    replica: &Replica,
+    metrics: &Metrics,
+    now: Millis,
+) {
+    let ended = replica.job(stop.run.task.step_id.job).and_then(|j| j.ended);
+    if let (StopAnswer::Taken, Some(at)) = (answer, ended) {
+        metrics.stopped(now.since(at));
+    }
+}
+
 /// Logs the answer to a stop order, with the time since the first stop of the run was ordered.
 pub(super) fn log_stop(stop: &Stop, answer: StopAnswer, epoch: u64, now: Millis) {
     let Stop { on, run: Run { task, number }, reason, since, .. } = stop;
--- a/crates/daemon/src/shard/steward/notices/tests.rs
+++ b/crates/daemon/src/shard/steward/notices/tests.rs
@@ -1,10 +1,13 @@
 //! Tests of the lines from the end of a job to the last stop of its runs.
 
-use super::{log, log_stop};
+use super::{log, log_stop, record_stop};
+use crate::ring;
+use crate::shard::metrics::Metrics;
+use crate::shard::view::ShardStatus;
 use googletest::prelude::*;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::order::{Stop, StopReason};
-use pimentovalve_core::contract::owner::{Notice, StopAnswer, Tally};
+use pimentovalve_core::contract::owner::{Leftover, Notice, StopAnswer, Tally};
 use pimentovalve_core::contract::work::{Id, Job, Policy, StepId, Task};
 use pimentovalve_core::ledger::shard::replica::Replica;
 use pimentovalve_core::ledger::shard::{Entry, Incarnation, Run};
@@ -145,3 +148,36 @@
             "why": "Over", "answer": "Taken", "ordered_ms": 400}),
     );
 }
+
+fn metrics(leftover: Leftover) -> Metrics {
+    let (_publisher, status) =
+        ring::latest(ShardStatus { epoch: Some(4), leftover, ..ShardStatus::default() });
+    Metrics::new(status, Vec::new()).unwrap()
+}
+
+/// Returns the value of a metric, by the start of its name.
+fn value(text: &str, name: &str) -> Option<String> {
+    let line = text.lines().find(|l| l.starts_with(name))?;
+    line.split_whitespace().last().map(Into::into)
+}
+
+#[gtest]
+fn the_time_from_the_end_of_a_job_to_an_acknowledged_stop_is_measured() {
+    let metrics = metrics(Leftover::default());
+    let (on, run, reason) = (on(), run(), StopReason::Over);
+    let stop = Stop { on, address: "127.0.0.1:1".into(), run, reason, since: ENDED_AT };
+    record_stop(&stop, StopAnswer::Unknown, &replica(true), &metrics, NOW);
+    record_stop(&stop, StopAnswer::Taken, &replica(false), &metrics, NOW);
+    expect_that!(value(&metrics.text().unwrap(), "pimentovalve_stop_ms_sum"), none());
+    record_stop(&stop, StopAnswer::Taken, &replica(true), &metrics, NOW);
+    let text = metrics.text().unwrap();
+    expect_that!(value(&text, "pimentovalve_stop_ms_sum"), some(eq("400")));
+    expect_that!(value(&text, "pimentovalve_stop_ms_count"), some(eq("1")));
+}
+
+#[gtest]
+fn runs_of_ended_jobs_are_exported_with_the_age_of_the_oldest() {
+    let text = metrics(Leftover { runs: 3, oldest: Millis(1700) }).text().unwrap();
+    expect_that!(value(&text, "pimentovalve_ended_job_runs{"), some(eq("3")));
+    expect_that!(value(&text, "pimentovalve_ended_job_runs_age_ms{"), some(eq("1700")));
+}
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -2,6 +2,7 @@
 
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
+use pimentovalve_core::contract::owner::Leftover;
 use pimentovalve_core::link::response_time::ResponseTime;
 use rustix::time::{ClockId, clock_gettime};
 use std::sync::Arc;
@@ -43,6 +44,8 @@
     pub can_own: bool,
     /// Latency estimate of the store's log reads.
     pub response_time: ResponseTime,
+    /// Runs of ended jobs that may still execute, while this daemon owns the shard.
+    pub leftover: Leftover,
 }
 
 impl ShardStatus {
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -7,6 +7,7 @@
 
 mod cause;
 mod line;
+mod overrun;
 
 #[cfg(test)]
 mod tests;
--- a/src/commands/explain/cause.rs
+++ b/src/commands/explain/cause.rs
@@ -1,6 +1,7 @@
 //! Derives the causes of a job's refusal, delay or failure from the log lines of all daemons.
 
 use super::line::Line;
+use super::overrun;
 use pimentovalve_core::clock::Millis;
 
 /// Time before and after a refused submission in which a takeover may have caused it. A shard has
@@ -18,7 +19,8 @@
 /// Messages of a finished advisor call: the present text, and that of earlier builds.
 const ADVISOR_CALL_FINISHED: [&str; 2] = ["advisor call finished", "advice"];
 
-/// Returns the causes: first those of refused submissions, then those of failures and delays.
+/// Returns the causes: first those of refused submissions, then those of failures and delays, then
+/// those of runs that went on after the job was cancelled.
 /// `lines` must be sorted by time.
 pub(super) fn causes(lines: &[Line], job: &str) -> Vec<String> {
     let own: Vec<&Line> = lines.iter().filter(|l| l.field("job") == Some(job)).collect();
@@ -32,6 +34,7 @@
         causes.extend(run_failures(&own));
         causes.extend(longest_wait(lines, &own));
     }
+    causes.extend(overrun::overruns(&own));
     causes
 }
 
--- a/src/commands/explain/line.rs
+++ b/src/commands/explain/line.rs
@@ -86,6 +86,11 @@
         self.fields.get(name)?.as_u64()
     }
 
+    /// Returns whether a field is true.
+    pub(super) fn is_set(&self, name: &str) -> bool {
+        self.fields.get(name).and_then(Value::as_bool).unwrap_or_default()
+    }
+
     /// Formats the time as RFC 3339 with milliseconds.
     pub(super) fn time(&self) -> String {
         let at = UNIX_EPOCH + self.at.into();
--- a/src/commands/explain/tests.rs
+++ b/src/commands/explain/tests.rs
@@ -177,3 +177,81 @@
     expect_that!(Line::parse(&OUTAGE[0][..90], "file"), err(contains_substring("not a log line")));
     expect_that!(Line::parse("{}", "file"), err(contains_substring("timestamp")));
 }
+
+/// Lines of a job that is cancelled at 44.0 s while its run executes.
+const CANCELLED: [&str; 3] = [
+    r#"{"timestamp":"2026-09-02T20:53:42.000000Z","level":"INFO","message":"start recorded","job":"16cfbbbb4ac26d3c","task":"16cfbbbb4ac26d3c.0.0.0","number":1,"worker":"i-1","epoch":1,"target":"x"}"#,
+    r#"{"timestamp":"2026-09-02T20:53:44.000000Z","level":"INFO","message":"job cancellation submitted","job":"16cfbbbb4ac26d3c","outcome":"Yes","target":"x"}"#,
+    r#"{"timestamp":"2026-09-02T20:53:52.000000Z","level":"INFO","message":"end recorded","job":"16cfbbbb4ac26d3c","task":"16cfbbbb4ac26d3c.0.0.0","number":1,"worker":"i-1","outcome":"Done","epoch":2,"target":"x"}"#,
+];
+
+/// Returns a line about the run, or about its job, `at` seconds into the minute.
+fn event(at: &str, message: &str, fields: &str) -> String {
+    let run = r#""job":"16cfbbbb4ac26d3c","task":"16cfbbbb4ac26d3c.0.0.0","number":1,"epoch":2"#;
+    let job = r#""job":"16cfbbbb4ac26d3c","epoch":2"#;
+    let subject = if message.starts_with("job ended") { job } else { run };
+    format!(
+        r#"{{"timestamp":"2026-09-02T20:53:{at}00Z","level":"INFO","message":"{message}",{subject},{fields},"target":"x"}}"#
+    )
+}
+
+/// Returns the causes that are named with these lines between the cancellation and the end.
+fn overrun(events: &[String]) -> Vec<String> {
+    let mut texts = vec![CANCELLED[0], CANCELLED[1]];
+    texts.extend(events.iter().map(String::as_str));
+    texts.push(CANCELLED[2]);
+    causes(&lines(&texts), "16cfbbbb4ac26d3c")
+}
+
+fn ended(at: &str, runs: u64, recovered: bool) -> String {
+    let fields = format!(r#""status":"Cancelled","runs":{runs},"recovered":{recovered}"#);
+    event(at, "job ended: runs to stop", &fields)
+}
+
+#[gtest]
+fn a_run_that_went_on_after_the_cancellation_is_explained_by_what_its_owners_did() {
+    let ordered = event("44.2000", "stop ordered", r#""why":"Over""#);
+    let answered = |answer| {
+        event("44.3000", "stop answered", &format!(r#""answer":"{answer}","ordered_ms":100"#))
+    };
+    let listed = |message| event("47.0000", message, r#""worker":"i-1""#);
+    let late = listed("run listed after its stop was acknowledged");
+    let cases: [(&[String], &str); 8] = [
+        (&[], "no owner has logged that it applied the cancellation"),
+        (
+            &[ended("45.0000", 1, true)],
+            "took the shard over with it at 2026-09-02T20:53:45.000Z and ordered no stop",
+        ),
+        (&[ended("44.1000", 0, false)], "the owner knew no run when it applied the cancellation"),
+        (&[ended("44.1000", 1, false)], "and ordered no stop"),
+        (&[ended("44.1000", 1, false), ordered.clone()], "has no answer in these logs"),
+        (&[ordered.clone(), answered("Unknown")], "the last answer was Unknown at"),
+        (
+            &[ordered, answered("Taken"), late],
+            "its worker still listed it at 2026-09-02T20:53:47.000Z",
+        ),
+        (&[listed("unknown run listed")], "no owner knew it until its worker listed it"),
+    ];
+    for (events, finding) in cases {
+        let run = "after the cancellation the run 16cfbbbb4ac26d3c.0.0.0#1 ended Done at";
+        let expected = all![starts_with(run), contains_substring(finding)];
+        expect_that!(overrun(events), contains(expected), "{events:?}");
+    }
+}
+
+#[gtest]
+fn a_cancellation_that_the_owner_applied_late_is_reported() {
+    let late = "the owner applied the cancellation 4000 ms after it was submitted";
+    expect_that!(overrun(&[ended("48.0000", 1, false)]), contains(eq(late)));
+    expect_that!(overrun(&[ended("44.1000", 1, false)]), not(contains(eq(late))));
+}
+
+#[gtest]
+fn a_run_that_was_stopped_after_the_cancellation_needs_no_explanation() {
+    let stopped = CANCELLED[2].replace("Done", "Stopped");
+    let soon = CANCELLED[2].replace("20:53:52", "20:53:44");
+    for end in [stopped, soon] {
+        let causes = causes(&lines(&[CANCELLED[0], CANCELLED[1], &end]), "16cfbbbb4ac26d3c");
+        expect_that!(causes, not(contains(contains_substring("after the cancellation"))));
+    }
+}
