--- a/src/commands/explain/overrun.rs
+++ b/src/commands/explain/overrun.rs
@@ -97,7 +97,7 @@
     if let Some(line) = taken {
         return format!("its worker acknowledged the stop at {}", line.time());
     }
-    if let Some(line) = answers().last() {
+    if let Some(line) = answers().next_back() {
         let answer = line.field("answer").unwrap_or("?");
         return format!(
             "no stop was acknowledged, the last answer was {answer} at {}",
