Stop a run again that is listed long after its stop was acknowledged

Cause: `Phase::Stopped` had no second stop. A run that its worker went on listing after it had acknowledged the stop was neither stopped again nor given up; the obligation hung on the answer and not on what the worker lists.

Change: a run that is listed in a report that was requested after the acknowledgement, later than a stop may take (`stopTimeoutMs`, now `Limits::max_stop`), is stopped again. Stops are idempotent.

a_run_that_is_listed_long_after_its_stop_was_acknowledged_is_stopped_again failed before: Value of: world.stops Expected: has elements: 0. is equal to Run { task: Task { step_id: StepId { job: Id(1), .. }, index: 0 }, number: 1 } 1. is equal to Run { task: Task { step_id: StepId { job: Id(1), .. }, index: 0 }, number: 1 } Actual: [Run { .. }], whose size is 1

--- a/crates/core/benches/owner/fleet.rs
+++ b/crates/core/benches/owner/fleet.rs
@@ -29,6 +29,7 @@
     poll_wait: Millis(1500),
     poll_pause: Millis(40),
     retry: Millis(250),
+    max_stop: Millis(900),
 };
 
 /// A queue of the platform.
--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -66,6 +66,8 @@
     pub poll_pause: Millis,
     /// Time between two attempts of a stop order that got no answer.
     pub retry: Millis,
+    /// Longest time that a worker takes to stop a run.
+    pub max_stop: Millis,
 }
 
 /// Poll number that stands for "before this owner's first poll"; own polls are numbered from 1.
@@ -94,6 +96,8 @@
     Stopped {
         /// Number of the last poll that was sent before this state began.
         since: u64,
+        /// When the worker acknowledged the stop.
+        at: Millis,
     },
     /// The append of its end or loss to the log is in flight.
     Ending,
@@ -116,8 +120,6 @@
     reason: StopReason,
     /// When its stop was first ordered.
     stopping_since: Option<Millis>,
-    /// When its stop was acknowledged. Cleared when the run is noted as listed too long after that.
-    stopped_at: Option<Millis>,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
     /// Whether the incarnation `on` has certainly accepted the start order, or listed the run.
@@ -579,7 +581,6 @@
             stop_requested: false,
             reason: StopReason::Stray,
             stopping_since: None,
-            stopped_at: None,
             progress: (0, now),
             has_begun: false,
             has_open_order: false,
--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -115,8 +115,7 @@
         self.update_clock(on, clock, now);
         match answer {
             StopAnswer::Taken => {
-                self.runs[i].phase = Phase::Stopped { since: self.last_poll };
-                self.runs[i].stopped_at = Some(now);
+                self.runs[i].phase = Phase::Stopped { since: self.last_poll, at: now };
                 self.poll_by(on, now);
             }
             StopAnswer::OtherLife => self.end_incarnation(on, replica, now),
--- a/crates/core/src/contract/owner/notice.rs
+++ b/crates/core/src/contract/owner/notice.rs
@@ -8,10 +8,6 @@
 use crate::ledger::shard::{Incarnation, Run};
 use std::sync::Arc;
 
-/// Time for which a worker may still list a run whose stop it acknowledged: the longest stop, and a
-/// margin for the answer to the poll.
-pub(super) const MAX_STOP: Millis = Millis(1200);
-
 /// Open runs of a job, by phase.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -398,7 +398,6 @@
             stop_requested: false,
             reason: StopReason::Stray,
             stopping_since: None,
-            stopped_at: None,
             progress: (0, now),
             has_begun: false,
             has_open_order: false,
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -1,7 +1,7 @@
 //! Status polls of workers. A poll renews the worker's lease, and its answer lists the runs that
 //! execute and those that have ended.
 
-use super::notice::{MAX_STOP, Notice};
+use super::notice::Notice;
 use super::order::{Order, Poll, StopReason};
 use super::{Effect, Owner, Phase, Running};
 use crate::clock::Millis;
@@ -22,6 +22,8 @@
 /// Time from the placement of a run within which it is not expected to have been ordered and to have
 /// ended. To hold ends back for every order in flight would make busy workers answer polls at once.
 const MAX_QUICK_RUN: Millis = Millis(200);
+/// Time that the answer to a poll may take to arrive.
+const ANSWER_MARGIN: Millis = Millis(300);
 /// Polls in the time of one lease while the append of ends is in flight. They only renew the lease.
 const POLLS_PER_LEASE: u64 = 4;
 
@@ -205,7 +207,8 @@
     ) {
         let mut listed: Vec<&Progress> = report.running.iter().collect();
         listed.sort_by_key(|w| w.run);
-        let (mut lost, mut stops) = (Vec::new(), Vec::new());
+        let max_stop = self.limits.max_stop + ANSWER_MARGIN;
+        let (mut lost, mut stops, mut ignored) = (Vec::new(), Vec::new(), Vec::new());
         let Some(host) = self.host(on) else { return };
         for run in host.runs.clone() {
             self.effort.runs += 1;
@@ -224,15 +227,17 @@
                         stops.push((run, StopReason::Hung));
                     }
                 }
-                (Err(_), Phase::Working { since } | Phase::Stopped { since }) if number > since => {
-                    lost.push(running.run);
+                (Ok(_), Phase::Stopped { since, at })
+                    if number > since && now.since(at) > max_stop =>
+                {
+                    let on = Arc::clone(&running.on);
+                    self.effects.push(Effect::Notice(Notice::Unstopped(run, on, now.since(at))));
+                    ignored.push(run);
                 }
-                (Ok(_), Phase::Stopped { since }) if number > since => {
-                    if let Some(at) = running.stopped_at.take_if(|at| now.since(*at) > MAX_STOP) {
-                        let on = Arc::clone(&running.on);
-                        let notice = Notice::Unstopped(running.run, on, now.since(at));
-                        self.effects.push(Effect::Notice(notice));
-                    }
+                (Err(_), Phase::Working { since } | Phase::Stopped { since, .. })
+                    if number > since =>
+                {
+                    lost.push(running.run);
                 }
                 _ => {}
             }
@@ -248,6 +253,7 @@
             self.stop(&run, reason, now);
             self.break_gang(&run, replica, now);
         }
+        ignored.iter().for_each(|run| self.stop_again(run, now));
         for progress in listed {
             self.stop_unexpected(on, progress.run, replica, now);
         }
--- a/crates/core/src/contract/owner/stop.rs
+++ b/crates/core/src/contract/owner/stop.rs
@@ -1,4 +1,4 @@
-//! Stop orders, repeated until the worker acknowledges them.
+//! Stop orders, repeated until the worker acknowledges them, and again if it goes on listing the run.
 
 use super::order::{Order, Stop, StopReason};
 use super::{Effect, Owner, Phase, step_of};
@@ -48,6 +48,13 @@
         }
     }
 
+    /// Repeats a stop order that the worker acknowledged and did not carry out.
+    pub(super) fn stop_again(&mut self, run: &Run, now: Millis) {
+        let Ok(i) = self.run_index(run) else { return };
+        self.stop_at(i, now);
+        self.try_stop(i);
+    }
+
     pub(super) fn retry_stops(&mut self, now: Millis) {
         for run in self.runs.due_stops(now) {
             self.effort.runs += 1;
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -30,6 +30,7 @@
     poll_wait: Millis(1500),
     poll_pause: Millis(40),
     retry: Millis(250),
+    max_stop: Millis(900),
 };
 
 /// An owner with its log and the effects that it has produced.
--- a/crates/core/src/contract/owner/tests/endings.rs
+++ b/crates/core/src/contract/owner/tests/endings.rs
@@ -73,3 +73,32 @@
     world.settle();
     expect_that!(world.stops, elements_are![eq(&runs[1])]);
 }
+
+fn cancel(world: &mut World, id: Id) {
+    let applied = world.replica.apply(Entry::Cancelled(id), world.now);
+    world.owner.entry_applied(applied, world.now);
+    world.settle();
+}
+
+/// Regression: a stop that was acknowledged and not carried out was never repeated.
+#[gtest]
+fn a_run_that_is_listed_long_after_its_stop_was_acknowledged_is_stopped_again() {
+    let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    world.answer_polls();
+    let run = world.started()[0];
+    world.answer_start(&run, StartAnswer::Taken);
+    cancel(&mut world, Id(1));
+    world.answer_stop(&run, StopAnswer::Taken);
+    for _ in 0..3 {
+        world.pass(100);
+        world.report(&[run], &[]);
+    }
+    expect_that!(world.stops, elements_are![eq(&run)]);
+    world.pass(1500);
+    world.report(&[run], &[]);
+    expect_that!(world.stops, elements_are![eq(&run), eq(&run)]);
+    world.answer_stop(&run, StopAnswer::Taken);
+    world.pass(100);
+    world.answer_polls();
+    expect_that!(world.owner.run_count(), eq(0));
+}
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -235,8 +235,9 @@
     Ok(front::Front::new(name, front::bind(name, address)?, bounds, Arc::default(), handler)?)
 }
 
-/// Returns the timing limits of an owner whose workers grant leases of at most `max_lease`.
-pub const fn limits(max_lease: Millis) -> Limits {
+/// Returns the timing limits of an owner whose workers grant leases of at most `max_lease` and take at
+/// most `max_stop` to stop a run.
+pub const fn limits(max_lease: Millis, max_stop: Millis) -> Limits {
     Limits {
         lease: if max_lease.get() < LEASE.get() { max_lease } else { LEASE },
         max_lease,
@@ -244,6 +245,7 @@
         poll_wait: POLL_WAIT,
         poll_pause: POLL_PAUSE,
         retry: ORDER_RETRY_INTERVAL,
+        max_stop,
     }
 }
 
