Stop a gang of which some members have no run, whenever they lost it

Cause: a gang was stopped at the event that ended a member. When that fell between two owners, or the member ended with its restarted worker, the others went on, and the gang could not start again before they ended by themselves.

Change: the placement pass stops the open runs of a gang some of whose members have none, from the state of the backlog alone.

Failed before: a_later_owner_stops_a_gang_of_which_a_member_ended_before_its_claim Value of: world.stops Expected: has elements: 0. is equal to Run { .. index: 1 }, number: 1 } Actual: [], whose size is 0 a_later_owner_stops_a_gang_of_which_not_all_starts_were_recorded Value of: world.stops Expected: has elements: 0. is equal to Run { .. index: 0 }, number: 1 } Actual: [], whose size is 0 a_gang_of_which_members_ended_with_their_worker_is_stopped_at_the_others Value of: world.stops Expected: isn't empty Actual: [], which is empty

--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -145,8 +145,12 @@
             }
             let candidate = self.backlog.candidate(rank.at);
             let (is_gang, startable) = (candidate.is_gang, candidate.startable);
+            if is_gang && startable < candidate.tasks {
+                self.stop_gang(&rank.step_id, now);
+                continue;
+            }
             if self.is_hopeless(candidate, &round) {
-                if is_gang && startable == candidate.tasks {
+                if is_gang {
                     self.note_turn(rank.at, Turn::PassedOver, now);
                 }
                 continue;
@@ -229,7 +233,7 @@
         let can_gain = if *is_gang {
             let has_room =
                 round.room.times_held(needs) >= u64::try_from(*tasks).unwrap_or(u64::MAX);
-            startable == tasks && (has_room || round.may_gather())
+            has_room || round.may_gather()
         } else {
             let may_ask = *is_advised && round.expects_room && round.has_query_budget();
             *startable > 0 && (may_ask || round.roomiest.holds(needs))
--- a/crates/core/src/contract/owner/stop.rs
+++ b/crates/core/src/contract/owner/stop.rs
@@ -3,7 +3,7 @@
 use super::order::{Order, Stop, StopReason};
 use super::{Effect, Owner, Phase, step_of};
 use crate::clock::Millis;
-use crate::contract::work::Id;
+use crate::contract::work::{Id, StepId};
 use crate::ledger::shard::Run;
 use crate::ledger::shard::replica::Replica;
 use std::sync::Arc;
@@ -19,6 +19,13 @@
         members.iter().for_each(|m| self.stop(m, StopReason::Gang, now));
     }
 
+    /// Stops all open runs of a gang some of whose members have none. They ended with their worker or
+    /// under an earlier owner, or that owner did not record their start.
+    pub(super) fn stop_gang(&mut self, step_id: &StepId, now: Millis) {
+        let runs: Vec<Run> = self.runs.of_step(step_id).iter().map(|(r, _)| *r).collect();
+        runs.iter().for_each(|r| self.stop(r, StopReason::Gang, now));
+    }
+
     pub(super) fn stop_job(&mut self, id: Id, now: Millis) {
         let runs: Vec<Run> = self.runs.of_job(id).iter().map(|(r, _)| *r).collect();
         runs.iter().for_each(|r| self.stop(r, StopReason::Over, now));
--- a/crates/core/src/contract/owner/tests/gangs.rs
+++ b/crates/core/src/contract/owner/tests/gangs.rs
@@ -228,3 +228,63 @@
     expect_that!(world.starts, len(eq(12)));
     expect_that!(world.started()[8..].iter().all(|r| r.task.step_id.job == Id(2)), eq(true));
 }
+
+/// Returns the log of an owner under which both members of a gang execute on worker `a`.
+fn log_with_gang() -> (Replica, Vec<Run>) {
+    let mut world = World::new(&["a"], vec![job(1, vec![gang(2)])]);
+    world.answer_polls();
+    let runs = world.started();
+    for run in &runs {
+        world.answer_start(run, StartAnswer::Taken);
+    }
+    (world.replica, runs)
+}
+
+/// Regression: the members of a gang that lost one between two owners went on and kept their room.
+#[gtest]
+fn a_later_owner_stops_a_gang_of_which_a_member_ended_before_its_claim() {
+    let (mut replica, runs) = log_with_gang();
+    let end = End { run: runs[0], number: 1, outcome: Outcome::Failed, saved: "".into() };
+    let on = Incarnation { worker: "a".into(), born: 1 };
+    replica.apply(Entry::Ended { on, ends: vec![end] }, Millis(1_000_000));
+    let mut world = World::taking_over(replica, &["a"]);
+    world.report(&runs[1..], &[]);
+    expect_that!(world.stops, elements_are![eq(&runs[1])]);
+    world.answer_stop(&runs[1], StopAnswer::Taken);
+    world.pass(100);
+    world.answer_polls();
+    expect_that!(world.starts, len(eq(2)));
+}
+
+/// Regression: as above, with an owner that ended before the starts of all members were recorded.
+#[gtest]
+fn a_later_owner_stops_a_gang_of_which_not_all_starts_were_recorded() {
+    let (_, runs) = log_with_gang();
+    let (mut replica, now) = (Replica::default(), Millis(1_000_000));
+    replica.apply(Entry::Submitted(Box::new(job(1, vec![gang(2)]))), now);
+    let on = Incarnation { worker: "a".into(), born: 1 };
+    replica.apply(Entry::Started { on, runs: vec![runs[0]] }, now);
+    let mut world = World::taking_over(replica, &["a"]);
+    world.report(&runs[..1], &[]);
+    expect_that!(world.stops, elements_are![eq(&runs[0])]);
+}
+
+/// Regression: a gang whose members ended with a restarted worker went on at the others.
+#[gtest]
+fn a_gang_of_which_members_ended_with_their_worker_is_stopped_at_the_others() {
+    let mut world = World::new(&["a", "b"], vec![job(1, vec![gang(6)])]);
+    world.answer_polls();
+    for run in world.started() {
+        world.answer_start(&run, StartAnswer::Taken);
+    }
+    let there = |start: &&Start| &*start.on.worker == "b";
+    let on_b: Vec<Run> = world.starts.iter().filter(there).map(|s| s.run).collect();
+    world.polls.clear();
+    world.list(&[worker_entry("a", 2), worker_entry("b", 1)]);
+    let poll = world.polls.iter().find(|p| &*p.on.worker == "a").expect("a poll").clone();
+    let report = Report { born: Some(2), clock: 20, ..Report::default() };
+    world.owner.poll_answered(&poll.on, poll.number, Ok(&report), &world.replica, world.now);
+    world.pass(100);
+    expect_that!(world.stops, not(is_empty()));
+    expect_that!(world.stops, eq(&on_b));
+}
