Watch a worker for a run that an order without answer may still begin there

Cause: a worker without known runs was not polled once it had answered. An order without answer may be carried out seconds later; the acknowledged stop rules that out in the incarnation that acknowledged it only. A worker that started anew under its name after it could begin the run, which no owner saw, so it was not stopped, whether its job was cancelled or not, until its lease lapsed.

Change: for the longest lease after an order without answer its worker is polled even if no run is known there, also in its next incarnation, and its entry is kept while it is not listed.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -272,8 +272,8 @@
         }
         for i in (0..self.hosts.len()).rev() {
             let host = &self.hosts[i];
-            if !host.is_listed && host.runs.is_empty() && !self.has_strays(&host.incarnation.worker)
-            {
+            let is_unused = host.runs.is_empty() && now >= host.watched_until;
+            if !host.is_listed && is_unused && !self.has_strays(&host.incarnation.worker) {
                 self.hosts.remove(i);
                 self.queries.host_removed(i);
             }
--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -66,6 +66,9 @@
                 self.runs[i].progress = (0, now);
                 self.runs[i].has_begun = is_own_answer;
                 self.runs[i].has_open_order = answer == StartAnswer::TakenOnRepeat;
+                if answer == StartAnswer::TakenOnRepeat {
+                    self.watch(on, now);
+                }
                 if !is_own_answer {
                     self.inherit_leases(on, now);
                 }
@@ -87,6 +90,7 @@
                 self.stop_at(i, now);
                 self.runs[i].reason = StopReason::Unanswered;
                 self.runs[i].has_open_order = true;
+                self.watch(on, now);
                 self.effects.push(Effect::Record(Entry::Unanswered(vec![*run])));
                 if let Some(host) = self.host_mut(on) {
                     host.exclude_until(now + UNHEALTHY_BACKOFF);
@@ -127,6 +131,15 @@
         }
     }
 
+    /// Watches a worker for a run that an order without answer may still begin. A stop rules that out
+    /// only in the incarnation that acknowledges it.
+    fn watch(&mut self, on: &Incarnation, now: Millis) {
+        let until = now + self.limits.max_lease;
+        if let Ok(i) = self.host_index(&on.worker) {
+            self.hosts[i].watched_until = until;
+        }
+    }
+
     /// Notes that a later incarnation of a worker may have accepted an order for `on`.
     fn inherit_leases(&mut self, on: &Incarnation, now: Millis) {
         let max_lease = self.limits.max_lease;
--- a/crates/core/src/contract/owner/incarnation.rs
+++ b/crates/core/src/contract/owner/incarnation.rs
@@ -36,6 +36,7 @@
         self.account_for_end(i, replica);
         let mut host = self.new_host(entry, replica, now);
         host.inherit_leases(self.limits.max_lease, now);
+        host.watched_until = self.hosts[i].watched_until;
         let old = std::mem::replace(&mut self.hosts[i], host);
         old.runs.into_iter().for_each(|run| self.add_stray(run));
         self.is_dirty = true;
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -63,7 +63,9 @@
     pub(super) fn poll(&mut self, replica: &Replica, now: Millis) {
         for i in 0..self.hosts.len() {
             let host = &self.hosts[i];
-            let is_needed = !host.runs.is_empty() || (!host.is_responsive && host.is_listed);
+            let is_watched = host.is_listed && now < host.watched_until;
+            let is_awaited = host.is_listed && !host.is_responsive;
+            let is_needed = !host.runs.is_empty() || is_awaited || is_watched;
             if !is_needed || host.poll_in_flight.is_some() || now < host.next_poll {
                 continue;
             }
@@ -78,11 +80,8 @@
             let host = &mut self.hosts[i];
             host.poll_in_flight = Some(number);
             let is_recording = host.submitted_end > host.recorded_end;
-            let wait = if host.runs.is_empty() || is_recording {
-                Millis::ZERO
-            } else {
-                self.limits.poll_wait
-            };
+            let is_idle = host.runs.is_empty() && !is_watched;
+            let wait = if is_idle || is_recording { Millis::ZERO } else { self.limits.poll_wait };
             // Renewing the lease of a silent worker would keep its runs from ever being given up.
             let lease_end =
                 if host.failed_polls > MAX_FAILED_POLLS { None } else { host.grant(lease, now) };
--- a/crates/core/src/contract/owner/tests/restarts.rs
+++ b/crates/core/src/contract/owner/tests/restarts.rs
@@ -287,3 +287,23 @@
     answer_idle(&mut world);
     expect_that!(world.started().last(), some(eq(&Run { number: 2, ..run })));
 }
+
+/// Regression: an order that was carried out after its stop was acknowledged, in the incarnation after
+/// the one that acknowledged it, was never seen: no worker without known runs was polled.
+#[gtest]
+fn a_late_order_that_the_incarnation_after_its_stop_carries_out_is_stopped() {
+    let (mut world, run) = world_with_start();
+    let applied = world.replica.apply(Entry::Cancelled(Id(1)), world.now);
+    world.owner.entry_applied(applied, world.now);
+    world.answer_start(&run, StartAnswer::Unknown);
+    world.answer_stop(&run, StopAnswer::Taken);
+    world.answer_polls();
+    expect_that!(world.owner.run_count(), eq(0));
+    world.list(&[worker_entry("a", 2)]);
+    report_as(&mut world, 2, &[], &[]);
+    world.pass(2000);
+    report_as(&mut world, 2, &[run], &[]);
+    let on = Incarnation { worker: "a".into(), born: 2 };
+    expect_that!(world.stops, elements_are![eq(&run), eq(&run)]);
+    expect_that!(world.stopped_on.last().map(|on| &**on), some(eq(&on)));
+}
--- a/crates/core/src/machine/host.rs
+++ b/crates/core/src/machine/host.rs
@@ -95,6 +95,9 @@
     pub submitted_end: u64,
     /// Whether the last report came from another incarnation, which is not listed yet.
     pub is_replaced: bool,
+    /// Until when an order that got no answer may begin a run here, also after the worker has started
+    /// anew. Until then the worker is polled even if no run is known there.
+    pub watched_until: Millis,
     clock: Option<ClockReference>,
     /// Time by which every lease granted so far has expired on the worker.
     leases_expire_at: Millis,
@@ -131,6 +134,7 @@
             recorded_end,
             submitted_end: recorded_end,
             is_replaced: false,
+            watched_until: Millis::ZERO,
             clock: None,
             leases_expire_at,
             inherited_leases_expire_at: Millis::ZERO,
