--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -6,7 +6,10 @@
 //!
 //! - A start order is sent only after the start is recorded in the log.
 //! - A start order that got no answer stays open until the worker acknowledges a stop for the run.
-//!   From then on the run is either reported as ended or can no longer begin.
+//!   From then on the run is either reported as ended or can no longer begin in that incarnation; a
+//!   later one is watched for it.
+//! - Which runs must stop follows from the state of the log and of the workers' reports, not only from
+//!   the event that changed it: another owner may have seen that event.
 //! - A worker is told to discard an end only after that end is recorded in the log.
 //! - The capacity of a run counts as used until the worker reports its end, the worker restarts
 //!   (a new incarnation, [`Incarnation`]), or the last lease under which the run can execute has expired.
