Keep the reason for which a stop was first ordered

Cause: a further request to stop a run that is being stopped replaced the reason, so a stop that is repeated was logged with the last one, and the gang clause asks in each placement pass.

a_stop_keeps_the_reason_for_which_it_was_first_ordered failed before: expected Over, actual Gang.

--- a/crates/core/src/contract/owner/stop.rs
+++ b/crates/core/src/contract/owner/stop.rs
@@ -42,16 +42,18 @@
     /// Stops a run, now if its worker has accepted it, else once its start order is answered.
     pub(super) fn stop(&mut self, run: &Run, reason: StopReason, now: Millis) {
         let Ok(i) = self.run_index(run) else { return };
-        if !self.runs[i].stop_requested {
-            self.runs[i].reason = reason;
+        let running = &mut self.runs[i];
+        if matches!(running.phase, Phase::Stopping { .. } | Phase::Stopped { .. } | Phase::Ending) {
+            return;
         }
-        match self.runs[i].phase {
-            Phase::Recording | Phase::Ordered => self.runs[i].stop_requested = true,
-            Phase::Working { .. } => {
-                self.stop_at(i, now);
-                self.try_stop(i);
-            }
-            Phase::Stopping { .. } | Phase::Stopped { .. } | Phase::Ending => {}
+        if !running.stop_requested {
+            running.reason = reason;
+        }
+        if matches!(running.phase, Phase::Working { .. }) {
+            self.stop_at(i, now);
+            self.try_stop(i);
+        } else {
+            running.stop_requested = true;
         }
     }
 
--- a/crates/core/src/contract/owner/tests/endings.rs
+++ b/crates/core/src/contract/owner/tests/endings.rs
@@ -102,3 +102,22 @@
     world.answer_polls();
     expect_that!(world.owner.run_count(), eq(0));
 }
+
+/// Stops that got no answer were logged with the reason of the last request.
+#[gtest]
+fn a_stop_keeps_the_reason_for_which_it_was_first_ordered() {
+    let mut world = World::new(&["a"], vec![job(1, vec![step(1, &[])])]);
+    world.answer_polls();
+    let run = world.started()[0];
+    world.answer_start(&run, StartAnswer::Taken);
+    cancel(&mut world, Id(1));
+    world.owner.stop(&run, StopReason::Gang, world.now);
+    world.answer_stop(&run, StopAnswer::Unknown);
+    world.now = world.now + LIMITS.retry;
+    world.owner.tick(&world.replica, world.now, world.now);
+    let reasons = world.owner.effects().into_iter().filter_map(|effect| match effect {
+        Effect::Order(Order::Stop(stop)) => Some(stop.reason),
+        _ => None,
+    });
+    expect_that!(reasons.collect::<Vec<_>>(), elements_are![eq(&StopReason::Over)]);
+}
