Watch a worker for the order of a run that moved before the answer

Cause: an order without answer is watched for when its time-out is handled. If the worker restarted meanwhile, the run has moved to the next incarnation and that answer is ignored, so a late copy of the order that begins in the incarnation after that was seen by nobody.

a_late_order_of_a_moved_run_that_the_incarnation_after_carries_out_is_stopped failed before: the last stop goes to the incarnation born 2, none to that born 3.

--- a/crates/core/src/contract/owner/answer.rs
+++ b/crates/core/src/contract/owner/answer.rs
@@ -133,7 +133,7 @@
 
     /// Watches a worker for a run that an order without answer may still begin. A stop rules that out
     /// only in the incarnation that acknowledges it.
-    fn watch(&mut self, on: &Incarnation, now: Millis) {
+    pub(super) fn watch(&mut self, on: &Incarnation, now: Millis) {
         let until = now + self.limits.max_lease;
         if let Ok(i) = self.host_index(&on.worker) {
             self.hosts[i].watched_until = until;
--- a/crates/core/src/contract/owner/incarnation.rs
+++ b/crates/core/src/contract/owner/incarnation.rs
@@ -110,6 +110,7 @@
             self.runs[i].reason = StopReason::Unanswered;
             self.stop_at(i, now);
             self.try_stop(i);
+            self.watch(to, now);
         }
     }
 
--- a/crates/core/src/contract/owner/tests/restarts.rs
+++ b/crates/core/src/contract/owner/tests/restarts.rs
@@ -307,3 +307,26 @@
     expect_that!(world.stops, elements_are![eq(&run), eq(&run)]);
     expect_that!(world.stopped_on.last().map(|on| &**on), some(eq(&on)));
 }
+
+/// As above, with an order whose run moved to the next incarnation before the answer was due.
+#[gtest]
+fn a_late_order_of_a_moved_run_that_the_incarnation_after_carries_out_is_stopped() {
+    let (mut world, run) = world_with_start();
+    let applied = world.replica.apply(Entry::Cancelled(Id(1)), world.now);
+    world.owner.entry_applied(applied, world.now);
+    world.list(&[worker_entry("a", 2)]);
+    report_as(&mut world, 2, &[], &[]);
+    expect_that!(world.stops, elements_are![eq(&run)]);
+    world.answer_stop(&run, StopAnswer::Taken);
+    for _ in 0..2 {
+        world.pass(100);
+        report_as(&mut world, 2, &[], &[]);
+    }
+    expect_that!(world.owner.run_count(), eq(0));
+    world.list(&[worker_entry("a", 3)]);
+    report_as(&mut world, 3, &[], &[]);
+    world.pass(2000);
+    report_as(&mut world, 3, &[run], &[]);
+    expect_that!(world.stops, elements_are![eq(&run), eq(&run)]);
+    expect_that!(world.stopped_on.last().map(|on| on.born), some(eq(3)));
+}
