Log the sizes of jobs and why a gang has no turn, and count jobs in time by size

The bound on sizes is printed only when it is missed, and no log said how wide a job was. 'gang waited' could not tell a gang whose room gangs of higher rank keep from one that has no turn because as many gangs as may gather room.

'job submitted' gains the number of tasks, the estimated processor time and the objective; 'gang waited' gains 'crowded_ms'; 'owner load' gains 'overtaking', the single tasks that started while a more urgent gang in time was crowded out. 'pimentovalve sizes' counts from the logs the jobs in time and late by queue and size. No decision changes.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -158,6 +158,9 @@
     pub hosts: u64,
     /// Runs that a poll answer, a retry of stops or a search for lost runs looked at.
     pub runs: u64,
+    /// Single tasks that were started while a gang of a higher priority that could still meet its
+    /// objective had no turn, because as many gangs as may gathered room.
+    pub overtaking: u64,
 }
 
 /// Processor time of the workers that accept work, in thousandths of a core.
--- a/crates/core/src/contract/owner/backlog.rs
+++ b/crates/core/src/contract/owner/backlog.rs
@@ -31,6 +31,13 @@
     pub(super) at: usize,
 }
 
+impl Rank {
+    /// Returns whether the step can meet its objective and is of a higher priority than another.
+    pub(super) const fn is_more_urgent(&self, other: &Self) -> bool {
+        !self.is_worthless && !self.is_late && self.priority < other.priority
+    }
+}
+
 /// An open step.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -85,7 +85,7 @@
             }
             return Turn::Renewing;
         }
-        let mut turn = Turn::PassedOver;
+        let mut turn = round.without_turn();
         if round.may_gather() && sites.iter().map(|s| s.whole).sum::<usize>() >= count {
             let needs = counted(waiting.step);
             // Also if it can't: gangs of higher rank keep too many workers for more to gather.
@@ -107,7 +107,7 @@
         }
         if let Some(timing) = timing {
             self.explore(waiting, timing, &sites, count, round, now);
-            if turn == Turn::PassedOver && self.queries.is_asked(&waiting.step_id) {
+            if turn != Turn::Gathering && self.queries.is_asked(&waiting.step_id) {
                 return Turn::Exploring;
             }
         }
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -7,7 +7,7 @@
 //! are not placed there: small tasks would otherwise starve them.
 
 use super::advice::Permission;
-use super::backlog::Candidate;
+use super::backlog::{Candidate, Rank};
 use super::gang::{GATHERED_PERCENT, MAX_GATHERING, MIN_GATHERING, scatter};
 use super::order::StopReason;
 use super::wait::Turn;
@@ -53,6 +53,8 @@
     gathering: usize,
     /// Processor time, in thousandths of a core, that further gangs may gather.
     gather_budget: u64,
+    /// The gang of the highest rank that had no turn because as many as may gather room.
+    crowded: Option<Rank>,
     /// Processor time, in thousandths of a core, that this pass may still query for.
     query_budget: u64,
     /// Whether runs end, so that workers without room may have some soon.
@@ -87,6 +89,11 @@
         self.gathering < MIN_GATHERING || self.gathering < MAX_GATHERING && self.gather_budget > 0
     }
 
+    /// Returns why a gang that can't start has no turn.
+    pub(super) const fn without_turn(&self) -> Turn {
+        if self.may_gather() { Turn::PassedOver } else { Turn::Crowded }
+    }
+
     /// Counts a gang with `count` members that gathers room.
     pub(super) fn gather(&mut self, needs: &Capacity, count: usize) {
         self.gathering += 1;
@@ -151,7 +158,7 @@
             }
             if self.is_hopeless(candidate, &round) {
                 if is_gang {
-                    self.note_turn(rank.at, Turn::PassedOver, now);
+                    self.note_turn(rank, round.without_turn(), &mut round, now);
                 }
                 continue;
             }
@@ -159,7 +166,7 @@
             let may_wait = candidate.is_advised && !(is_gang && round.may_gather());
             if may_wait && self.queries.is_stuck(&rank.step_id, &self.hosts, now) {
                 if is_gang {
-                    self.note_turn(rank.at, Turn::PassedOver, now);
+                    self.note_turn(rank, round.without_turn(), &mut round, now);
                 } else {
                     round.take_query_budget(candidate.needs.cpu_milli, startable);
                 }
@@ -170,9 +177,13 @@
             let before = round.count;
             if is_gang {
                 let turn = self.place_gang(&waiting, replica, &mut round, now);
-                self.note_turn(rank.at, turn, now);
+                self.note_turn(rank, turn, &mut round, now);
             } else {
                 self.place_singles(&waiting, startable, replica, &mut round, now);
+                if round.crowded.is_some_and(|gang| gang.is_more_urgent(&rank)) {
+                    let started = round.count - before;
+                    self.effort.overtaking += u64::try_from(started).unwrap_or(u64::MAX);
+                }
             }
             let is_stuck = round.count == before;
             self.queries.examined(&rank.step_id, is_stuck, self.releases, now);
@@ -187,8 +198,11 @@
         }
     }
 
-    fn note_turn(&mut self, at: usize, turn: Turn, now: Millis) {
-        self.waited.extend(self.backlog.note_turn(at, turn, now));
+    fn note_turn(&mut self, rank: Rank, turn: Turn, round: &mut Round, now: Millis) {
+        if turn == Turn::Crowded {
+            round.crowded.get_or_insert(rank);
+        }
+        self.waited.extend(self.backlog.note_turn(rank.at, turn, now));
     }
 
     fn round(&mut self, now: Millis) -> Round {
--- a/crates/core/src/contract/owner/tests/effort.rs
+++ b/crates/core/src/contract/owner/tests/effort.rs
@@ -11,8 +11,13 @@
 
 /// Returns the work since `before`.
 fn since(world: &World, before: Effort) -> Effort {
-    let Effort { steps, hosts, runs } = world.owner.effort();
-    Effort { steps: steps - before.steps, hosts: hosts - before.hosts, runs: runs - before.runs }
+    let Effort { steps, hosts, runs, overtaking } = world.owner.effort();
+    Effort {
+        steps: steps - before.steps,
+        hosts: hosts - before.hosts,
+        runs: runs - before.runs,
+        overtaking: overtaking - before.overtaking,
+    }
 }
 
 /// Returns a world with as many workers, full with runs that were accepted.
--- a/crates/core/src/contract/owner/wait.rs
+++ b/crates/core/src/contract/owner/wait.rs
@@ -6,8 +6,10 @@
 /// What a placement pass did for a waiting gang.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Turn {
-    /// Nothing: there was no room for all members, and other gangs gathered it.
+    /// Nothing: there was no room for all members, and gangs of higher rank keep what it could gather.
     PassedOver,
+    /// Nothing: as many gangs of higher rank gather room as may.
+    Crowded,
     /// Some workers keep room for it.
     Gathering,
     /// Its workers have room, and the tickets for some of them have expired.
@@ -21,8 +23,10 @@
 /// How a gang has waited since it could start, or since its last run ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Wait {
-    /// Time in which other gangs gathered the room.
+    /// Time in which gangs of higher rank kept the room.
     pub passed_over: Millis,
+    /// Time in which as many gangs of higher rank gathered room as may.
+    pub crowded: Millis,
     /// Time in which the gang gathered room.
     pub gathering: Millis,
     /// Time in which its workers had room and it waited for tickets.
@@ -61,6 +65,7 @@
         if let Some((last, at)) = self.last.replace((turn, now)) {
             let total = match last {
                 Turn::PassedOver | Turn::Started => &mut self.passed_over,
+                Turn::Crowded => &mut self.crowded,
                 Turn::Gathering => &mut self.gathering,
                 Turn::Renewing => &mut self.renewing,
                 Turn::Exploring => &mut self.exploring,
--- a/crates/core/src/contract/work.rs
+++ b/crates/core/src/contract/work.rs
@@ -248,6 +248,21 @@
         longest
     }
 
+    /// Returns the number of tasks of all steps.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// Returns the estimated processor time of all tasks, in thousandths of a core times
+    /// milliseconds.
+    pub fn effort(&self) -> u64 {
+        let effort = |step: &Step| {
+            let each = step.needs.cpu_milli.saturating_mul(step.estimate_ms.get());
+            each.saturating_mul(u64::from(step.count))
+        };
+        self.steps.iter().map(effort).fold(0, u64::saturating_add)
+    }
+
     /// Returns the completion objective of the job, as a duration from its acceptance.
     pub fn objective(&self) -> Millis {
         Millis(
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -142,8 +142,11 @@
             return Answer::Accepted;
         }
         let queue = job.policy.queue.clone();
+        let (tasks, core_ms) = (job.tasks(), job.effort() / 1000);
+        let objective_ms = job.objective().get();
         let stored = self.store(Entry::Submitted(job), until).await;
-        tracing::info!(job = %id, %queue, version, outcome = ?stored, "job submitted");
+        tracing::info!(job = %id, %queue, version, tasks, core_ms, objective_ms,
+            outcome = ?stored, "job submitted");
         match stored {
             Stored::Yes => Answer::Accepted,
             Stored::No => Answer::NotDone(RETRY_AFTER),
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -124,6 +124,7 @@
         has_started,
         late_ms = wait.late.get(),
         passed_over_ms = wait.passed_over.get(),
+        crowded_ms = wait.crowded.get(),
         gathering_ms = wait.gathering.get(),
         renewing_ms = wait.renewing.get(),
         exploring_ms = wait.exploring.get(),
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -74,6 +74,7 @@
             steps_examined = effort.steps.saturating_sub(before.steps),
             hosts_examined = effort.hosts.saturating_sub(before.hosts),
             runs_examined = effort.runs.saturating_sub(before.runs),
+            overtaking = effort.overtaking.saturating_sub(before.overtaking),
             open_steps = self.replica.open().len(),
             runs = tenure.owner.run_count(),
             workers = tenure.owner.hosts().len(),
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -12,9 +12,11 @@
 pub mod error;
 pub mod explain;
 pub mod input;
+mod logs;
 pub mod patch;
 pub mod reader;
 pub mod release;
+pub mod sizes;
 pub mod status;
 pub mod submit;
 pub mod timeline;
@@ -70,6 +72,8 @@
     Timeline(timeline::Arguments),
     /// Show why a job was refused, delayed or never completed
     Explain(explain::Arguments),
+    /// Show how often jobs were completed in time, by queue and size
+    Sizes(sizes::Arguments),
     /// Run an end-to-end demo with an embedded cell and a daemon failure
     Demo(demo::Arguments),
     /// Check whether each promise was kept
@@ -89,6 +93,7 @@
             Self::Release(arguments) => arguments,
             Self::Timeline(arguments) => arguments,
             Self::Explain(arguments) => arguments,
+            Self::Sizes(arguments) => arguments,
             Self::Demo(arguments) => arguments,
             Self::Audit(arguments) => arguments,
             Self::CheckSettings(arguments) => arguments,
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -1,24 +1,17 @@
 //! `pimentovalve explain`: finds in the daemons' logs why a job was refused, delayed or never
 //! completed.
-//!
-//! Reads logs of `pimentovalve-node`, with one JSON object per line. If a log collector has put
-//! text before the object, the last word of that text is the name of the process; otherwise the
-//! file name without its extension is.
 
 mod cause;
-mod line;
 mod overrun;
 
 #[cfg(test)]
 mod tests;
 
+use super::logs::{self, Line};
 use super::{Error, Run};
 use gumdrop::Options;
-use line::Line;
 use pimentovalve_core::contract::work::Id;
-use pimentovalve_core::finding::List;
-use std::io::{self, Write};
-use std::path::Path;
+use std::io::Write;
 
 /// Shows a job's lines in the daemons' logs, and why it was refused, delayed or never completed.
 #[derive(Debug, Default, Options)]
@@ -39,11 +32,7 @@
         if self.files.is_empty() {
             return Err(Error::usage("explain needs at least one file"));
         }
-        let (lines, findings) = read_logs(&self.files)?;
-        for finding in findings.as_slice() {
-            // Not fatal: a process that was killed may leave a truncated last line.
-            let _ = writeln!(io::stderr(), "{finding}");
-        }
+        let lines = logs::read(&self.files)?;
         write_report(out, &lines, &id.to_string())
     }
 }
@@ -57,28 +46,3 @@
     }
     Ok(())
 }
-
-/// Reads log files and sorts their lines by time. Lines that can't be parsed become findings; text
-/// lines without a JSON object are skipped.
-fn read_logs(files: &[String]) -> Result<(Vec<Line>, List), Error> {
-    let (mut lines, mut findings, mut unreadable) = (Vec::new(), List::new(), List::new());
-    for file in files {
-        let text = match std::fs::read(file) {
-            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(error) => {
-                unreadable.note(file, format!("can't be read: {error}"));
-                continue;
-            }
-        };
-        let process = Path::new(file).file_stem().unwrap_or_default().to_string_lossy();
-        for (i, text) in text.lines().enumerate().filter(|(_, t)| t.contains('{')) {
-            match Line::parse(text, &process) {
-                Ok(line) => lines.extend(line.split()),
-                Err(error) => findings.note(format!("{file}, line {}", i + 1), error),
-            }
-        }
-    }
-    unreadable.into_result().map_err(|findings| Error::input("files", findings))?;
-    lines.sort_by_key(|l| l.at);
-    Ok((lines, findings))
-}
--- a/src/commands/explain/cause.rs
+++ b/src/commands/explain/cause.rs
@@ -1,7 +1,7 @@
 //! Derives the causes of a job's refusal, delay or failure from the log lines of all daemons.
 
-use super::line::Line;
 use super::overrun;
+use crate::commands::logs::Line;
 use pimentovalve_core::clock::Millis;
 
 /// Time before and after a refused submission in which a takeover may have caused it. A shard has
--- a/src/commands/explain/overrun.rs
+++ b/src/commands/explain/overrun.rs
@@ -1,6 +1,6 @@
 //! Runs that went on after their job was cancelled, and what the owners did about each.
 
-use super::line::Line;
+use crate::commands::logs::Line;
 use pimentovalve_core::clock::Millis;
 
 /// Time after a cancellation for which a run may go on without being reported.
--- a/src/commands/explain/tests.rs
+++ b/src/commands/explain/tests.rs
@@ -1,7 +1,7 @@
 //! Tests on log lines as daemons wrote them, for the three cases that docs/OPERATIONS.md describes.
 
 use super::cause::causes;
-use super::line::Line;
+use crate::commands::logs::Line;
 use googletest::prelude::*;
 
 fn lines(texts: &[&str]) -> Vec<Line> {
--- a/src/commands/explain/line.rs
+++ b/src/commands/logs/line.rs
@@ -18,13 +18,13 @@
 
 /// A line of a daemon's log.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Line {
+pub(in crate::commands) struct Line {
     /// Time since the Unix epoch.
-    pub(super) at: Millis,
+    pub(in crate::commands) at: Millis,
     /// Name of the daemon that wrote the line.
-    pub(super) process: String,
+    pub(in crate::commands) process: String,
     /// Text of the log message, by which events are recognised.
-    pub(super) message: String,
+    pub(in crate::commands) message: String,
     /// All fields of the JSON object, including the common ones.
     fields: Map<String, Value>,
 }
@@ -35,7 +35,7 @@
     /// # Errors
     ///
     /// Returns which part of the line is missing or invalid.
-    pub(super) fn parse(text: &str, process: &str) -> Result<Self, String> {
+    pub(in crate::commands) fn parse(text: &str, process: &str) -> Result<Self, String> {
         let (before, object) = text.split_at(text.find('{').unwrap_or_default());
         let fields: Map<String, Value> =
             serde_json::from_str(object).map_err(|e| format!("is not a log line: {e}"))?;
@@ -50,7 +50,7 @@
 
     /// Splits a line about several runs into one for each run, as earlier builds wrote them. A run is
     /// `TASK#NUMBER`, followed by `@WORKER` and `=OUTCOME` where they apply. Other lines are kept.
-    pub(super) fn split(self) -> Vec<Self> {
+    pub(in crate::commands) fn split(self) -> Vec<Self> {
         let single = RUN_LISTS.iter().find(|(list, _)| *list == self.message);
         let (Some((_, message)), Some(runs)) = (single, self.field("runs")) else {
             return vec![self];
@@ -77,22 +77,22 @@
     }
 
     /// Returns a string field.
-    pub(super) fn field(&self, name: &str) -> Option<&str> {
+    pub(in crate::commands) fn field(&self, name: &str) -> Option<&str> {
         self.fields.get(name)?.as_str()
     }
 
     /// Returns a field that is an unsigned integer.
-    pub(super) fn number(&self, name: &str) -> Option<u64> {
+    pub(in crate::commands) fn number(&self, name: &str) -> Option<u64> {
         self.fields.get(name)?.as_u64()
     }
 
     /// Returns whether a field is true.
-    pub(super) fn is_set(&self, name: &str) -> bool {
+    pub(in crate::commands) fn is_set(&self, name: &str) -> bool {
         self.fields.get(name).and_then(Value::as_bool).unwrap_or_default()
     }
 
     /// Formats the time as RFC 3339 with milliseconds.
-    pub(super) fn time(&self) -> String {
+    pub(in crate::commands) fn time(&self) -> String {
         let at = UNIX_EPOCH + self.at.into();
         humantime::format_rfc3339_millis(at).to_string()
     }
