Rank gangs by the time that they were measured to need

Callers saw the widest seals late while narrow ones were in time. Class: a priority that leaves out the cost of being served.

A gang is now ranked earlier by the time that gangs of its queue needed so far for each member (owner::lead), but not before it was submitted.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -20,6 +20,7 @@
 mod crash;
 mod gang;
 mod incarnation;
+mod lead;
 mod notice;
 pub mod order;
 mod place;
--- a/crates/core/src/contract/owner/backlog.rs
+++ b/crates/core/src/contract/owner/backlog.rs
@@ -3,12 +3,14 @@
 //! The list is compact and is brought up to date before each placement pass, so that a pass looks
 //! up a step in the replica only if it may place some of its tasks.
 
+use super::lead::Leads;
 use super::wait::{Turn, Wait, Waited};
 use super::{Owner, place};
 use crate::clock::Millis;
-use crate::contract::work::{StepId, Task};
+use crate::contract::work::{Job, StepId, Task};
 use crate::ledger::shard::replica::Replica;
 use crate::machine::capacity::Capacity;
+use std::sync::Arc;
 
 /// Multiple of its objective after which a job's result has no value.
 const WORTHLESS_OBJECTIVES: u64 = 3;
@@ -25,7 +27,8 @@
     /// [`Backlog::give_last_chances`].
     is_late: bool,
     priority: u32,
-    latest_start: Millis,
+    /// Latest first turn with which the job will probably meet its objective.
+    latest_turn: Millis,
     pub(super) step_id: StepId,
     /// Position in the backlog.
     pub(super) at: usize,
@@ -50,7 +53,9 @@
     pub(super) needs: Capacity,
     pub(super) is_gang: bool,
     pub(super) is_advised: bool,
-    priority: u32,
+    job: Arc<Job>,
+    /// When the job was first seen.
+    seen: Millis,
     /// Latest start with which the job meets its objective; `None` for a lasting step.
     late_after: Option<Millis>,
     /// One objective before [`Self::worthless_after`].
@@ -69,6 +74,7 @@
     steps: Vec<Candidate>,
     /// Steps of which a run was added or removed since the last update.
     changed: Vec<StepId>,
+    leads: Leads,
 }
 
 impl Backlog {
@@ -91,6 +97,7 @@
         wait.add(turn, now);
         let (wait, has_started) = (*wait, turn == Turn::Started);
         if has_started {
+            self.leads.record(&candidate.job.policy.queue, tasks, wait.since_first_turn());
             candidate.wait = wait.after_start();
         }
         let is_news = has_started || !was_late && wait.late > Millis::ZERO;
@@ -100,7 +107,7 @@
     /// Returns the steps with tasks that can start, in the order of placement.
     pub(super) fn ranks(&self, now: Millis) -> Vec<Rank> {
         let startable = self.steps.iter().enumerate().filter(|(_, c)| c.startable > 0);
-        let mut ranks: Vec<Rank> = startable.map(|(at, c)| c.rank(at, now)).collect();
+        let mut ranks: Vec<Rank> = startable.map(|(at, c)| c.rank(at, &self.leads, now)).collect();
         self.give_last_chances(&mut ranks, now);
         ranks.sort_unstable();
         ranks
@@ -116,19 +123,24 @@
             is_near_end && !rank.is_worthless
         };
         let mut late: Vec<&mut Rank> = ranks.iter_mut().filter(|r| has_last_chance(r)).collect();
-        late.sort_unstable_by_key(|rank| (rank.latest_start, rank.step_id));
+        late.sort_unstable_by_key(|rank| (self.steps[rank.at].latest_start, rank.step_id));
         late.into_iter().take(MAX_LAST_CHANCES).for_each(|rank| rank.is_late = false);
     }
 }
 
 impl Candidate {
-    fn rank(&self, at: usize, now: Millis) -> Rank {
+    /// A wide gang needs more time from its first turn to its start, so that its turn has to come
+    /// earlier than that of a narrow one with the same latest start.
+    fn rank(&self, at: usize, leads: &Leads, now: Millis) -> Rank {
         let is_after = |limit: Option<Millis>| limit.is_some_and(|limit| now > limit);
+        let policy = &self.job.policy;
+        let lead =
+            if self.is_gang { leads.expected(&policy.queue, self.tasks) } else { Millis::ZERO };
         Rank {
             is_worthless: is_after(self.worthless_after),
             is_late: is_after(self.late_after),
-            priority: self.priority,
-            latest_start: self.latest_start,
+            priority: policy.priority,
+            latest_turn: self.latest_start.since(lead).max(self.seen),
             step_id: self.step_id,
             at,
         }
@@ -176,7 +188,8 @@
             needs: place::counted(waiting.step),
             is_gang: waiting.step.gang,
             is_advised: state.job.policy.advisor_timing.is_some(),
-            priority: state.job.policy.priority,
+            job: Arc::clone(&state.job),
+            seen: state.seen,
             late_after: latest_start(1),
             last_chance_after: latest_start(WORTHLESS_OBJECTIVES - 1),
             worthless_after: latest_start(WORTHLESS_OBJECTIVES),
--- a/crates/core/src/contract/owner/wait.rs
+++ b/crates/core/src/contract/owner/wait.rs
@@ -60,6 +60,11 @@
         Self { runs: self.runs + 1, ..Self::default() }
     }
 
+    /// Returns the time since the first turn, apart from that in which gangs of higher rank had the room.
+    pub(super) fn since_first_turn(&self) -> Millis {
+        self.gathering + self.renewing + self.exploring
+    }
+
     /// Adds the time since the last pass to what that pass did for the gang.
     pub(super) fn add(&mut self, turn: Turn, now: Millis) {
         if let Some((last, at)) = self.last.replace((turn, now)) {
