Let gangs gather room by a share of the fleet, not by a count

Callers saw seals late and failed while reindexing, which is less urgent, was served whole. At most 16 gangs gathered room, whatever the size of the fleet: on 540 workers that is about 15 % of the processor time, and the rest went to single tasks of lower priority as it fell free. Class: a bound that doesn't scale with what it bounds.

Gangs that gather may now need 45 % of the processor time together (30 % before, never reached on large), and a pass examines each worker at most 16 times on average for them, so that its cost stays bounded. The test failed before with a gang crowded out for 2,100 ms.

--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -18,10 +18,10 @@
 
 /// Number of gangs that may gather room whatever they need.
 pub(super) const MIN_GATHERING: usize = 2;
-/// Maximum number of gangs that gather room, each of which examines its workers in every pass.
-pub(super) const MAX_GATHERING: usize = 16;
+/// Number of times that a pass may examine each worker on average for further gangs.
+pub(super) const EXAMINED_PER_WORKER: usize = 16;
 /// Share of the workers' processor time that the members of further gangs may need, in percent.
-pub(super) const GATHERED_PERCENT: u64 = 30;
+pub(super) const GATHERED_PERCENT: u64 = 45;
 
 /// Number of members for which a gang gathers room, for each of its members.
 const GATHERED_PER_MEMBER: usize = 2;
@@ -64,6 +64,7 @@
     ) -> Turn {
         let count = waiting.state.tasks.len();
         let sites = self.allowed_sites(waiting, round, now);
+        round.examined += sites.len();
         if let Some(hosts) = assignments(&sites, count) {
             let tasks: Vec<Task> = self.startable(replica, &waiting.step_id).collect();
             let number = 1 + waiting.state.tasks.iter().map(|t| t.last_run).max().unwrap_or(0);
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -8,7 +8,7 @@
 
 use super::advice::Permission;
 use super::backlog::{Candidate, Rank};
-use super::gang::{GATHERED_PERCENT, MAX_GATHERING, MIN_GATHERING, scatter};
+use super::gang::{EXAMINED_PER_WORKER, GATHERED_PERCENT, MIN_GATHERING, scatter};
 use super::order::StopReason;
 use super::wait::Turn;
 use super::{Effect, Owner, Phase, Running, Usage};
@@ -51,6 +51,8 @@
     reserved: Vec<Capacity>,
     /// Number of gangs that gather room.
     gathering: usize,
+    /// Number of workers that were examined for gangs, once for each gang.
+    pub(super) examined: usize,
     /// Processor time, in thousandths of a core, that further gangs may gather.
     gather_budget: u64,
     /// The gang of the highest rank that had no turn because as many as may gather room.
@@ -86,7 +88,8 @@
 
     /// Returns whether one more gang may gather room.
     pub(super) const fn may_gather(&self) -> bool {
-        self.gathering < MIN_GATHERING || self.gathering < MAX_GATHERING && self.gather_budget > 0
+        let may_examine = self.examined < self.reserved.len() * EXAMINED_PER_WORKER;
+        self.gathering < MIN_GATHERING || may_examine && self.gather_budget > 0
     }
 
     /// Returns why a gang that can't start has no turn.
--- a/crates/core/src/contract/owner/tests/gangs.rs
+++ b/crates/core/src/contract/owner/tests/gangs.rs
@@ -44,6 +44,32 @@
     expect_that!(fleet.waiting(1..=16), is_empty());
 }
 
+/// Regression: at most 16 gangs gathered room, however large the fleet, and the rest of it went to
+/// single tasks of lower priority.
+#[gtest]
+fn gangs_within_their_share_of_the_fleet_are_not_crowded_out_on_a_large_fleet() {
+    let mut fleet = Fleet::new(SITE);
+    let single = |id| {
+        let mut job = wide_gang(id, 60, 8000, Millis(6000));
+        job.steps[0].gang = false;
+        (job.policy.queue, job.policy.priority) = ("batches".into(), 2);
+        job
+    };
+    (1..=60).for_each(|id| fleet.submit(single(id)));
+    fleet.pass(Millis::from_secs(3));
+    // A quarter of the fleet's processor time.
+    (101..=124).for_each(|id| fleet.submit(wide_gang(id, 4, 30_000, Millis(5000))));
+    for id in 201..=280 {
+        fleet.submit(single(id));
+        fleet.pass(Millis(100));
+    }
+    expect_that!(fleet.waiting(101..=124), is_empty());
+    let waited = fleet.owner.waited();
+    let crowded = waited.iter().map(|waited| waited.wait.crowded).max();
+    expect_that!(crowded, some(eq(Millis::ZERO)));
+    expect_that!(fleet.owner.effort().overtaking, eq(0));
+}
+
 /// Regression: the gangs of a backlog blocked each other's workers while they renewed tickets for
 /// other ones, and some had not started 17 s after the end of the traffic on a fleet that was mostly
 /// idle (Lifebuoy grown scale-1: LOST 35).
