--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -18,10 +18,11 @@
 
 /// Number of gangs that may gather room whatever they need.
 pub(super) const MIN_GATHERING: usize = 2;
-/// Number of times that a pass may examine each worker on average for further gangs.
+/// Maximum number of times that a pass examines each worker, on average, before no further gang may
+/// gather room.
 pub(super) const EXAMINED_PER_WORKER: usize = 16;
 /// Share of the workers' processor time that the members of further gangs may need, in percent.
-pub(super) const GATHERED_PERCENT: u64 = 45;
+pub(super) const GATHERED_PERCENT: u64 = 30;
 
 /// Number of members for which a gang gathers room, for each of its members.
 const GATHERED_PER_MEMBER: usize = 2;
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -1,10 +1,10 @@
 //! Placement: selects the waiting tasks to start and their workers.
 //!
-//! Steps are served by [`Rank`](super::backlog::Rank): first the jobs that can still finish while
-//! their result has value, then those that can still meet their objective, then by the queue's
-//! priority, then by latest start time. A few late steps whose results are about to lose their value
-//! count as in time. Gangs hold or gather room on workers ([`super::gang`]), and steps of lower rank
-//! are not placed there: small tasks would otherwise starve them.
+//! Steps are served by [`Rank`]: first the jobs that can still finish while their result has value,
+//! then those that can still meet their objective, then by the queue's priority, then by the latest
+//! first turn with which they will probably meet it. A few late steps whose results are about to lose
+//! their value count as in time. Gangs hold or gather room on workers ([`super::gang`]), and steps of
+//! lower rank are not placed there: small tasks would otherwise starve them.
 
 use super::advice::Permission;
 use super::backlog::{Candidate, Rank};
