Give last chances to the steps that lose their value next

The oldest late steps had the last chances, so a wide gang that waits for room took all of them, for up to an objective of its own, while lookups lose their value within two seconds. Class: an order by age among things of different life.

The step that loses its value next is first; one step always has a chance.

--- a/crates/core/src/contract/owner/backlog.rs
+++ b/crates/core/src/contract/owner/backlog.rs
@@ -74,6 +74,7 @@
     steps: Vec<Candidate>,
     /// Steps of which a run was added or removed since the last update.
     changed: Vec<StepId>,
+    /// What gangs needed from their first turn to their start.
     leads: Leads,
 }
 
@@ -114,8 +115,8 @@
         ranks
     }
 
-    /// Ranks late steps as if they were in time, the oldest first, once their results lose all value
-    /// within one objective: one, and further ones while `budget` is left, in thousandths of a core.
+    /// Ranks late steps as if they were in time once their results lose all value within one objective,
+    /// the next to lose it first: one, and further ones while `budget` is left, in thousandths of a core.
     /// While more work arrives than fits, no room is left for a wide step behind all work that can
     /// still be in time.
     fn give_last_chances(&self, ranks: &mut [Rank], mut budget: u64, now: Millis) {
@@ -125,7 +126,7 @@
             is_near_end && !rank.is_worthless
         };
         let mut late: Vec<&mut Rank> = ranks.iter_mut().filter(|r| has_last_chance(r)).collect();
-        late.sort_unstable_by_key(|rank| (self.steps[rank.at].latest_start, rank.step_id));
+        late.sort_unstable_by_key(|rank| (self.steps[rank.at].worthless_after, rank.step_id));
         for (i, rank) in late.into_iter().enumerate() {
             if i > 0 && budget == 0 {
                 break;
