--- /dev/null
+++ b/review/rig-2/cases.rs
@@ -0,0 +1,283 @@
+//! The cases.
+
+use crate::Outcome;
+use crate::record::{Kind, Record};
+use crate::rig::{Job, Rig, free_port};
+use crate::runner::unix_ms;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+pub fn play(name: &str, record: &Arc<Record>) -> Outcome {
+    match name {
+        "power" => power(record),
+        "ends" => ends(record),
+        "crashes" => crashes(record),
+        "gang" => gang(record),
+        "lasting" => lasting(record),
+        "entry" => entry(record),
+        other => Err(format!("no case {other}")),
+    }
+}
+
+fn pause(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
+fn ready(rig: &Rig) -> Result<(), String> {
+    if rig.wait_ready(Duration::from_secs(15)) { Ok(()) } else { Err("daemons not ready".into()) }
+}
+
+/// All daemons lose power twice, or as often as `LOSSES` in the environment says. Afterwards every
+/// accepted job must be known.
+fn power(record: &Arc<Record>) -> Outcome {
+    const DARK_MS: u64 = 9500;
+    const UP_MS: u64 = 4500;
+    let losses = std::env::var("LOSSES").ok().and_then(|l| l.parse().ok()).unwrap_or(2);
+    let mut rig = Rig::start(record, 3, 4, 20);
+    ready(&rig)?;
+    let (began, mut accepted) = (Instant::now(), Vec::new());
+    while began.elapsed() < Duration::from_millis(12_000) {
+        let id = 0xa000_0000_0000_0001 + accepted.len() as u64;
+        let job = Job::new(
+            id,
+            "urgent",
+            "run 1000 0",
+            "\"count\":2,\"cpu\":2800,\"memMb\":5700,\"estRuntimeMs\":1000",
+        );
+        if !rig.submit(&job, accepted.len()) {
+            return Err("a job was not accepted before the disruption".into());
+        }
+        accepted.push(job);
+        pause(250);
+    }
+    for _ in 0..losses {
+        if rig.is_troubled() {
+            rig.kill_daemons();
+        }
+        pause(DARK_MS);
+        rig.start_daemons();
+        pause(UP_MS);
+    }
+    ready(&rig)?;
+    // Every daemon has been in touch, and each job has been visible, for long.
+    pause(8000);
+    let mut broken = Vec::new();
+    for (i, job) in accepted.iter().enumerate() {
+        let answers: Vec<String> = (0..rig.daemons()).map(|d| rig.state(job, d)).collect();
+        if answers.iter().any(|a| a == "410") {
+            broken.push(format!("LOST: accepted job {i} is answered {answers:?}"));
+        }
+    }
+    broken.extend(record.doubled().into_iter().map(|b| format!("TWICE: {b}")));
+    Ok(broken)
+}
+
+/// The store is down while many small tasks on one runner end.
+fn ends(record: &Arc<Record>) -> Outcome {
+    const JOBS: u64 = 64;
+    const TASKS: usize = 640;
+    const DOWN_MS: u64 = 4500;
+    let rig = Rig::start(record, 3, 4, 300);
+    ready(&rig)?;
+    let job = |i| {
+        let step = "\"count\":10,\"cpu\":40,\"memMb\":64,\"estRuntimeMs\":6000";
+        Job::new(0xb000_0000_0000_0001 + i, "batch", "run 6000 50", step)
+    };
+    let jobs: Vec<Job> = (0..JOBS).map(job).collect();
+    for (i, job) in jobs.iter().enumerate() {
+        if !rig.submit(job, i) {
+            return Err("a job was not accepted before the disruption".into());
+        }
+        pause(20);
+    }
+    let began = || {
+        let events = record.events();
+        events.iter().filter(|e| e.kind == Kind::Began).map(|e| e.at).collect::<Vec<_>>()
+    };
+    let until = Instant::now() + Duration::from_secs(3);
+    while began().len() < TASKS {
+        if Instant::now() > until {
+            return Err("not all tasks have begun".into());
+        }
+        pause(10);
+    }
+    // The store is down from shortly before the first task ends.
+    pause(5900_u64.saturating_sub(began()[0].elapsed().as_millis() as u64));
+    rig.store.is_down.store(rig.is_troubled(), Ordering::Relaxed);
+    record.line(if rig.is_troubled() { "the store is down" } else { "no disruption" });
+    pause(DOWN_MS);
+    rig.store.is_down.store(false, Ordering::Relaxed);
+    record.line("the store is up");
+    // The traffic goes on.
+    for i in 0..10 {
+        let step = "\"count\":10,\"cpu\":40,\"memMb\":64,\"estRuntimeMs\":800";
+        rig.submit(&Job::new(0xb000_0000_0000_1001 + i, "urgent", "run 800 0", step), i as usize);
+        pause(500);
+    }
+    for (i, job) in jobs.iter().enumerate() {
+        let state = rig.wait_state(job, &["completed", "failed"], Duration::from_secs(20));
+        if state != "completed" {
+            return Err(format!("job {i} is {state}"));
+        }
+    }
+    pause(3000);
+    Ok(record.doubled())
+}
+
+/// Runners crash, each time the one that executes the only task of a job.
+fn crashes(record: &Arc<Record>) -> Outcome {
+    const DOWN_MS: u64 = 4500;
+    let rig = Rig::start(record, 3, 8, 300);
+    ready(&rig)?;
+    let step = "\"count\":1,\"cpu\":9000,\"memMb\":26000,\"estRuntimeMs\":5000";
+    let job = Job::new(0xc000_0000_0000_0001, "batch", "run 5000 0", step);
+    if !rig.submit(&job, 0) {
+        return Err("the job was not accepted".into());
+    }
+    for _ in 0..3 {
+        if !rig.is_troubled() {
+            break;
+        }
+        let until = Instant::now() + Duration::from_secs(15);
+        let runner = loop {
+            let has = rig.runners.iter().find(|r| r.running().iter().any(|t| job.has(t)));
+            if let Some(runner) = has {
+                break runner;
+            }
+            if Instant::now() > until {
+                return Err(format!("the task does not run; job {}", rig.state(&job, 0)));
+            }
+            pause(20);
+        };
+        // The runner has reported the task as running by then.
+        pause(2000);
+        runner.crash();
+        pause(DOWN_MS);
+        runner.begin_life();
+    }
+    let state = rig.wait_state(&job, &["completed", "failed"], Duration::from_secs(40));
+    let failed = record.events().iter().filter(|e| e.how == "failed").count();
+    match state.as_str() {
+        "completed" => Ok(Vec::new()),
+        "failed" if failed == 0 => Ok(vec![
+            "LOST: an accepted job is shown as failed, and no run of it has ended failed".into(),
+        ]),
+        other => Err(format!("the job is {other}, {failed} runs ended failed")),
+    }
+}
+
+/// A gang waits for room that a service which lasts will not give back.
+fn gang(record: &Arc<Record>) -> Outcome {
+    let rig = Rig::start(record, 3, 8, 300);
+    ready(&rig)?;
+    let service = Job::new(
+        0xd000_0000_0000_0001,
+        "urgent",
+        "last",
+        "\"count\":1,\"cpu\":8000,\"memMb\":16000,\"longRunning\":true",
+    );
+    let large = Job::new(
+        0xd000_0000_0000_0002,
+        "urgent",
+        "run 12000 0",
+        "\"count\":24,\"cpu\":10500,\"memMb\":26000,\"estRuntimeMs\":12000,\"gang\":true",
+    );
+    if !rig.submit(&service, 0) {
+        return Err("the service was not accepted".into());
+    }
+    if rig.wait_state(&service, &["running"], Duration::from_secs(5)) != "running" {
+        return Err("the service does not run".into());
+    }
+    pause(1000);
+    if rig.is_troubled() && !rig.submit(&large, 1) {
+        return Err("the gang was not accepted".into());
+    }
+    let step = "\"count\":10,\"cpu\":2000,\"memMb\":7200,\"estRuntimeMs\":2700";
+    let jobs: Vec<Job> =
+        (0..4).map(|i| Job::new(0xd000_0000_0000_0010 + i, "batch", "run 2700 0", step)).collect();
+    for (i, job) in jobs.iter().enumerate() {
+        if !rig.submit(job, i) {
+            return Err("a batch was not accepted".into());
+        }
+    }
+    // The end of the traffic, and `finish_s`.
+    pause(14_000);
+    let mut broken = Vec::new();
+    for (i, job) in jobs.iter().enumerate() {
+        let state = rig.state(job, i);
+        let has_begun = record.events().iter().any(|e| e.kind == Kind::Began && job.has(&e.task));
+        if !has_begun {
+            broken.push(format!(
+                "LOST: 14 s after the end of the traffic batch {i} is {state} and nothing of it has ever run; 8 of 256 cores are in use"
+            ));
+        }
+    }
+    Ok(broken)
+}
+
+/// A runner with a task that lasts is lost for good.
+fn lasting(record: &Arc<Record>) -> Outcome {
+    let rig = Rig::start(record, 3, 8, 300);
+    ready(&rig)?;
+    let job = Job::new(
+        0xe000_0000_0000_0001,
+        "urgent",
+        "last",
+        "\"count\":8,\"cpu\":4000,\"memMb\":8000,\"longRunning\":true,\"antiAffinity\":2",
+    );
+    if !rig.submit(&job, 0) {
+        return Err("the service was not accepted".into());
+    }
+    pause(6000);
+    let runner = rig.runners.iter().find(|r| !r.running().is_empty()).ok_or("nothing runs")?;
+    let tasks = runner.running();
+    let lost_at = Instant::now();
+    if rig.is_troubled() {
+        runner.lose_power();
+    }
+    pause(25_000);
+    let mut broken = Vec::new();
+    for task in tasks.iter().filter(|_| rig.is_troubled()) {
+        let events = record.events();
+        let next =
+            events.iter().find(|e| e.kind == Kind::Began && e.task == *task && e.at > lost_at);
+        let after = next.map(|e| e.at.duration_since(lost_at).as_millis());
+        record.line(&format!("{task} began again after {after:?} ms"));
+        if after.is_none_or(|ms| ms > 9000) {
+            broken.push(format!("LOST: {task} had nothing running for {after:?} ms"));
+        }
+    }
+    Ok(broken)
+}
+
+/// Another writer leaves an entry of a service that the configuration does not name, under the id of a
+/// runner that executes a task.
+fn entry(record: &Arc<Record>) -> Outcome {
+    let rig = Rig::start(record, 3, 4, 300);
+    ready(&rig)?;
+    let step = "\"count\":2,\"cpu\":9000,\"memMb\":26000,\"estRuntimeMs\":8000";
+    let job = Job::new(0xf000_0000_0000_0001, "urgent", "run 8000 0", step);
+    if !rig.submit(&job, 0) {
+        return Err("the job was not accepted".into());
+    }
+    pause(3000);
+    let runner = rig.runners.iter().find(|r| !r.running().is_empty()).ok_or("nothing runs")?;
+    if rig.is_troubled() {
+        let born = unix_ms();
+        let address = format!("127.0.0.1:{}", free_port());
+        let entry = format!(
+            "{{\"service\":\"another\",\"address\":\"{address}\",\"zone\":\"z\",\"version\":\"v1\",\
+             \"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{{\"cpu\":32000,\"memMb\":131072,\
+             \"gpus\":0}},\"labels\":[\"a\",\"r1-0\"],\"clockMs\":1,\"seqNo\":1,\"born\":{born}}}"
+        );
+        rig.store.put("keyed.servers", &runner.id, &entry);
+        record.line(&format!("another writer: servers/{} {entry}", runner.id));
+    }
+    let state = rig.wait_state(&job, &["completed", "failed"], Duration::from_secs(40));
+    if state != "completed" {
+        return Err(format!("the job is {state}"));
+    }
+    pause(3000);
+    Ok(record.doubled())
+}
