--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -16,6 +16,7 @@
         "gang" => gang(record),
         "lasting" => lasting(record),
         "entry" => entry(record),
+        "clock" => clock(record),
         other => Err(format!("no case {other}")),
     }
 }
@@ -281,3 +282,52 @@
     pause(3000);
     Ok(record.doubled())
 }
+
+/// A runner goes down and up twice within 2.4 s, and its time of day jumps back by as much in between.
+fn clock(record: &Arc<Record>) -> Outcome {
+    const BACK_MS: u64 = 2400;
+    let rig = Rig::start(record, 3, 10, 300);
+    ready(&rig)?;
+    let filler = Job::new(
+        0x9000_0000_0000_0001,
+        "urgent",
+        "last",
+        "\"count\":9,\"cpu\":30000,\"memMb\":8000,\"longRunning\":true",
+    );
+    if !rig.submit(&filler, 0) {
+        return Err("the filler was not accepted".into());
+    }
+    pause(2000);
+    let idle = rig.runners.iter().find(|r| r.running().is_empty());
+    let runner = idle.ok_or("every runner has a task")?;
+    runner.crash();
+    pause(500);
+    runner.begin_life();
+    // The daemons have read the new entry by then.
+    pause(700);
+    let job = Job::new(
+        0x9000_0000_0000_0002,
+        "urgent",
+        "run 3000 0",
+        "\"count\":1,\"cpu\":9000,\"memMb\":26000,\"estRuntimeMs\":3000",
+    );
+    if !rig.submit(&job, 0) {
+        return Err("the job was not accepted".into());
+    }
+    let until = Instant::now() + Duration::from_secs(5);
+    while runner.running().is_empty() {
+        if Instant::now() > until {
+            return Err("the task does not run".into());
+        }
+        pause(10);
+    }
+    pause(300);
+    runner.crash();
+    pause(150);
+    runner.begin_life_with_clock(if rig.is_troubled() { BACK_MS } else { 0 });
+    let state = rig.wait_state(&job, &["completed", "failed"], Duration::from_secs(40));
+    match state.as_str() {
+        "completed" => Ok(Vec::new()),
+        other => Ok(vec![format!("LOST: the job is {other}, and nothing of it has run for 40 s")]),
+    }
+}
--- a/review/rig-2/runner.rs
+++ b/review/rig-2/runner.rs
@@ -112,8 +112,13 @@
 
     /// Starts the process of the runner, which knows nothing of an earlier life.
     pub fn begin_life(self: &Arc<Self>) {
+        self.begin_life_with_clock(0);
+    }
+
+    /// As [`Self::begin_life`], with a time of day that is this many milliseconds behind.
+    pub fn begin_life_with_clock(self: &Arc<Self>, behind_ms: u64) {
         let now = Instant::now();
-        let born = unix_ms();
+        let born = unix_ms() - behind_ms;
         {
             let mut state = self.state.lock().unwrap();
             state.life = Some(Life {
