--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -20,6 +20,6 @@
     rm -rf "$TMPDIR"
 }
 trap clean EXIT
-timeout 115 target/review/rig-2 ends "$here/record.txt"
+timeout 115 target/review/rig-2 connections "$here/record.txt"
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -3,7 +3,7 @@
 use crate::Outcome;
 use crate::record::{Kind, Record};
 use crate::rig::{Job, Rig, free_port};
-use crate::runner::unix_ms;
+use crate::runner::{Runner, unix_ms};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -12,7 +12,8 @@
     match name {
         "power" => power(record),
         "ends" => ends(record),
-        "crashes" => crashes(record),
+        "owner" => owner(record),
+        "connections" => connections(record),
         "gang" => gang(record),
         "lasting" => lasting(record),
         "entry" => entry(record),
@@ -126,48 +127,6 @@
     Ok(record.doubled())
 }
 
-/// Runners crash, each time the one that executes the only task of a job.
-fn crashes(record: &Arc<Record>) -> Outcome {
-    const DOWN_MS: u64 = 4500;
-    let rig = Rig::start(record, 3, 8, 300);
-    ready(&rig)?;
-    let step = "\"count\":1,\"cpu\":9000,\"memMb\":26000,\"estRuntimeMs\":5000";
-    let job = Job::new(0xc000_0000_0000_0001, "batch", "run 5000 0", step);
-    if !rig.submit(&job, 0) {
-        return Err("the job was not accepted".into());
-    }
-    for _ in 0..3 {
-        if !rig.is_troubled() {
-            break;
-        }
-        let until = Instant::now() + Duration::from_secs(15);
-        let runner = loop {
-            let has = rig.runners.iter().find(|r| r.running().iter().any(|t| job.has(t)));
-            if let Some(runner) = has {
-                break runner;
-            }
-            if Instant::now() > until {
-                return Err(format!("the task does not run; job {}", rig.state(&job, 0)));
-            }
-            pause(20);
-        };
-        // The runner has reported the task as running by then.
-        pause(2000);
-        runner.crash();
-        pause(DOWN_MS);
-        runner.begin_life();
-    }
-    let state = rig.wait_state(&job, &["completed", "failed"], Duration::from_secs(40));
-    let failed = record.events().iter().filter(|e| e.how == "failed").count();
-    match state.as_str() {
-        "completed" => Ok(Vec::new()),
-        "failed" if failed == 0 => Ok(vec![
-            "LOST: an accepted job is shown as failed, and no run of it has ended failed".into(),
-        ]),
-        other => Err(format!("the job is {other}, {failed} runs ended failed")),
-    }
-}
-
 /// A gang waits for room that a service which lasts will not give back.
 fn gang(record: &Arc<Record>) -> Outcome {
     let rig = Rig::start(record, 3, 8, 300);
@@ -331,3 +290,132 @@
         other => Ok(vec![format!("LOST: the job is {other}, and nothing of it has run for 40 s")]),
     }
 }
+
+/// A start order of an owner is left unanswered. The owner is killed, the runner restarts, and the
+/// order is carried out late.
+fn owner(record: &Arc<Record>) -> Outcome {
+    let mut rig = Rig::start(record, 3, 8, 300);
+    ready(&rig)?;
+    pause(2000);
+    let job = Job::new(
+        0xc000_0000_0000_0001,
+        "batch",
+        "run 10000 0",
+        "\"count\":1,\"cpu\":9000,\"memMb\":26000,\"estRuntimeMs\":10000",
+    );
+    let is_troubled = rig.is_troubled();
+    rig.runners.iter().for_each(|r| r.keeps_starts.store(is_troubled, Ordering::Relaxed));
+    if !rig.submit(&job, 0) {
+        return Err("the job was not accepted".into());
+    }
+    let sent = Instant::now();
+    while is_troubled {
+        let kept = rig.runners.iter().find(|r| r.kept() > 0).map(Arc::clone);
+        if let Some(runner) = kept {
+            trouble_owner(record, &mut rig, &job, &runner, sent)?;
+            break;
+        }
+        if sent.elapsed() > Duration::from_secs(5) {
+            return Err("no order was sent".into());
+        }
+        pause(1);
+    }
+    let state = rig.wait_state(&job, &["completed", "failed"], Duration::from_secs(40));
+    if state != "completed" {
+        return Err(format!("the job is {state}"));
+    }
+    pause(1000);
+    Ok(record.doubled())
+}
+
+/// The disruptions of the case `owner`: `runner` has just left the first order unanswered.
+fn trouble_owner(
+    record: &Arc<Record>,
+    rig: &mut Rig,
+    job: &Job,
+    runner: &Arc<Runner>,
+    sent: Instant,
+) -> Result<(), String> {
+    let killed = Instant::now();
+    if !rig.kill_owner() {
+        return Err("no daemon owns the shard".into());
+    }
+    // Only this runner goes on leaving start orders unanswered.
+    let others = rig.runners.iter().filter(|r| r.id != runner.id);
+    others.for_each(|r| r.keeps_starts.store(false, Ordering::Relaxed));
+    let wait = |what: &str, is_so: &dyn Fn() -> bool| {
+        while !is_so() {
+            if killed.elapsed() > Duration::from_secs(9) {
+                return Err(format!("{what} is not seen"));
+            }
+            pause(10);
+        }
+        Ok(())
+    };
+    wait("an order of the later owner", &|| runner.kept() > 1)?;
+    // Another job goes to a runner that answers, which is then the best fit for the task as well.
+    pause(1500);
+    let step = "\"count\":1,\"cpu\":10000,\"memMb\":26000,\"estRuntimeMs\":12000";
+    let other = Job::new(0xc000_0000_0000_0002, "urgent", "run 12000 0", step);
+    if !rig.submit(&other, 0) {
+        return Err("the other job was not accepted".into());
+    }
+    wait("a run of the task on another runner", &|| {
+        let events = record.events();
+        events.iter().any(|e| e.kind == Kind::Began && job.has(&e.task))
+    })?;
+    pause(2500_u64.saturating_sub(sent.elapsed().as_millis() as u64));
+    runner.crash();
+    pause(500);
+    runner.begin_life();
+    runner.carry_out_late();
+    pause(3500_u64.saturating_sub(killed.elapsed().as_millis() as u64));
+    rig.start_daemons();
+    Ok(())
+}
+
+/// The machine whose daemon owns the shard loses power again and again. Afterwards a job must run.
+fn connections(record: &Arc<Record>) -> Outcome {
+    const LOSSES: u64 = 10;
+    const DARK_MS: u64 = 3500;
+    let mut rig = Rig::start(record, 3, 8, 300);
+    ready(&rig)?;
+    let mut next = 0xd000_0000_0000_0001;
+    for _ in 0..LOSSES {
+        for i in 0..16 {
+            let step = "\"count\":8,\"cpu\":2000,\"memMb\":7200,\"estRuntimeMs\":1000";
+            rig.submit(&Job::new(next, "batch", "run 1000 0", step), i);
+            next += 1;
+        }
+        pause(1500);
+        if rig.is_troubled() {
+            rig.runners.iter().for_each(|r| r.set_peer_lost_power(true));
+            rig.kill_owner();
+            pause(200);
+            rig.runners.iter().for_each(|r| r.set_peer_lost_power(false));
+        }
+        pause(DARK_MS - 200);
+        rig.start_daemons();
+        let open: Vec<usize> = rig.runners.iter().map(|r| r.connections()).collect();
+        record.line(&format!("connections of the runners: {open:?}"));
+    }
+    ready(&rig)?;
+    // The last disruption is over for longer than `contactMs`.
+    pause(5000);
+    let step = "\"count\":8,\"cpu\":2000,\"memMb\":7200,\"estRuntimeMs\":1000";
+    let job = Job::new(next, "urgent", "run 1000 0", step);
+    if !rig.submit(&job, 0) {
+        return Err("the last job was not accepted".into());
+    }
+    pause(14_000);
+    let open: Vec<usize> = rig.runners.iter().map(|r| r.connections()).collect();
+    record.line(&format!("connections of the runners: {open:?}"));
+    let state = rig.state(&job, 0);
+    let is_running = rig.runners.iter().any(|r| r.running().iter().any(|t| job.has(t)));
+    if state == "completed" || is_running {
+        return Ok(Vec::new());
+    }
+    Ok(vec![format!(
+        "LOST: 14 s after the end of the traffic the last job is {state}, and nothing of it runs"
+    )])
+}
--- a/review/rig-2/http.rs
+++ b/review/rig-2/http.rs
@@ -2,10 +2,11 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     pub path: String,
@@ -49,35 +50,63 @@
 
 /// A listening server.
 pub struct Server {
+    /// Number of open connections, with those of machines that lost power: their ends are not seen.
+    open: Arc<AtomicUsize>,
+    /// Whether the machine at the other end of the connections that close now has lost power.
+    has_peer_lost_power: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
-    pub fn start(address: &str, handler: Arc<Handler>) -> std::io::Result<Self> {
+    /// Starts a server that resets connections beyond `cap`.
+    pub fn start(address: &str, cap: usize, handler: Arc<Handler>) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let stop = Arc::new(AtomicBool::new(false));
         let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let count = Arc::<AtomicUsize>::default();
+        let has_peer_lost_power = Arc::<AtomicBool>::default();
         for _ in 0..ACCEPTORS {
             let (is_stopped, open) = (Arc::clone(&stop), Arc::clone(&streams));
             let (listener, handler) = (listener.try_clone()?, Arc::clone(&handler));
+            let (count, is_lost) = (Arc::clone(&count), Arc::clone(&has_peer_lost_power));
             std::thread::spawn(move || {
                 while !is_stopped.load(Ordering::Relaxed) {
                     let Ok((stream, _)) = listener.accept() else {
                         std::thread::sleep(Duration::from_micros(500));
                         continue;
                     };
+                    if count.fetch_add(1, Ordering::Relaxed) >= cap {
+                        count.fetch_sub(1, Ordering::Relaxed);
+                        continue;
+                    }
                     let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
                     if let Ok(copy) = stream.try_clone() {
                         open.lock().unwrap().push(copy);
                     }
                     let (handler, is_stopped) = (Arc::clone(&handler), Arc::clone(&is_stopped));
-                    std::thread::spawn(move || serve(stream, &*handler, &is_stopped));
+                    let (count, is_lost) = (Arc::clone(&count), Arc::clone(&is_lost));
+                    std::thread::spawn(move || {
+                        serve(stream, &*handler, &is_stopped);
+                        if !is_lost.load(Ordering::Relaxed) {
+                            count.fetch_sub(1, Ordering::Relaxed);
+                        }
+                    });
                 }
             });
         }
-        Ok(Self { stop, streams })
+        Ok(Self { open: count, has_peer_lost_power, stop, streams })
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the connections that close now stay open for the server.
+    pub fn set_peer_lost_power(&self, is_lost: bool) {
+        self.has_peer_lost_power.store(is_lost, Ordering::Relaxed);
     }
 
     /// Closes the port and all connections, as the end of the process does.
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -90,7 +90,8 @@
         store.put("keyed.op", "config", &configuration());
         let address = format!("127.0.0.1:{}", free_port());
         let handler = Arc::clone(&store);
-        let server = Server::start(&address, Arc::new(move |r: &Request| handler.handle(r)));
+        let server =
+            Server::start(&address, usize::MAX, Arc::new(move |r: &Request| handler.handle(r)));
         let runners = (0..runners).map(|i| {
             let rack = format!("r1-{}", i / RACK);
             Runner::start(format!("i-{i:04}"), free_port(), &["a", &rack], &store, record)
@@ -168,6 +169,22 @@
         }
     }
 
+    /// Kills the daemon that took the shard last, by the logs. Returns whether there is one.
+    pub fn kill_owner(&mut self) -> bool {
+        let epoch = |daemon: &Daemon| {
+            let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+            let line = log.lines().rfind(|l| l.contains("\"ownership taken\""))?.to_string();
+            Json::parse(line.as_bytes())?.number("epoch")
+        };
+        let epochs = self.daemons.iter().map(epoch).enumerate();
+        let Some((_, i)) = epochs.filter_map(|(i, e)| Some((e?, i))).max() else { return false };
+        let Some(mut child) = self.daemons[i].child.take() else { return false };
+        let _ = (child.kill(), child.wait());
+        self.pids.lock().unwrap().retain(|pid| *pid != child.id());
+        self.record.line(&format!("daemon {i}, which owns the shard, killed"));
+        true
+    }
+
     /// Kills all daemons with SIGKILL.
     pub fn kill_daemons(&mut self) {
         for daemon in &mut self.daemons {
--- a/review/rig-2/runner.rs
+++ b/review/rig-2/runner.rs
@@ -8,6 +8,7 @@
 use crate::json::{Json, quoted};
 use crate::record::{Event, Kind, Record};
 use crate::store::Store;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -18,6 +19,8 @@
 /// Time after which the entry of a silent runner is removed.
 const ENTRY_LIFETIME: Duration = Duration::from_millis(4500);
 const STARTUP: Duration = Duration::from_millis(300);
+/// Connections at a time.
+const MAX_CONNECTIONS: usize = 64;
 /// Ends in one answer.
 const MAX_ENDS: usize = 500;
 
@@ -71,6 +74,9 @@
     state: Mutex<State>,
     changed: Condvar,
     server: Mutex<Option<Server>>,
+    /// Whether start orders are left unanswered and kept, to be carried out late.
+    pub keeps_starts: AtomicBool,
+    kept: Mutex<Vec<Request>>,
 }
 
 impl Runner {
@@ -98,6 +104,8 @@
             }),
             changed: Condvar::new(),
             server: Mutex::new(None),
+            keeps_starts: AtomicBool::new(false),
+            kept: Mutex::default(),
         });
         runner.begin_life();
         let ticker = Arc::clone(&runner);
@@ -134,7 +142,11 @@
             (state.is_silent, state.heartbeat_at, state.sequence) = (false, now, 0);
         }
         let handler = Arc::clone(self);
-        let server = Server::start(&self.address, Arc::new(move |r: &Request| handler.handle(r)));
+        let server = Server::start(
+            &self.address,
+            MAX_CONNECTIONS,
+            Arc::new(move |r: &Request| handler.handle(r)),
+        );
         *self.server.lock().unwrap() = Some(server.expect("the runner's port is free"));
         self.record.line(&format!("runner {} begins a life, born {born}", self.id));
     }
@@ -165,6 +177,19 @@
         self.changed.notify_all();
     }
 
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.server.lock().unwrap().as_ref().map_or(0, Server::open)
+    }
+
+    /// Sets whether the connections that close now belong to a machine that has lost power, so that
+    /// their ends are not seen.
+    pub fn set_peer_lost_power(&self, is_lost: bool) {
+        if let Some(server) = &*self.server.lock().unwrap() {
+            server.set_peer_lost_power(is_lost);
+        }
+    }
+
     /// Returns the tasks that run here.
     pub fn running(&self) -> Vec<String> {
         let state = self.state.lock().unwrap();
@@ -240,6 +265,32 @@
         if self.state.lock().unwrap().is_silent {
             return Reply::Silence;
         }
+        if request.path == "/run-start" && self.keeps_starts.load(Ordering::Relaxed) {
+            let body = String::from_utf8_lossy(&request.body);
+            self.record.line(&format!("{}: order left unanswered: {body}", self.id));
+            self.kept.lock().unwrap().push(request.clone());
+            return Reply::Silence;
+        }
+        self.carry_out(request)
+    }
+
+    /// Returns the number of orders that were left unanswered.
+    pub fn kept(&self) -> usize {
+        self.kept.lock().unwrap().len()
+    }
+
+    /// Answers start orders again, and carries out the first one that was left unanswered.
+    pub fn carry_out_late(&self) {
+        self.keeps_starts.store(false, Ordering::Relaxed);
+        let Some(request) = self.kept.lock().unwrap().drain(..).next() else { return };
+        let status = match self.carry_out(&request) {
+            Reply::Answer(status, body) => format!("{status} {}", String::from_utf8_lossy(&body)),
+            Reply::Silence => "nothing".into(),
+        };
+        self.record.line(&format!("{}: order carried out late: {status}", self.id));
+    }
+
+    fn carry_out(&self, request: &Request) -> Reply {
         if request.path == "/healthz" {
             return Reply::json(200, "{}".into());
         }
