--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -91,7 +91,7 @@
         if !rig.submit(job, i) {
             return Err("a job was not accepted before the disruption".into());
         }
-        pause(20);
+        pause(30);
     }
     let began = || {
         let events = record.events();
@@ -111,9 +111,9 @@
     pause(DOWN_MS);
     rig.store.is_down.store(false, Ordering::Relaxed);
     record.line("the store is up");
-    // The traffic goes on.
+    // The traffic goes on, with tasks on every runner.
     for i in 0..10 {
-        let step = "\"count\":10,\"cpu\":40,\"memMb\":64,\"estRuntimeMs\":800";
+        let step = "\"count\":4,\"cpu\":40,\"memMb\":64,\"estRuntimeMs\":800,\"antiAffinity\":1";
         rig.submit(&Job::new(0xb000_0000_0000_1001 + i, "urgent", "run 800 0", step), i as usize);
         pause(500);
     }
@@ -389,12 +389,10 @@
         }
         pause(1500);
         if rig.is_troubled() {
-            rig.runners.iter().for_each(|r| r.set_peer_lost_power(true));
+            rig.runners.iter().for_each(|r| r.note_power_loss());
             rig.kill_owner();
-            pause(200);
-            rig.runners.iter().for_each(|r| r.set_peer_lost_power(false));
         }
-        pause(DARK_MS - 200);
+        pause(DARK_MS);
         rig.start_daemons();
         let open: Vec<usize> = rig.runners.iter().map(|r| r.connections()).collect();
         record.line(&format!("connections of the runners: {open:?}"));
--- a/review/rig-2/http.rs
+++ b/review/rig-2/http.rs
@@ -32,6 +32,9 @@
 /// Threads that accept the connections of a server.
 const ACCEPTORS: usize = 2;
 
+/// Time in which the connections of a killed process end here: a status poll is held for 1.5 s.
+const LOSS_NOTICED: Duration = Duration::from_millis(2500);
+
 /// What a server does with a request.
 pub enum Reply {
     /// Status and body.
@@ -52,8 +55,9 @@
 pub struct Server {
     /// Number of open connections, with those of machines that lost power: their ends are not seen.
     open: Arc<AtomicUsize>,
-    /// Whether the machine at the other end of the connections that close now has lost power.
-    has_peer_lost_power: Arc<AtomicBool>,
+    /// When a machine at the other end has lost power. A connection that was open then and closes
+    /// shortly after is one of its own, and stays open for the server.
+    power_lost_at: Arc<Mutex<Option<Instant>>>,
     stop: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -66,11 +70,11 @@
         let stop = Arc::new(AtomicBool::new(false));
         let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let count = Arc::<AtomicUsize>::default();
-        let has_peer_lost_power = Arc::<AtomicBool>::default();
+        let power_lost_at = Arc::<Mutex<Option<Instant>>>::default();
         for _ in 0..ACCEPTORS {
             let (is_stopped, open) = (Arc::clone(&stop), Arc::clone(&streams));
             let (listener, handler) = (listener.try_clone()?, Arc::clone(&handler));
-            let (count, is_lost) = (Arc::clone(&count), Arc::clone(&has_peer_lost_power));
+            let (count, lost_at) = (Arc::clone(&count), Arc::clone(&power_lost_at));
             std::thread::spawn(move || {
                 while !is_stopped.load(Ordering::Relaxed) {
                     let Ok((stream, _)) = listener.accept() else {
@@ -86,17 +90,19 @@
                         open.lock().unwrap().push(copy);
                     }
                     let (handler, is_stopped) = (Arc::clone(&handler), Arc::clone(&is_stopped));
-                    let (count, is_lost) = (Arc::clone(&count), Arc::clone(&is_lost));
+                    let (count, lost_at) = (Arc::clone(&count), Arc::clone(&lost_at));
                     std::thread::spawn(move || {
+                        let opened = Instant::now();
                         serve(stream, &*handler, &is_stopped);
-                        if !is_lost.load(Ordering::Relaxed) {
+                        let is_lost = |at: Instant| opened < at && at.elapsed() < LOSS_NOTICED;
+                        if !lost_at.lock().unwrap().is_some_and(is_lost) {
                             count.fetch_sub(1, Ordering::Relaxed);
                         }
                     });
                 }
             });
         }
-        Ok(Self { open: count, has_peer_lost_power, stop, streams })
+        Ok(Self { open: count, power_lost_at, stop, streams })
     }
 
     /// Returns the number of open connections.
@@ -104,9 +110,9 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Sets whether the connections that close now stay open for the server.
-    pub fn set_peer_lost_power(&self, is_lost: bool) {
-        self.has_peer_lost_power.store(is_lost, Ordering::Relaxed);
+    /// Notes that a machine at the other end loses power now.
+    pub fn note_power_loss(&self) {
+        *self.power_lost_at.lock().unwrap() = Some(Instant::now());
     }
 
     /// Closes the port and all connections, as the end of the process does.
--- a/review/rig-2/runner.rs
+++ b/review/rig-2/runner.rs
@@ -182,11 +182,10 @@
         self.server.lock().unwrap().as_ref().map_or(0, Server::open)
     }
 
-    /// Sets whether the connections that close now belong to a machine that has lost power, so that
-    /// their ends are not seen.
-    pub fn set_peer_lost_power(&self, is_lost: bool) {
+    /// Notes that the machine of a daemon loses power: the runner does not see its connections end.
+    pub fn note_power_loss(&self) {
         if let Some(server) = &*self.server.lock().unwrap() {
-            server.set_peer_lost_power(is_lost);
+            server.note_power_loss();
         }
     }
 
