Orders: bound the connections of a daemon to a worker

Callers saw accepted jobs that never started: after eight losses of power of an owner no daemon could call a worker.

Cause: nothing limited the calls in flight to a worker, each of which needs a connection, and idle connections were closed only by the next call to their address. An owner that lost power left eight or more open at each worker, which accepts 64 from all daemons.

Change: at most three orders are in flight to a worker, and a status poll; idle connections are closed in time. New metrics: pimentovalve_worker_connections, pimentovalve_order_wait_ms.

--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -156,7 +156,7 @@
 impl Machine {
     /// Returns a client. `timeout` applies to each call except [`Runner::serve`], which has a
     /// budget of its own, in addition to the time that a heartbeat waits.
-    pub const fn new(timeout: Millis, traffic: Arc<Traffic>) -> Self {
+    pub fn new(timeout: Millis, traffic: Arc<Traffic>) -> Self {
         Self { client: Client::counted(traffic), timeout }
     }
 
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -10,9 +10,11 @@
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::finding::List;
 use pimentovalve_core::machine::host::WorkerEntry;
+use pimentovalve_wire::http::traffic::Traffic;
 use pimentovalve_wire::http::{Pending, Request, Response};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use std::sync::Arc;
 
 /// Error of a store call.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -155,6 +157,11 @@
 
     /// Renews the worker's lease, and returns which runs are in progress and which have ended.
     fn poll<'a>(&'a self, epoch: u64, poll: &'a Poll) -> Pending<'a, Result<Report, PollError>>;
+
+    /// Returns the counters of the connections to workers.
+    fn traffic(&self) -> Arc<Traffic> {
+        Arc::default()
+    }
 }
 
 /// The platform's advisor, which decides on the workers that a queue's tasks may run on.
--- a/crates/daemon/src/shard/metrics.rs
+++ b/crates/daemon/src/shard/metrics.rs
@@ -6,6 +6,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 use pimentovalve_core::clock::Millis;
+use pimentovalve_wire::http::traffic::Traffic;
+use std::sync::Arc;
 
 /// Instrumentation scope of the metrics.
 const METER: &str = "pimentovalve_shard";
@@ -20,12 +22,14 @@
     answer_ms: Histogram<u64>,
     orders: Counter<u64>,
     order_ms: Histogram<u64>,
+    order_wait_ms: Histogram<u64>,
     stop_ms: Histogram<u64>,
     entries: Counter<u64>,
 }
 
 impl Metrics {
-    /// Registers the instruments. `rings` holds each ring with the name of its receiving duty.
+    /// Registers the instruments. `rings` holds each ring with the name of its receiving duty, `workers`
+    /// counts the connections to workers.
     ///
     /// # Errors
     ///
@@ -33,6 +37,7 @@
     pub fn new(
         shard_status: Latest<ShardStatus>,
         rings: Vec<(&'static str, Box<dyn Depth>)>,
+        workers: Arc<Traffic>,
     ) -> Result<Self, Error> {
         let export = Export::new()?;
         let meter = export.meter(METER);
@@ -63,6 +68,10 @@
         gauge(&meter, name, "Taken places of a ring", "duty", move || {
             rings.iter().map(|(duty, ring)| (*duty, ring.depth() as u64)).collect()
         });
+        let name = "pimentovalve_worker_connections";
+        gauge(&meter, name, "Connections to workers, by state", "state", move || {
+            vec![("open", workers.open()), ("opened", workers.opened())]
+        });
         let counter = |name, about| meter.u64_counter(name).with_description(about).build();
         let histogram = |name, about| {
             let builder = meter.u64_histogram(name).with_description(about);
@@ -74,6 +83,10 @@
             answer_ms: histogram("pimentovalve_answer_ms", "Time to answer a caller, in ms"),
             orders: counter("pimentovalve_orders", "Calls to workers, by kind and answer"),
             order_ms: histogram("pimentovalve_order_ms", "Time of a call to a worker, in ms"),
+            order_wait_ms: histogram(
+                "pimentovalve_order_wait_ms",
+                "Time that an order waits for earlier ones to its worker, in ms",
+            ),
             stop_ms: histogram(
                 "pimentovalve_stop_ms",
                 "Time from the end of a job to the acknowledged stop of a run, in ms",
@@ -95,6 +108,11 @@
         self.order_ms.record(took.get(), &[kind]);
     }
 
+    /// Records the time that an order waited for earlier ones to its worker.
+    pub fn order_waited(&self, took: Millis) {
+        self.order_wait_ms.record(took.get(), &[]);
+    }
+
     /// Records the time from the end of a job to the acknowledged stop of one of its runs.
     pub fn stopped(&self, took: Millis) {
         self.stop_ms.record(took.get(), &[]);
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -124,6 +124,7 @@
                 ("orders", Box::new(orders_in.clone())),
                 ("advice", Box::new(asks_in.clone())),
             ],
+            platform.workers.traffic(),
         )?);
         let drain = CancellationToken::new();
         let appends_succeed = Arc::new(AtomicBool::new(true));
--- a/crates/daemon/src/shard/orders.rs
+++ b/crates/daemon/src/shard/orders.rs
@@ -1,17 +1,22 @@
 //! The orders duty: sends calls to workers and passes their answers to the steward.
 //!
 //! An order that gets no answer is sent once more: the worker executes it once, whether the first one
-//! was lost, arrives later, or only its answer was lost.
+//! was lost, arrives later, or only its answer was lost. A limited number of orders is in flight to each
+//! worker; further ones wait. A status poll never waits, and the owner sends one at a time to each.
 
+mod link;
 #[cfg(test)]
 mod tests;
 
+pub use link::MAX_CALLS_TO_WORKER;
+
 use super::border::Workers;
 use super::metrics::Metrics;
 use super::steward::Event;
 use super::view;
 use crate::duty::Duty;
 use crate::ring::{Receiver, Sender};
+use link::Links;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::order::{Order, Start, Stop};
 use pimentovalve_core::contract::owner::{StartAnswer, StopAnswer};
@@ -59,6 +64,7 @@
 
     fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
         Box::pin(async move {
+            let mut links = Links::default();
             loop {
                 let call = tokio::select! {
                     () = stop.cancelled() => return,
@@ -67,9 +73,23 @@
                 let Some(call) = call else { return };
                 let (workers, metrics) = (Arc::clone(&self.workers), Arc::clone(&self.metrics));
                 let steward = self.steward.clone();
+                let place = match &call.order {
+                    Order::Start(start) => Some(links.place(&start.address)),
+                    Order::Stop(stop) => Some(links.place(&stop.address)),
+                    Order::Poll(_) => None,
+                };
                 // The number of tasks is bounded: the owner has at most one call in flight for each
                 // run and one status poll for each worker.
                 tokio::spawn(async move {
+                    let _place = match place {
+                        Some(place) => {
+                            let asked = view::now();
+                            let place = place.await;
+                            metrics.order_waited(view::now().since(asked));
+                            place
+                        }
+                        None => None,
+                    };
                     let began = view::now();
                     let answer = send(&*workers, call).await;
                     let (kind, outcome) = metric_labels(&answer);
--- a/crates/daemon/src/shard/orders/tests.rs
+++ b/crates/daemon/src/shard/orders/tests.rs
@@ -1,9 +1,14 @@
-//! Tests of orders that get no answer.
+//! Tests of orders that get no answer, and of the number of orders in flight.
 
-use super::{Call, FIRST_TIMEOUT, MAX_START_AGE, SECOND_TIMEOUT, send};
+use super::link::MAX_ORDERS;
+use super::{Call, FIRST_TIMEOUT, MAX_START_AGE, Orders, SECOND_TIMEOUT, send};
+use crate::duty::Duty;
+use crate::ring;
 use crate::shard::border::Workers;
+use crate::shard::metrics::Metrics;
 use crate::shard::steward::Event;
 use crate::shard::view;
+use crate::shard::view::ShardStatus;
 use googletest::prelude::*;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::order::{Order, Poll, Start, Stop, StopReason};
@@ -11,7 +16,10 @@
 use pimentovalve_core::contract::work::{Id, Job, Policy, StepId, Task};
 use pimentovalve_core::ledger::shard::{Incarnation, Run};
 use pimentovalve_wire::http::Pending;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
 
 /// A worker whose answers are given.
 struct Scripted {
@@ -84,6 +92,15 @@
 
 /// Sends a start order that was decided at `decided`; returns as [`started`] does.
 fn start(worker: &Scripted, decided: Millis) -> (StartAnswer, usize) {
+    let call = start_call("127.0.0.1:1", decided);
+    let Event::Started(_, _, answer, _) = block_on(send(worker, call)) else {
+        unreachable!("a start is answered as a start")
+    };
+    let sent = worker.timeouts.lock().unwrap().len();
+    (answer, sent)
+}
+
+fn start_call(address: &str, decided: Millis) -> Call {
     let policy = Policy {
         queue: "q".into(),
         pool: "pool".into(),
@@ -97,20 +114,14 @@
     let job = Arc::new(Job { id: Id(1), policy, payload, steps, schedule: None });
     let start = Start {
         on: on(),
-        address: "127.0.0.1:1".into(),
+        address: address.into(),
         run: run(),
         job,
         lease_end: None,
         saved: "".into(),
         ticket: None,
     };
-    let order = Order::Start(Box::new(start));
-    let call = Call { epoch: 1, decided, order };
-    let Event::Started(_, _, answer, _) = block_on(send(worker, call)) else {
-        unreachable!("a start is answered as a start")
-    };
-    let sent = worker.timeouts.lock().unwrap().len();
-    (answer, sent)
+    Call { epoch: 1, decided, order: Order::Start(Box::new(start)) }
 }
 
 fn block_on<T>(call: impl Future<Output = T>) -> T {
@@ -169,3 +180,92 @@
     let decided = view::now().since(MAX_START_AGE.since(Millis(800)));
     expect_that!(start(&worker, decided), eq((StartAnswer::Unknown, 1)));
 }
+
+/// Workers that answer each order after a while and count those in flight to each address.
+#[derive(Default)]
+struct Slow {
+    in_flight: [AtomicUsize; 2],
+    most: [AtomicUsize; 2],
+    polls: AtomicUsize,
+}
+
+/// Addresses of the slow workers.
+const ADDRESSES: [&str; 2] = ["127.0.0.1:1", "127.0.0.1:2"];
+/// Time that a slow worker takes for an order.
+const ORDER_TIME: Duration = Duration::from_millis(20);
+
+impl Workers for Slow {
+    fn start<'a>(
+        &'a self,
+        _: u64,
+        start: &'a Start,
+        _: Millis,
+    ) -> Pending<'a, (StartAnswer, Option<u64>)> {
+        let i = ADDRESSES.iter().position(|a| **a == *start.address).unwrap();
+        Box::pin(async move {
+            let in_flight = self.in_flight[i].fetch_add(1, Ordering::Relaxed) + 1;
+            self.most[i].fetch_max(in_flight, Ordering::Relaxed);
+            tokio::time::sleep(ORDER_TIME).await;
+            self.in_flight[i].fetch_sub(1, Ordering::Relaxed);
+            (StartAnswer::Taken, None)
+        })
+    }
+
+    fn stop<'a>(
+        &'a self,
+        _: u64,
+        _: &'a Stop,
+        _: Millis,
+    ) -> Pending<'a, (StopAnswer, Option<u64>)> {
+        Box::pin(async { (StopAnswer::Taken, None) })
+    }
+
+    fn poll<'a>(
+        &'a self,
+        _: u64,
+        _: &'a Poll,
+    ) -> Pending<'a, std::result::Result<Report, PollError>> {
+        self.polls.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async { Err(PollError::NoAnswer) })
+    }
+}
+
+/// Regression: each start order of a burst took a connection of its own, and an owner that lost power left
+/// eight or more open at each worker. After some losses no daemon could call a worker any more.
+#[gtest]
+fn a_limited_number_of_orders_is_in_flight_to_each_worker() {
+    const ORDERS: usize = 20;
+    let workers = Arc::new(Slow::default());
+    let (orders_in, orders) = ring::ring(64);
+    let (steward, events) = ring::ring(64);
+    let (_, shard_status) = ring::latest(ShardStatus::default());
+    let metrics = Arc::new(Metrics::new(shard_status, Vec::new(), Arc::default()).unwrap());
+    let duty =
+        Orders { workers: Arc::clone(&workers) as Arc<dyn Workers>, orders, metrics, steward };
+    for _ in 0..ORDERS {
+        let call = |address| orders_in.offer(start_call(address, view::now())).unwrap();
+        ADDRESSES.into_iter().for_each(call);
+    }
+    let poll = Poll {
+        on: on(),
+        address: ADDRESSES[0].into(),
+        number: 1,
+        recorded_end: 0,
+        lease_end: None,
+        wait: Millis::ZERO,
+    };
+    orders_in.offer(Call { epoch: 1, decided: view::now(), order: Order::Poll(poll) }).unwrap();
+    let first = block_on(async {
+        tokio::spawn(Box::new(duty).run(CancellationToken::new()));
+        let first = events.next().await;
+        for _ in 0..2 * ORDERS {
+            events.next().await;
+        }
+        first
+    });
+    expect_that!(workers.polls.load(Ordering::Relaxed), eq(1));
+    expect_that!(matches!(first, Some(Event::Polled(..))), eq(true), "a poll doesn't wait");
+    for most in &workers.most {
+        expect_that!(most.load(Ordering::Relaxed), eq(MAX_ORDERS));
+    }
+}
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -3,6 +3,9 @@
 //! A connection that does not answer within the call's timeout is closed and not reused: a device
 //! between the two ends may have dropped its state while new connections work.
 
+#[cfg(test)]
+mod tests;
+
 use super::Content;
 use super::traffic::{Counted, Traffic};
 use crate::codec;
@@ -15,16 +18,29 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-/// Maximum number of pooled connections per address.
-const MAX_IDLE: usize = 8;
-/// A connection that was idle for longer is not reused.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
+/// Searches for expired connections during one [`Retention::time`].
+const EXPIRIES_PER_RETENTION: u32 = 4;
+
+/// Which connections a client keeps open while no call uses them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Retention {
+    /// Maximum number of idle connections to one address.
+    pub connections: usize,
+    /// Time after which an idle connection is closed, whether calls are made or not.
+    pub time: Millis,
+}
+
+impl Default for Retention {
+    fn default() -> Self {
+        Self { connections: 8, time: Millis::from_secs(20) }
+    }
+}
 
 /// Why a call failed.
 #[derive(Debug, Snafu)]
@@ -150,12 +166,33 @@
     idle: Vec<Idle>,
 }
 
+/// The pools of a client.
+#[derive(Debug, Default)]
+struct Pools {
+    /// Sorted by address.
+    list: Vec<Pool>,
+    /// Whether a task closes the connections that expire.
+    has_expiry: bool,
+}
+
+impl Pools {
+    /// Closes the connections that have been idle for longer than `time`. Returns whether any are left.
+    fn expire(&mut self, time: Duration) -> bool {
+        for pool in &mut self.list {
+            pool.idle.retain(|c| c.since.elapsed() < time && c.sender.is_ready());
+        }
+        self.list.retain(|pool| !pool.idle.is_empty());
+        self.has_expiry = !self.list.is_empty();
+        self.has_expiry
+    }
+}
+
 /// An HTTP client with a connection pool. Its connections are driven by the runtime on which they
 /// were opened, so a client is meant for one duty, within which it is cheap to share.
 #[derive(Debug, Default)]
 pub struct Client {
-    /// Sorted by address.
-    pools: Mutex<Vec<Pool>>,
+    pools: Arc<Mutex<Pools>>,
+    retention: Retention,
     traffic: Arc<Traffic>,
 }
 
@@ -166,8 +203,18 @@
     }
 
     /// Returns a client whose bytes are added to `traffic`.
-    pub const fn counted(traffic: Arc<Traffic>) -> Self {
-        Self { pools: Mutex::new(Vec::new()), traffic }
+    pub fn counted(traffic: Arc<Traffic>) -> Self {
+        Self { traffic, ..Self::default() }
+    }
+
+    /// Returns a client that keeps idle connections as `retention` says.
+    pub fn retaining(retention: Retention) -> Self {
+        Self { retention, ..Self::default() }
+    }
+
+    /// Returns the counters of this client's connections and bytes.
+    pub const fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
     }
 
     /// Makes a call and returns the response, whatever its status.
@@ -263,9 +310,9 @@
 
     /// Closes the pooled connections to an address.
     pub fn forget(&self, address: &str) {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Ok(i) = pools.binary_search_by(|p| p.address.as_str().cmp(address)) {
-            pools.remove(i);
+        let mut pools = lock(&self.pools);
+        if let Ok(i) = pools.list.binary_search_by(|p| p.address.as_str().cmp(address)) {
+            pools.list.remove(i);
         }
     }
 
@@ -289,10 +336,11 @@
     }
 
     fn idle(&self, address: &str) -> Option<SendRequest<Full<Bytes>>> {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let i = pools.binary_search_by(|p| p.address.as_str().cmp(address)).ok()?;
-        let idle = &mut pools[i].idle;
-        idle.retain(|c| c.since.elapsed() < MAX_IDLE_TIME && c.sender.is_ready());
+        let time = self.retention.time.into();
+        let mut pools = lock(&self.pools);
+        let i = pools.list.binary_search_by(|p| p.address.as_str().cmp(address)).ok()?;
+        let idle = &mut pools.list[i].idle;
+        idle.retain(|c| c.since.elapsed() < time && c.sender.is_ready());
         idle.pop().map(|c| c.sender)
     }
 
@@ -300,20 +348,39 @@
         if sender.is_closed() {
             return;
         }
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        let i = match pools.binary_search_by(|p| p.address.as_str().cmp(address)) {
+        let mut pools = lock(&self.pools);
+        let list = &mut pools.list;
+        let i = match list.binary_search_by(|p| p.address.as_str().cmp(address)) {
             Ok(i) => i,
             Err(i) => {
-                pools.insert(i, Pool { address: address.into(), idle: Vec::new() });
+                list.insert(i, Pool { address: address.into(), idle: Vec::new() });
                 i
             }
         };
-        if pools[i].idle.len() < MAX_IDLE {
-            pools[i].idle.push(Idle { sender, since: Instant::now() });
+        if list[i].idle.len() < self.retention.connections {
+            list[i].idle.push(Idle { sender, since: Instant::now() });
+        }
+        if !std::mem::replace(&mut pools.has_expiry, true) {
+            tokio::spawn(expire(Arc::downgrade(&self.pools), self.retention.time.into()));
         }
     }
 }
 
+/// Closes the connections of a client that expire, until none is left or the client is dropped.
+async fn expire(pools: Weak<Mutex<Pools>>, time: Duration) {
+    loop {
+        tokio::time::sleep(time / EXPIRIES_PER_RETENTION).await;
+        let Some(pools) = pools.upgrade() else { return };
+        if !lock(&pools).expire(time) {
+            return;
+        }
+    }
+}
+
+fn lock(pools: &Mutex<Pools>) -> MutexGuard<'_, Pools> {
+    pools.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Why an exchange on a connection failed.
 enum ExchangeError {
     Unsent,
--- a/crates/wire/src/http/traffic.rs
+++ b/crates/wire/src/http/traffic.rs
@@ -1,4 +1,4 @@
-//! Byte counters at the socket, which include headers and framing.
+//! Counters of connections, and of bytes at the socket, which include headers and framing.
 
 use std::io;
 use std::pin::Pin;
@@ -7,14 +7,26 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Byte counters that one or more listeners or clients share.
+/// Counters that one or more listeners or clients share.
 #[derive(Debug, Default)]
 pub struct Traffic {
+    opened: AtomicU64,
+    closed: AtomicU64,
     received: AtomicU64,
     sent: AtomicU64,
 }
 
 impl Traffic {
+    /// Returns the number of connections opened since the counters were created.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of connections that are open.
+    pub fn open(&self) -> u64 {
+        self.opened().saturating_sub(self.closed.load(Ordering::Relaxed))
+    }
+
     /// Returns the number of bytes received since the counters were created.
     pub fn received(&self) -> u64 {
         self.received.load(Ordering::Relaxed)
@@ -34,12 +46,20 @@
 }
 
 impl<S> Counted<S> {
-    /// Wraps a stream. Its bytes are added to `traffic`.
-    pub const fn new(stream: S, traffic: Arc<Traffic>) -> Self {
+    /// Wraps the stream of a new connection. It counts as open until it is dropped, and its bytes are
+    /// added to `traffic`.
+    pub fn new(stream: S, traffic: Arc<Traffic>) -> Self {
+        traffic.opened.fetch_add(1, Ordering::Relaxed);
         Self { stream, traffic }
     }
 }
 
+impl<S> Drop for Counted<S> {
+    fn drop(&mut self) {
+        self.traffic.closed.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
