Logs: say what a report lacked, and what a poll acknowledged to whom

A loss was logged without the report that it came from, so that a list of ends that was cut and ends that were discarded looked the same, and nothing said that another incarnation had answered a poll.

--- a/crates/core/src/contract/owner/notice.rs
+++ b/crates/core/src/contract/owner/notice.rs
@@ -52,6 +52,19 @@
     Unstopped(Run, Arc<Incarnation>, Millis),
     /// A worker lists a run that the owner doesn't know.
     Unknown(Run, Arc<Incarnation>),
+    /// A worker that accepted a run lists neither it nor its end. The run counts as lost.
+    Missing {
+        /// The run.
+        run: Run,
+        /// The worker.
+        on: Arc<Incarnation>,
+        /// Whether this incarnation has certainly begun the run, so that it must have had an end.
+        has_begun: bool,
+        /// Number of ends that the worker lists.
+        ends: usize,
+        /// Number of the last end that this owner has seen.
+        last_end: u64,
+    },
 }
 
 impl Tally {
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -209,6 +209,7 @@
         let max_stop = self.limits.max_stop + ANSWER_MARGIN;
         let (mut lost, mut stops, mut ignored) = (Vec::new(), Vec::new(), Vec::new());
         let Some(host) = self.host(on) else { return };
+        let last_end = host.submitted_end;
         for run in host.runs.clone() {
             self.effort.runs += 1;
             let Ok(i) = self.run_index(&run) else { continue };
@@ -237,6 +238,12 @@
                     if number > since =>
                 {
                     lost.push(running.run);
+                    if matches!(running.phase, Phase::Working { .. }) {
+                        let (on, has_begun) = (Arc::clone(&running.on), running.has_begun);
+                        let ends = report.ends.len();
+                        let notice = Notice::Missing { run, on, has_begun, ends, last_end };
+                        self.effects.push(Effect::Notice(notice));
+                    }
                 }
                 _ => {}
             }
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -365,7 +365,9 @@
                     owner.stop_answered(&on, &run, answer, clock, &self.replica, now);
                 }
             }
-            Event::Polled(epoch, Poll { on, number, .. }, report) => {
+            Event::Polled(epoch, poll, report) => {
+                notices::log_poll(&poll, &report, epoch);
+                let Poll { on, number, .. } = poll;
                 if let Some(owner) = owner_of(&mut self.tenure, epoch) {
                     let report = report.as_ref().map_err(|error| *error);
                     owner.poll_answered(&on, number, report, &self.replica, now);
--- a/crates/daemon/src/shard/steward/notices.rs
+++ b/crates/daemon/src/shard/steward/notices.rs
@@ -6,8 +6,8 @@
 
 use crate::shard::metrics::Metrics;
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::contract::owner::order::Stop;
-use pimentovalve_core::contract::owner::{Notice, StopAnswer, Tally};
+use pimentovalve_core::contract::owner::order::{Poll, Stop};
+use pimentovalve_core::contract::owner::{Notice, PollError, Report, StopAnswer, Tally};
 use pimentovalve_core::contract::work::Status;
 use pimentovalve_core::ledger::shard::replica::Replica;
 use pimentovalve_core::ledger::shard::{Incarnation, Run};
@@ -40,6 +40,22 @@
             tracing::warn!(job = %task.step_id.job, %task, number, %worker, epoch, ?status,
                 "unknown run listed");
         }
+        Notice::Missing { run: Run { task, number }, on, has_begun, ends, last_end } => {
+            let Incarnation { worker, born } = &**on;
+            tracing::warn!(job = %task.step_id.job, %task, number, %worker, born, epoch, has_begun,
+                ends, last_end, "run missing from a report");
+        }
+    }
+}
+
+/// Logs that another incarnation of a worker than the one that was meant has answered a status poll, with
+/// what the poll said to it.
+pub(super) fn log_poll(poll: &Poll, report: &Result<Report, PollError>, epoch: u64) {
+    let Incarnation { worker, born } = &*poll.on;
+    let Ok(Report { born: Some(by), .. }) = report else { return };
+    if by != born {
+        tracing::info!(%worker, born, by, acknowledged = poll.recorded_end,
+            lease_end = ?poll.lease_end, epoch, "status poll answered by another incarnation");
     }
 }
 
--- a/crates/daemon/src/shard/steward/notices/tests.rs
+++ b/crates/daemon/src/shard/steward/notices/tests.rs
@@ -1,13 +1,13 @@
 //! Tests of the lines from the end of a job to the last stop of its runs.
 
-use super::{log, log_stop, record_stop};
+use super::{log, log_poll, log_stop, record_stop};
 use crate::ring;
 use crate::shard::metrics::Metrics;
 use crate::shard::view::ShardStatus;
 use googletest::prelude::*;
 use pimentovalve_core::clock::Millis;
-use pimentovalve_core::contract::owner::order::{Stop, StopReason};
-use pimentovalve_core::contract::owner::{Leftover, Notice, StopAnswer, Tally};
+use pimentovalve_core::contract::owner::order::{Poll, Stop, StopReason};
+use pimentovalve_core::contract::owner::{Leftover, Notice, Report, StopAnswer, Tally};
 use pimentovalve_core::contract::work::{Id, Job, Policy, StepId, Task};
 use pimentovalve_core::ledger::shard::replica::Replica;
 use pimentovalve_core::ledger::shard::{Entry, Incarnation, Run};
@@ -135,6 +135,43 @@
     );
 }
 
+#[gtest]
+fn a_run_that_is_missing_from_a_report_is_logged_with_the_ends_that_are_listed() {
+    let (run, on) = (run(), on());
+    let notice = Notice::Missing { run, on, has_begun: true, ends: 2, last_end: 9 };
+    let lines = lines(|| log(&notice, 4, &replica(false), NOW));
+    expect_that!(lines, len(eq(1)));
+    expect_fields(
+        &lines[0],
+        &json!({"message": "run missing from a report", "level": "WARN",
+            "job": "0000000000000001", "task": "0000000000000001.0.0.2", "number": 3,
+            "worker": "i-7", "born": 1, "epoch": 4, "has_begun": true, "ends": 2, "last_end": 9}),
+    );
+}
+
+#[gtest]
+fn an_answer_of_another_incarnation_is_logged_with_what_the_poll_said() {
+    let poll = Poll {
+        on: on(),
+        address: "127.0.0.1:1".into(),
+        number: 1,
+        recorded_end: 7,
+        lease_end: Some(6_000),
+        wait: Millis::ZERO,
+    };
+    let report = |born| Ok(Report { born, ..Report::default() });
+    for own in [Some(1), None] {
+        expect_that!(lines(|| log_poll(&poll, &report(own), 4)), is_empty());
+    }
+    let lines = lines(|| log_poll(&poll, &report(Some(2)), 4));
+    expect_that!(lines, len(eq(1)));
+    expect_fields(
+        &lines[0],
+        &json!({"message": "status poll answered by another incarnation", "worker": "i-7",
+            "born": 1, "by": 2, "acknowledged": 7, "lease_end": "Some(6000)", "epoch": 4}),
+    );
+}
+
 #[gtest]
 fn the_answer_to_a_stop_is_logged_with_the_time_since_it_was_ordered() {
     let (on, run, reason) = (on(), run(), StopReason::Over);
