Owner: a run whose end may still be listed is not lost

Callers saw tasks that had ended done run again after an outage of the store.

Cause: a worker lists 500 ends at a time. While no end could be recorded a worker collected more, and the owner took the runs whose ends were not among the first 500 for lost.

Change: a report says whether further ends may follow; until none may, a run that is neither listed as running nor as ended keeps its place.

--- a/crates/core/benches/owner/fleet.rs
+++ b/crates/core/benches/owner/fleet.rs
@@ -298,7 +298,8 @@
         let percent = self.now.get() / 100;
         let running = worker.running.iter().map(|run| Progress { run: *run, percent }).collect();
         let (clock, ends) = (self.now.get(), worker.ends.clone());
-        let report = Report { born: Some(poll.on.born), clock, running, ends };
+        let report =
+            Report { born: Some(poll.on.born), clock, running, ends, has_more_ends: false };
         let now = self.now;
         watch.time(Part::Poll, || {
             self.owner.poll_answered(&poll.on, poll.number, Ok(&report), &self.replica, now);
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -56,6 +56,8 @@
     pub running: Vec<Progress>,
     /// Ends that the worker was not told to discard, by rising number.
     pub ends: Vec<End>,
+    /// Whether the worker may have further ends, which it lists once it was told to discard these.
+    pub has_more_ends: bool,
 }
 
 impl Owner {
@@ -194,8 +196,8 @@
         }
     }
 
-    /// Reconciles the runs that a worker reports with those expected there. Missing runs are lost;
-    /// hung and unexpected runs and those of ended jobs are stopped.
+    /// Reconciles the runs that a worker reports with those expected there. Missing runs are lost, unless
+    /// their ends may follow; hung and unexpected runs and those of ended jobs are stopped.
     fn reconcile(
         &mut self,
         on: &Incarnation,
@@ -235,7 +237,7 @@
                     ignored.push(run);
                 }
                 (Err(_), Phase::Working { since } | Phase::Stopped { since, .. })
-                    if number > since =>
+                    if number > since && !report.has_more_ends =>
                 {
                     lost.push(running.run);
                     if matches!(running.phase, Phase::Working { .. }) {
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -142,7 +142,8 @@
         for poll in std::mem::take(&mut self.polls) {
             let (running, ends) = (running.clone(), ends.to_vec());
             let clock = self.now.get();
-            let report = Report { born: Some(poll.on.born), clock, running, ends };
+            let report =
+                Report { born: Some(poll.on.born), clock, running, ends, has_more_ends: false };
             self.owner.poll_answered(&poll.on, poll.number, Ok(&report), &self.replica, self.now);
         }
         self.settle();
@@ -320,6 +321,59 @@
     expect_that!(world.replica.recorded_end(&poll.on), eq(1));
 }
 
+/// Regression: a worker that lists a limited number of ends at a time had ended a run whose end was not among
+/// them. The run was recorded as lost, and the task was run again.
+#[gtest]
+fn a_run_whose_end_the_worker_has_not_listed_yet_is_not_lost() {
+    let mut world = World::new(&["a", "b"], vec![job(1, vec![step(2, &[])])]);
+    world.answer_polls();
+    let runs = world.started();
+    runs.iter().for_each(|run| world.answer_start(run, StartAnswer::Taken));
+    let end = |i: usize| {
+        let number = u64::try_from(i).unwrap() + 1;
+        End { run: runs[i], number, outcome: Outcome::Done, saved: "".into() }
+    };
+    for (i, has_more_ends) in [(0, true), (1, false)] {
+        world.pass(2000);
+        for poll in std::mem::take(&mut world.polls) {
+            let is_there = poll.on.worker == world.starts[0].on.worker;
+            let ends = if is_there { vec![end(i)] } else { Vec::new() };
+            let (born, clock) = (Some(poll.on.born), world.now.get());
+            let report = Report { born, clock, ends, has_more_ends, ..Report::default() };
+            let World { owner, replica, now, .. } = &mut world;
+            owner.poll_answered(&poll.on, poll.number, Ok(&report), replica, *now);
+        }
+        world.settle();
+        world.pass(100);
+    }
+    expect_that!(world.starts, len(eq(2)));
+    expect_that!(world.replica.job(Id(1)).unwrap().has_ended(), eq(true));
+}
+
+/// As above, with runs that were stopped.
+#[gtest]
+fn a_stopped_run_whose_end_the_worker_has_not_listed_yet_counts_against_its_capacity() {
+    let mut world =
+        World::new(&["a"], vec![job(1, vec![step(4, &[])]), job(2, vec![step(4, &[])])]);
+    world.answer_polls();
+    let runs = world.started();
+    runs.iter().for_each(|run| world.answer_start(run, StartAnswer::Taken));
+    world.owner.stop_job(Id(1), world.now);
+    world.settle();
+    world.stops.clone().iter().for_each(|run| world.answer_stop(run, StopAnswer::Taken));
+    for _ in 0..3 {
+        world.pass(2000);
+        for poll in std::mem::take(&mut world.polls) {
+            let clock = world.now.get();
+            let report = Report { born: Some(1), clock, has_more_ends: true, ..Report::default() };
+            let World { owner, replica, now, .. } = &mut world;
+            owner.poll_answered(&poll.on, poll.number, Ok(&report), replica, *now);
+        }
+        world.settle();
+    }
+    expect_that!(world.starts, len(eq(4)));
+}
+
 #[gtest]
 fn a_gang_of_which_one_member_is_refused_is_stopped_as_a_whole() {
     let mut world = World::new(&["a", "b"], vec![job(1, vec![gang(6)])]);
--- a/crates/core/src/contract/owner/tests/crashes.rs
+++ b/crates/core/src/contract/owner/tests/crashes.rs
@@ -56,7 +56,7 @@
                 let here = here.filter(|s| self.accepted.contains(&s.run));
                 let running = here.map(|s| Progress { run: s.run, percent: 1 }).collect();
                 let (born, clock) = (Some(poll.on.born), self.world.now.get());
-                let report = Report { born, clock, running, ends: Vec::new() };
+                let report = Report { born, clock, running, ..Report::default() };
                 let result = if is_current { Ok(&report) } else { Err(PollError::OtherLife) };
                 let World { owner, replica, now, .. } = &mut self.world;
                 owner.poll_answered(&poll.on, poll.number, result, replica, *now);
--- a/crates/core/src/contract/owner/tests/effort.rs
+++ b/crates/core/src/contract/owner/tests/effort.rs
@@ -112,7 +112,7 @@
     let running = others.iter().map(|run| Progress { run: *run, percent: 1 }).collect();
     let end = End { run: *run, number: 1, outcome: Outcome::Done, saved: "".into() };
     let (clock, ends) = (world.now.get(), vec![end]);
-    let report = Report { born: Some(1), clock, running, ends };
+    let report = Report { born: Some(1), clock, running, ends, has_more_ends: false };
     let before = world.owner.effort();
     let now = world.now;
     world.owner.poll_answered(&poll.on, poll.number, Ok(&report), &world.replica, now);
--- a/crates/core/src/contract/owner/tests/gangs.rs
+++ b/crates/core/src/contract/owner/tests/gangs.rs
@@ -193,7 +193,7 @@
         let running = others.iter().map(|run| Progress { run: *run, percent: 1 }).collect();
         let end = End { run: *run, number, outcome: Outcome::Done, saved: "".into() };
         let (clock, ends) = (world.now.get(), vec![end]);
-        let report = Report { born: Some(1), clock, running, ends };
+        let report = Report { born: Some(1), clock, running, ends, has_more_ends: false };
         world.owner.poll_answered(&poll.on, poll.number, Ok(&report), &world.replica, world.now);
     }
     world.settle();
--- a/crates/core/src/contract/owner/tests/restarts.rs
+++ b/crates/core/src/contract/owner/tests/restarts.rs
@@ -45,7 +45,13 @@
         running.iter().map(|run| Progress { run: *run, percent: 1 }).collect();
     for poll in own {
         let (running, ends) = (running.clone(), ends.to_vec());
-        let report = Report { born: Some(born), clock: YOUNG_CLOCK + 1, running, ends };
+        let report = Report {
+            born: Some(born),
+            clock: YOUNG_CLOCK + 1,
+            running,
+            ends,
+            has_more_ends: false,
+        };
         world.owner.poll_answered(&poll.on, poll.number, Ok(&report), &world.replica, world.now);
     }
     world.polls.extend(other);
