Workers: each connection carries calls to one incarnation

Cause: a call is meant for one life of a worker, and the next life, under the same name at the same address, takes it: a poll made it discard its own ends, and the deadline of a start held its runs for longer than the owner knew.

Change: a connection ends with the process at its other end, so each one is opened with a poll that asks for nothing and carries calls only to the incarnation that answered it. specs/ends.tla states the rule.

--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -155,21 +155,46 @@
 /// A pooled connection.
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     since: Instant,
 }
 
-/// The pool of one address.
+impl Idle {
+    fn is_usable(&self, time: Duration) -> bool {
+        self.since.elapsed() < time && self.connection.0.is_ready()
+    }
+}
+
+/// The process that a caller has found at the other end of a connection, as a number that the caller
+/// chooses. A connection leads to the same process for as long as it is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Peer(pub u64);
+
+/// Stands for whichever process answers at an address.
+const ANY: Peer = Peer(0);
+
+/// An open connection that no other call uses. It is closed when it is dropped.
+#[derive(Debug)]
+pub struct Connection(SendRequest<Full<Bytes>>);
+
+/// The pool of one address and peer.
 #[derive(Debug)]
 struct Pool {
     address: String,
+    peer: Peer,
     idle: Vec<Idle>,
 }
 
+impl Pool {
+    fn key(&self) -> (&str, Peer) {
+        (&self.address, self.peer)
+    }
+}
+
 /// The pools of a client.
 #[derive(Debug, Default)]
 struct Pools {
-    /// Sorted by address.
+    /// Sorted by address and peer.
     list: Vec<Pool>,
     /// Whether a task closes the connections that expire.
     has_expiry: bool,
@@ -179,7 +204,7 @@
     /// Closes the connections that have been idle for longer than `time`. Returns whether any are left.
     fn expire(&mut self, time: Duration) -> bool {
         for pool in &mut self.list {
-            pool.idle.retain(|c| c.since.elapsed() < time && c.sender.is_ready());
+            pool.idle.retain(|idle| idle.is_usable(time));
         }
         self.list.retain(|pool| !pool.idle.is_empty());
         self.has_expiry = !self.list.is_empty();
@@ -239,23 +264,61 @@
         is_expected: impl Fn(&Reply) -> bool + Send + Sync,
     ) -> Result<Reply, Error> {
         let deadline = tokio::time::Instant::now() + Duration::from(call.timeout);
-        let connecting = tokio::time::timeout_at(deadline, self.connect(call)).await;
-        let mut sender = match connecting {
-            Ok(connected) => connected?,
-            Err(_) => return Err(unsent(call, "timed out while connecting")),
+        let idle = self.take(call.address, ANY).filter(|_| !call.new_connection);
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => self.open(call).await?,
         };
-        match tokio::time::timeout_at(deadline, exchange(&mut sender, call)).await {
-            Ok(Ok(reply)) => {
+        let left = Millis::from(deadline.saturating_duration_since(tokio::time::Instant::now()));
+        match self.call_on(&mut connection, Call { timeout: left, ..call }).await {
+            Ok(reply) => {
                 if is_expected(&reply) {
-                    self.return_to_pool(call.address, sender);
+                    self.keep(call.address, ANY, connection);
                 }
                 Ok(reply)
             }
-            Ok(Err(ExchangeError::Unsent)) if !call.new_connection => {
+            Err(Error::Unsent { .. }) if !call.new_connection => {
                 let left = deadline.saturating_duration_since(tokio::time::Instant::now());
                 let again = Call { new_connection: true, timeout: Millis::from(left), ..call };
                 Box::pin(self.call_checked(again, is_expected)).await
             }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Takes an idle connection to a peer at an address out of the pool.
+    pub fn take(&self, address: &str, peer: Peer) -> Option<Connection> {
+        let time = self.retention.time.into();
+        let mut pools = lock(&self.pools);
+        let i = pools.list.binary_search_by(|p| p.key().cmp(&(address, peer))).ok()?;
+        let idle = &mut pools.list[i].idle;
+        idle.retain(|idle| idle.is_usable(time));
+        idle.pop().map(|idle| idle.connection)
+    }
+
+    /// Opens a connection for a call, within the time limit of the call.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unsent`] when no process accepts the connection in time.
+    pub async fn open(&self, call: Call<'_>) -> Result<Connection, Error> {
+        tokio::time::timeout(call.timeout.into(), self.connect(call))
+            .await
+            .unwrap_or_else(|_| Err(unsent(call, "timed out while connecting")))
+    }
+
+    /// Makes a call on a connection and returns the response, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`]. The connection is of no use after an error.
+    pub async fn call_on(
+        &self,
+        connection: &mut Connection,
+        call: Call<'_>,
+    ) -> Result<Reply, Error> {
+        match tokio::time::timeout(call.timeout.into(), exchange(&mut connection.0, call)).await {
+            Ok(Ok(reply)) => Ok(reply),
             Ok(Err(ExchangeError::Unsent)) => {
                 Err(unsent(call, "connection closed before the call was sent"))
             }
@@ -268,6 +331,28 @@
         }
     }
 
+    /// Puts a connection to a peer at an address into the pool, unless enough are there.
+    pub fn keep(&self, address: &str, peer: Peer, connection: Connection) {
+        if connection.0.is_closed() {
+            return;
+        }
+        let mut pools = lock(&self.pools);
+        let list = &mut pools.list;
+        let i = match list.binary_search_by(|p| p.key().cmp(&(address, peer))) {
+            Ok(i) => i,
+            Err(i) => {
+                list.insert(i, Pool { address: address.into(), peer, idle: Vec::new() });
+                i
+            }
+        };
+        if list[i].idle.len() < self.retention.connections {
+            list[i].idle.push(Idle { connection, since: Instant::now() });
+        }
+        if !std::mem::replace(&mut pools.has_expiry, true) {
+            tokio::spawn(expire(Arc::downgrade(&self.pools), self.retention.time.into()));
+        }
+    }
+
     /// Posts a message and returns the decoded response, both as MessagePack.
     ///
     /// # Errors
@@ -310,17 +395,10 @@
 
     /// Closes the pooled connections to an address.
     pub fn forget(&self, address: &str) {
-        let mut pools = lock(&self.pools);
-        if let Ok(i) = pools.list.binary_search_by(|p| p.address.as_str().cmp(address)) {
-            pools.list.remove(i);
-        }
+        lock(&self.pools).list.retain(|pool| pool.address != address);
     }
 
-    async fn connect(&self, call: Call<'_>) -> Result<SendRequest<Full<Bytes>>, Error> {
-        let idle = self.idle(call.address);
-        if let Some(sender) = idle.filter(|_| !call.new_connection) {
-            return Ok(sender);
-        }
+    async fn connect(&self, call: Call<'_>) -> Result<Connection, Error> {
         let stream = TcpStream::connect(call.address).await.map_err(|e| not_connected(call, &e))?;
         stream.set_nodelay(true).map_err(|e| unsent(call, &e.to_string()))?;
         let stream = Counted::new(stream, Arc::clone(&self.traffic));
@@ -332,37 +410,7 @@
                 tracing::debug!(%error, "client connection closed with an error");
             }
         });
-        Ok(sender)
-    }
-
-    fn idle(&self, address: &str) -> Option<SendRequest<Full<Bytes>>> {
-        let time = self.retention.time.into();
-        let mut pools = lock(&self.pools);
-        let i = pools.list.binary_search_by(|p| p.address.as_str().cmp(address)).ok()?;
-        let idle = &mut pools.list[i].idle;
-        idle.retain(|c| c.since.elapsed() < time && c.sender.is_ready());
-        idle.pop().map(|c| c.sender)
-    }
-
-    fn return_to_pool(&self, address: &str, sender: SendRequest<Full<Bytes>>) {
-        if sender.is_closed() {
-            return;
-        }
-        let mut pools = lock(&self.pools);
-        let list = &mut pools.list;
-        let i = match list.binary_search_by(|p| p.address.as_str().cmp(address)) {
-            Ok(i) => i,
-            Err(i) => {
-                list.insert(i, Pool { address: address.into(), idle: Vec::new() });
-                i
-            }
-        };
-        if list[i].idle.len() < self.retention.connections {
-            list[i].idle.push(Idle { sender, since: Instant::now() });
-        }
-        if !std::mem::replace(&mut pools.has_expiry, true) {
-            tokio::spawn(expire(Arc::downgrade(&self.pools), self.retention.time.into()));
-        }
+        Ok(Connection(sender))
     }
 }
 
--- a/tests/specs.rs
+++ b/tests/specs.rs
@@ -167,6 +167,18 @@
     rejects("configuration", "configuration-proof", &[("Skipped", &skipped("forwarded"))]);
 }
 
+#[gtest]
+fn ends_hold() {
+    holds("ends", "ends", &[]);
+}
+
+#[gtest]
+fn ends_need_their_guards() {
+    for guard in ["recorded", "connection"] {
+        rejects("ends", "ends", &[("Skipped", &skipped(guard))]);
+    }
+}
+
 #[gtest]
 fn shard_holds() {
     holds("shard", "shard", &[]);
