--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -219,6 +219,9 @@
     next_offset: u64,
     /// When a snapshot was last saved or attempted, or this daemon started.
     snapshot_at: Millis,
+    /// Whether no record that is in no snapshot can be older than `snapshot_at`. Not after records were found
+    /// at the start, until the next snapshot.
+    knows_snapshot_age: bool,
     /// Number of the last snapshot that this daemon tried to save.
     snapshot_tried: u64,
     /// Size of the log after the last snapshot, or after the last attempt.
@@ -254,6 +257,7 @@
             last_applied: (0, 0),
             next_offset: 0,
             snapshot_at: now,
+            knows_snapshot_age: true,
             snapshot_tried: 0,
             unsaved_bytes: 0,
             load: Load::default(),
@@ -404,6 +408,7 @@
             if !self.caught_up {
                 self.caught_up = true;
                 self.owner_seen_at = now;
+                self.knows_snapshot_age &= self.next_offset == 0;
                 let jobs = self.replica.jobs().len();
                 tracing::info!(
                     next,
@@ -440,6 +445,8 @@
         }
         if applied == Applied::Saved {
             (self.snapshot_at, self.unsaved_bytes) = (now, 0);
+            // A record that was there before this process says nothing of the time.
+            self.knows_snapshot_age |= self.caught_up;
         }
         if applied == Applied::Claimed {
             self.owner_seen_at = now;
@@ -473,6 +480,7 @@
             });
             self.update_askers(now);
             self.consider_earlier_owner(now);
+            self.hasten_snapshot(now);
         }
         self.publish();
     }
--- a/crates/daemon/src/shard/steward/snapshots.rs
+++ b/crates/daemon/src/shard/steward/snapshots.rs
@@ -16,6 +16,9 @@
 /// Divides the snapshot interval to give the largest per-daemon delay. Delays differ between daemons
 /// so that usually only one of them saves.
 const STAGGER_DIVISOR: u64 = 4;
+/// Divides the snapshot interval to give the delay of the first snapshot of an owner that does not know the age
+/// of the last one. It leaves the owner time to take over.
+const UNKNOWN_AGE_DIVISOR: u64 = 4;
 
 impl State {
     /// Replaces the replica by a snapshot. Any tenure ends, because its decisions were based on the
@@ -23,6 +26,7 @@
     pub(super) fn restore(&mut self, snapshot: Snapshot, now: Millis) {
         (self.last_applied, self.next_offset, self.snapshot_at) =
             (snapshot.taken, snapshot.offset, now);
+        self.knows_snapshot_age = false;
         self.replica = snapshot.restore(now);
         self.unsaved_bytes = 0;
         self.caught_up = false;
@@ -33,11 +37,27 @@
         self.publish();
     }
 
+    /// Makes a snapshot due soon if this process can't know how long ago the last one was saved. Processes that
+    /// live for a short time would otherwise follow each other until the log expires. Only the owner does
+    /// so: after a loss of single daemons another one saves in time.
+    pub(super) fn hasten_snapshot(&mut self, now: Millis) {
+        if !self.knows_snapshot_age {
+            self.knows_snapshot_age = true;
+            let every = self.snapshot_interval();
+            let delay = Millis(every.get() / UNKNOWN_AGE_DIVISOR);
+            self.snapshot_at = now.since((every + every).since(delay));
+        }
+    }
+
+    fn snapshot_interval(&self) -> Millis {
+        Millis(self.duty.retention.get() / SNAPSHOTS_PER_RETENTION)
+    }
+
     /// Saves a snapshot when one is due, by time or by the growth of the log. The owner's replica may
     /// be ahead of its log offset, since acknowledged records are applied before they are read back.
     /// It therefore waits twice as long, so that another daemon saves first if there is one.
     pub(super) fn consider_snapshot(&mut self, now: Millis) {
-        let every = Millis(self.duty.retention.get() / SNAPSHOTS_PER_RETENTION);
+        let every = self.snapshot_interval();
         let stagger = Millis(self.duty.nonce % (1 + every.get() / STAGGER_DIVISOR));
         let stagger_bytes =
             STAGGER_BYTES * usize::from(self.duty.nonce.to_be_bytes()[0]) / usize::from(u8::MAX);
