--- a/crates/daemon/src/shard/orders.rs
+++ b/crates/daemon/src/shard/orders.rs
@@ -4,11 +4,11 @@
 //! was lost, arrives later, or only its answer was lost. A limited number of orders is in flight to each
 //! worker; further ones wait. A status poll never waits, and the owner sends one at a time to each.
 
-mod link;
+mod lane;
 #[cfg(test)]
 mod tests;
 
-pub use link::MAX_CALLS_TO_WORKER;
+pub use lane::MAX_CALLS_TO_WORKER;
 
 use super::border::Workers;
 use super::metrics::Metrics;
@@ -16,7 +16,7 @@
 use super::view;
 use crate::duty::Duty;
 use crate::ring::{Receiver, Sender};
-use link::Links;
+use lane::Lanes;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::order::{Order, Start, Stop};
 use pimentovalve_core::contract::owner::{StartAnswer, StopAnswer};
@@ -64,7 +64,7 @@
 
     fn run(self: Box<Self>, stop: CancellationToken) -> Pending<'static, ()> {
         Box::pin(async move {
-            let mut links = Links::default();
+            let mut lanes = Lanes::default();
             loop {
                 let call = tokio::select! {
                     () = stop.cancelled() => return,
@@ -74,8 +74,8 @@
                 let (workers, metrics) = (Arc::clone(&self.workers), Arc::clone(&self.metrics));
                 let steward = self.steward.clone();
                 let place = match &call.order {
-                    Order::Start(start) => Some(links.place(&start.address)),
-                    Order::Stop(stop) => Some(links.place(&stop.address)),
+                    Order::Start(start) => Some(lanes.place(&start.address)),
+                    Order::Stop(stop) => Some(lanes.place(&stop.address)),
                     Order::Poll(_) => None,
                 };
                 // The number of tasks is bounded: the owner has at most one call in flight for each
--- a/crates/daemon/src/shard/orders/tests.rs
+++ b/crates/daemon/src/shard/orders/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of orders that get no answer, and of the number of orders in flight.
 
-use super::link::MAX_ORDERS;
+use super::lane::MAX_ORDERS;
 use super::{Call, FIRST_TIMEOUT, MAX_START_AGE, Orders, SECOND_TIMEOUT, send};
 use crate::duty::Duty;
 use crate::ring;
--- a/crates/daemon/src/shard/steward/notices.rs
+++ b/crates/daemon/src/shard/steward/notices.rs
@@ -49,7 +49,7 @@
 }
 
 /// Logs that another incarnation of a worker than the one that was meant has answered a status poll, with
-/// what the poll said to it.
+/// what the poll was to say. The adapter may have left it out.
 pub(super) fn log_poll(poll: &Poll, report: &Result<Report, PollError>, epoch: u64) {
     let Incarnation { worker, born } = &*poll.on;
     let Ok(Report { born: Some(by), .. }) = report else { return };
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -267,7 +267,7 @@
         let idle = self.take(call.address, ANY).filter(|_| !call.new_connection);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => self.open(call).await?,
+            None => self.open(call.address, call.timeout).await?,
         };
         let left = Millis::from(deadline.saturating_duration_since(tokio::time::Instant::now()));
         match self.call_on(&mut connection, Call { timeout: left, ..call }).await {
@@ -296,15 +296,15 @@
         idle.pop().map(|idle| idle.connection)
     }
 
-    /// Opens a connection for a call, within the time limit of the call.
+    /// Opens a connection to the server at `address` within `timeout`.
     ///
     /// # Errors
     ///
     /// [`Error::Unsent`] when no process accepts the connection in time.
-    pub async fn open(&self, call: Call<'_>) -> Result<Connection, Error> {
-        tokio::time::timeout(call.timeout.into(), self.connect(call))
+    pub async fn open(&self, address: &str, timeout: Millis) -> Result<Connection, Error> {
+        tokio::time::timeout(timeout.into(), self.connect(address))
             .await
-            .unwrap_or_else(|_| Err(unsent(call, "timed out while connecting")))
+            .unwrap_or_else(|_| Err(unsent(address, "timed out while connecting")))
     }
 
     /// Makes a call on a connection and returns the response, whatever its status.
@@ -320,7 +320,7 @@
         match tokio::time::timeout(call.timeout.into(), exchange(&mut connection.0, call)).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(ExchangeError::Unsent)) => {
-                Err(unsent(call, "connection closed before the call was sent"))
+                Err(unsent(call.address, "connection closed before the call was sent"))
             }
             Ok(Err(ExchangeError::Unknown(message))) => Err(unknown(call, message)),
             Err(_) => {
@@ -383,7 +383,7 @@
         key: Option<&str>,
     ) -> Result<R, Error> {
         let call = Call::post(address, path, &[], timeout);
-        let body = codec::pack(message).map_err(|e| unsent(call, &e.to_string()))?;
+        let body = codec::pack(message).map_err(|e| unsent(call.address, &e.to_string()))?;
         let reply = self.call(Call { body: &body, key, ..call }).await?;
         if reply.status != 200 {
             let message = String::from_utf8_lossy(&reply.body).chars().take(200).collect();
@@ -398,13 +398,13 @@
         lock(&self.pools).list.retain(|pool| pool.address != address);
     }
 
-    async fn connect(&self, call: Call<'_>) -> Result<Connection, Error> {
-        let stream = TcpStream::connect(call.address).await.map_err(|e| not_connected(call, &e))?;
-        stream.set_nodelay(true).map_err(|e| unsent(call, &e.to_string()))?;
+    async fn connect(&self, address: &str) -> Result<Connection, Error> {
+        let stream = TcpStream::connect(address).await.map_err(|e| not_connected(address, &e))?;
+        stream.set_nodelay(true).map_err(|e| unsent(address, &e.to_string()))?;
         let stream = Counted::new(stream, Arc::clone(&self.traffic));
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|e| unsent(call, &e.to_string()))?;
+            .map_err(|e| unsent(address, &e.to_string()))?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "client connection closed with an error");
@@ -475,13 +475,13 @@
     Ok(Reply { status, tag, body: body.to_bytes() })
 }
 
-fn unsent(call: Call<'_>, message: &str) -> Error {
-    Error::Unsent { address: call.address.into(), is_refused: false, message: message.into() }
+fn unsent(address: &str, message: &str) -> Error {
+    Error::Unsent { address: address.into(), is_refused: false, message: message.into() }
 }
 
-fn not_connected(call: Call<'_>, error: &std::io::Error) -> Error {
+fn not_connected(address: &str, error: &std::io::Error) -> Error {
     let is_refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
-    Error::Unsent { address: call.address.into(), is_refused, message: error.to_string() }
+    Error::Unsent { address: address.into(), is_refused, message: error.to_string() }
 }
 
 fn unknown(call: Call<'_>, message: String) -> Error {
