--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -219,8 +219,8 @@
     next_offset: u64,
     /// When a snapshot was last saved or attempted, or this daemon started.
     snapshot_at: Millis,
-    /// Whether no record that is in no snapshot can be older than `snapshot_at`. Not after records were found
-    /// at the start, until the next snapshot.
+    /// Whether the records that are in no snapshot were all appended after `snapshot_at`. Unknown, so false, once
+    /// the process has found records at its start, until it sees a snapshot being saved.
     knows_snapshot_age: bool,
     /// Number of the last snapshot that this daemon tried to save.
     snapshot_tried: u64,
