Teams: keys, quotas and rates from the configuration to the owner's account

Cause: the configuration's teams and their keys were not decoded, so callers with any key or none were served, nothing limited what a team had running, and work beyond a team's rate took the room of work that was owed.

Change: `contract::roster` holds the checked teams and keys of a version; a policy names the team of its caller, in an encoding that earlier builds read; the owner keeps an account for each team, derived from its runs, and ranks what is beyond a team's rate after all that is owed. A caller without a known key is answered 401, or 503 while the configuration is too old to say so. A step that its team's quota can never hold is refused at once.

Not measured yet.

--- a/crates/core/benches/owner/fleet.rs
+++ b/crates/core/benches/owner/fleet.rs
@@ -265,6 +265,7 @@
             stretch_milli: 2000,
             slack_ms: Millis(1000),
             advisor_timing: Some(queue.advisor),
+            team: None,
         };
         let id = Id(self.jobs.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let raw = Raw { id, policy, payload: "x".into(), steps: vec![step], schedule: None };
--- a/crates/core/src/contract.rs
+++ b/crates/core/src/contract.rs
@@ -14,6 +14,7 @@
 pub mod policy;
 pub mod queue;
 pub mod request;
+pub mod roster;
 pub mod scheduler;
 pub mod share;
 pub mod status;
--- a/crates/core/src/contract/catalog.rs
+++ b/crates/core/src/contract/catalog.rs
@@ -1,6 +1,7 @@
 //! The queues that are open to callers in one version of the platform's configuration.
 
 use crate::clock::Millis;
+use crate::contract::roster::Roster;
 use crate::contract::work::Policy;
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +16,8 @@
     pub policy: Policy,
     /// Time within which a caller's request must be answered.
     pub timeout_ms: Millis,
+    /// Whether callers need no key although there are teams.
+    pub is_public: bool,
 }
 
 /// Limits on the connections and requests of callers.
@@ -39,13 +42,15 @@
     queues: Vec<Queue>,
     /// Limits on the connections and requests of callers.
     pub bounds: Bounds,
+    /// The teams among which the workers are shared, and their callers' keys.
+    pub roster: Roster,
 }
 
 impl Catalog {
     /// Returns a catalog of `queues`, which may be in any order.
-    pub fn new(version: u64, mut queues: Vec<Queue>, bounds: Bounds) -> Self {
+    pub fn new(version: u64, mut queues: Vec<Queue>, bounds: Bounds, roster: Roster) -> Self {
         queues.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
-        Self { version, queues, bounds }
+        Self { version, queues, bounds, roster }
     }
 
     /// Returns the queue of `host` with the longest prefix of `path`, and the rest of the path
--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -14,6 +14,7 @@
 //! - The capacity of a run counts as used until the worker reports its end, the worker restarts
 //!   (a new incarnation, [`Incarnation`]), or the last lease under which the run can execute has expired.
 
+mod account;
 pub mod advice;
 mod answer;
 mod backlog;
@@ -33,11 +34,14 @@
 mod wait;
 
 use crate::clock::Millis;
-use crate::contract::work::{Outcome, StepId, Task};
+use crate::contract::roster::Roster;
+use crate::contract::work::{Outcome, Step, StepId, Task};
 use crate::ledger::shard::replica::{Applied, Replica};
 use crate::ledger::shard::{Entry, Incarnation, Run};
 use crate::machine::capacity::Capacity;
 use crate::machine::host::{self, Host, WorkerEntry};
+use crate::name::Name;
+use account::Accounts;
 use advice::Queries;
 use backlog::Backlog;
 use order::{Order, Start, StopReason};
@@ -112,6 +116,8 @@
 struct Running {
     run: Run,
     on: Arc<Incarnation>,
+    /// The team whose quota it counts against.
+    team: Option<Name>,
     needs: Capacity,
     phase: Phase,
     ticket: Option<Box<str>>,
@@ -162,6 +168,8 @@
     /// Single tasks that were started while a gang of a higher priority that could still meet its
     /// objective had no turn, because as many gangs as may gathered room.
     pub overtaking: u64,
+    /// Steps that had no turn in a placement pass because of their team's quota.
+    pub over_quota: u64,
 }
 
 /// Processor time of the workers that accept work, in thousandths of a core.
@@ -185,6 +193,7 @@
     /// Runs whose worker is not known in the incarnation that they were started on, sorted.
     strays: Vec<Run>,
     backlog: Backlog,
+    accounts: Accounts,
     /// Tasks under which one more crash of a worker makes their jobs fail, sorted.
     suspects: Vec<Task>,
     queries: Queries,
@@ -219,6 +228,7 @@
             runs: Runs::default(),
             strays: Vec::new(),
             backlog: Backlog::default(),
+            accounts: Accounts::default(),
             suspects: crash::suspects(replica),
             queries: Queries::default(),
             last_poll: 0,
@@ -233,8 +243,7 @@
             is_dirty: true,
         };
         for (run, on) in replica.placed() {
-            let needs = needs_of(replica, &run);
-            owner.insert(Running::recovered(run, on, needs, now));
+            owner.insert(Running::recovered(run, on, replica, now));
         }
         owner.notice_recovered_runs(replica);
         owner.stop_runs_of_ended_jobs(replica, now);
@@ -287,6 +296,17 @@
         }
     }
 
+    /// Sets the teams of the configuration in force. Until the first call no work of a team starts.
+    pub fn update_teams(&mut self, roster: &Roster) {
+        self.accounts.update(roster);
+        self.is_dirty = true;
+    }
+
+    /// Returns the number of open jobs beyond the rates of their teams.
+    pub const fn beyond_count(&self) -> usize {
+        self.accounts.beyond_count()
+    }
+
     /// Handles an entry of this owner that is recorded in the log and applied to `replica`.
     pub fn entry_recorded(&mut self, entry: &Entry, replica: &Replica, now: Millis) {
         match entry {
@@ -509,6 +529,9 @@
 
     fn insert(&mut self, running: Running) {
         if let Err(i) = self.run_index(&running.run) {
+            if let Some(team) = &running.team {
+                self.accounts.add(team, &running.needs);
+            }
             match self.host_mut(&running.on) {
                 Some(host) => host.add(running.run, &running.needs),
                 None => self.add_stray(running.run),
@@ -522,6 +545,9 @@
     fn release_capacity(&mut self, i: usize) {
         let needs = std::mem::take(&mut self.runs[i].needs);
         let on = Arc::clone(&self.runs[i].on);
+        if let Some(team) = &self.runs[i].team {
+            self.accounts.remove(team, &needs);
+        }
         self.turnover.release(needs.cpu_milli);
         self.releases += 1;
         let releases = self.releases;
@@ -577,11 +603,14 @@
         self.has_begun && !self.has_open_order
     }
 
-    fn recovered(run: Run, on: Arc<Incarnation>, needs: Capacity, now: Millis) -> Self {
+    /// Returns a run that another owner has recorded, or that a worker lists.
+    fn recovered(run: Run, on: Arc<Incarnation>, replica: &Replica, now: Millis) -> Self {
+        let job = replica.job(run.task.step_id.job);
         Self {
             run,
             on,
-            needs,
+            team: job.and_then(|state| state.job.policy.team.clone()),
+            needs: needs_of(replica, &run),
             phase: Phase::Working { since: BEFORE_FIRST_POLL },
             ticket: None,
             valid_until: Millis::MAX,
@@ -596,11 +625,11 @@
     }
 }
 
-fn step_of<'a>(replica: &'a Replica, step_id: &StepId) -> Option<&'a crate::contract::work::Step> {
+fn step_of<'a>(replica: &'a Replica, step_id: &StepId) -> Option<&'a Step> {
     replica.job(step_id.job)?.job.steps.get(usize::from(step_id.step))
 }
 
 /// Returns the capacity that a run counts against its worker, zero if its step is unknown.
 fn needs_of(replica: &Replica, run: &Run) -> Capacity {
-    step_of(replica, &run.task.step_id).map(place::counted).unwrap_or_default()
+    step_of(replica, &run.task.step_id).map(Step::counted_needs).unwrap_or_default()
 }
--- a/crates/core/src/contract/owner/backlog.rs
+++ b/crates/core/src/contract/owner/backlog.rs
@@ -3,6 +3,7 @@
 //! The list is compact and is brought up to date before each placement pass, so that a pass looks
 //! up a step in the replica only if it may place some of its tasks.
 
+use super::account::{Accounts, Arrival};
 use super::lead::Leads;
 use super::wait::{Turn, Wait, Waited};
 use super::{Owner, place};
@@ -10,6 +11,7 @@
 use crate::contract::work::{Job, StepId, Task};
 use crate::ledger::shard::replica::Replica;
 use crate::machine::capacity::Capacity;
+use crate::name::Name;
 use std::sync::Arc;
 
 /// Multiple of its objective after which a job's result has no value.
@@ -23,10 +25,14 @@
 pub(super) struct Rank {
     /// Whether the job can't finish before its result loses its value.
     is_worthless: bool,
+    /// Whether the job is beyond the rate of its team.
+    is_beyond: bool,
     /// Whether the job can't meet its objective and has no last chance; see
     /// [`Backlog::give_last_chances`].
     is_late: bool,
     priority: u32,
+    /// Whether the job's team uses more than its share of the workers.
+    is_over_share: bool,
     /// Latest first turn with which the job will probably meet its objective.
     latest_turn: Millis,
     pub(super) step_id: StepId,
@@ -37,7 +43,7 @@
 impl Rank {
     /// Returns whether the step can meet its objective and is of a higher priority than another.
     pub(super) const fn is_more_urgent(&self, other: &Self) -> bool {
-        !self.is_worthless && !self.is_late && self.priority < other.priority
+        !self.is_worthless && !self.is_beyond && !self.is_late && self.priority < other.priority
     }
 }
 
@@ -105,11 +111,17 @@
         is_news.then_some(Waited { step_id, tasks, has_started, wait })
     }
 
+    /// Returns the teams of the steps with tasks that can start, once for each step.
+    pub(super) fn waiting_teams(&self) -> impl Iterator<Item = &Name> {
+        self.steps.iter().filter(|c| c.startable > 0).filter_map(Candidate::team)
+    }
+
     /// Returns the steps with tasks that can start, in the order of placement. `cpu_milli` is the
     /// processor time of all workers, in thousandths of a core.
-    pub(super) fn ranks(&self, cpu_milli: u64, now: Millis) -> Vec<Rank> {
+    pub(super) fn ranks(&self, cpu_milli: u64, accounts: &Accounts, now: Millis) -> Vec<Rank> {
         let startable = self.steps.iter().enumerate().filter(|(_, c)| c.startable > 0);
-        let mut ranks: Vec<Rank> = startable.map(|(at, c)| c.rank(at, &self.leads, now)).collect();
+        let rank = |(at, c): (usize, &Candidate)| c.rank(at, &self.leads, accounts, now);
+        let mut ranks: Vec<Rank> = startable.map(rank).collect();
         self.give_last_chances(&mut ranks, cpu_milli * LAST_CHANCES_PERCENT / 100, now);
         ranks.sort_unstable();
         ranks
@@ -123,7 +135,7 @@
         let has_last_chance = |rank: &Rank| {
             let candidate = &self.steps[rank.at];
             let is_near_end = candidate.last_chance_after.is_some_and(|limit| now > limit);
-            is_near_end && !rank.is_worthless
+            is_near_end && !rank.is_worthless && !rank.is_beyond
         };
         let mut late: Vec<&mut Rank> = ranks.iter_mut().filter(|r| has_last_chance(r)).collect();
         late.sort_unstable_by_key(|rank| (self.steps[rank.at].worthless_after, rank.step_id));
@@ -140,17 +152,31 @@
 }
 
 impl Candidate {
+    /// Returns the team of the job.
+    pub(super) fn team(&self) -> Option<&Name> {
+        self.job.policy.team.as_ref()
+    }
+
+    /// Returns the arrival of the job, if the job is of a team and this is its first step.
+    fn arrival(&self) -> Option<Arrival> {
+        let is_first = self.step_id.step == 0 && self.step_id.occurrence == 0;
+        let (at, job) = (self.seen, self.job.id);
+        self.team().filter(|_| is_first).map(|team| Arrival { at, job, team: team.clone() })
+    }
+
     /// A wide gang needs more time from its first turn to its start, so that its turn has to come
     /// earlier than that of a narrow one with the same latest start.
-    fn rank(&self, at: usize, leads: &Leads, now: Millis) -> Rank {
+    fn rank(&self, at: usize, leads: &Leads, accounts: &Accounts, now: Millis) -> Rank {
         let is_after = |limit: Option<Millis>| limit.is_some_and(|limit| now > limit);
         let policy = &self.job.policy;
         let lead =
             if self.is_gang { leads.expected(&policy.queue, self.tasks) } else { Millis::ZERO };
         Rank {
             is_worthless: is_after(self.worthless_after),
+            is_beyond: self.team().is_some() && accounts.is_beyond(self.job.id),
             is_late: is_after(self.late_after),
             priority: policy.priority,
+            is_over_share: accounts.is_over_share(self.team()),
             latest_turn: self.latest_start.since(lead).max(self.seen),
             step_id: self.step_id,
             at,
@@ -164,13 +190,20 @@
     pub(super) fn update_backlog(&mut self, replica: &Replica) {
         let old = std::mem::take(&mut self.backlog.steps);
         let mut steps = Vec::with_capacity(replica.open().len());
+        let mut arrivals = Vec::new();
         let mut old = old.into_iter().peekable();
         for step_id in replica.open() {
             while let Some(closed) = old.next_if(|c| c.step_id < *step_id) {
                 self.queries.forget(&closed.step_id);
             }
             let known = old.next_if(|c| c.step_id == *step_id);
+            let added = known.is_none();
             steps.extend(known.or_else(|| self.candidate(replica, *step_id)));
+            arrivals.extend(steps.last().filter(|_| added).and_then(Candidate::arrival));
+        }
+        if !arrivals.is_empty() {
+            self.accounts.judge(arrivals);
+            self.accounts.forget_ended(replica);
         }
         old.for_each(|closed| self.queries.forget(&closed.step_id));
         let mut changed = std::mem::take(&mut self.backlog.changed);
@@ -196,7 +229,7 @@
             step_id,
             startable: self.startable(replica, &step_id).count(),
             tasks: waiting.state.tasks.len(),
-            needs: place::counted(waiting.step),
+            needs: waiting.step.counted_needs(),
             is_gang: waiting.step.gang,
             is_advised: state.job.policy.advisor_timing.is_some(),
             job: Arc::clone(&state.job),
--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -8,7 +8,7 @@
 
 use super::Owner;
 use super::advice::{Permission, Plan, TICKET_TRANSIT};
-use super::place::{Round, WaitingStep, counted, select_workers};
+use super::place::{Round, WaitingStep, select_workers};
 use super::wait::Turn;
 use crate::clock::Millis;
 use crate::contract::work::{AdvisorTiming, StepId, Task};
@@ -78,7 +78,7 @@
         if let Some(held) = roomy(&sites, count) {
             let is_asked =
                 timing.is_some_and(|t| self.renew_tickets(waiting, t, &held, round, now));
-            let needs = counted(waiting.step);
+            let needs = waiting.step.counted_needs();
             if is_asked || round.may_gather() {
                 self.hold(&held, count, &needs, round);
             }
@@ -89,7 +89,7 @@
         }
         let mut turn = round.without_turn();
         if round.may_gather() && sites.iter().map(|s| s.whole).sum::<usize>() >= count {
-            let needs = counted(waiting.step);
+            let needs = waiting.step.counted_needs();
             // Also if it can't: gangs of higher rank keep too many workers for more to gather.
             round.gather(&needs, count);
             let gathered = gather(&sites, count, |host| round.is_reserved(host));
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -19,6 +19,7 @@
 use crate::ledger::shard::{Entry, Incarnation, Run};
 use crate::machine::capacity::Capacity;
 use crate::machine::host::Host;
+use crate::name::Name;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -51,6 +52,8 @@
     reserved: Vec<Capacity>,
     /// Processor time of all workers, in thousandths of a core.
     whole: u64,
+    /// Capacity of all workers.
+    capacity: Capacity,
     /// Number of gangs that gather room.
     gathering: usize,
     /// Number of workers that were examined for gangs, once for each gang.
@@ -69,6 +72,8 @@
     room: Capacity,
     /// Indices of the workers that accept work, by pool and required label.
     eligible: Vec<Rc<Eligible>>,
+    /// Teams of which a step of higher rank waits for the quota.
+    teams_at_quota: Vec<Name>,
     /// Workers that execute suspected tasks, each with a job of such a task.
     pub(super) suspects: Vec<(usize, Id)>,
     /// Runs to record as started, grouped by worker.
@@ -138,11 +143,6 @@
     pub(super) includes: Vec<bool>,
 }
 
-/// Returns the part of a task's needs that counts against a worker's capacity.
-pub(super) const fn counted(step: &Step) -> Capacity {
-    if step.fills { Capacity { cpu_milli: 0, ..step.needs } } else { step.needs }
-}
-
 impl Owner {
     /// Runs a placement pass over the waiting steps that may get a worker or a ticket, in the order
     /// of [`Rank`](super::backlog::Rank).
@@ -150,7 +150,10 @@
         self.queries.expire(now);
         self.update_backlog(replica);
         let mut round = self.round(now);
-        for rank in self.backlog.ranks(round.whole, now) {
+        if !self.accounts.is_empty() {
+            self.accounts.update_shares(&round.capacity, self.backlog.waiting_teams());
+        }
+        for rank in self.backlog.ranks(round.whole, &self.accounts, now) {
             if round.count >= MAX_STARTS {
                 self.is_dirty = true;
                 break;
@@ -161,6 +164,13 @@
                 self.stop_gang(&rank.step_id, now);
                 continue;
             }
+            let Some(startable) = self.within_quota(candidate, &mut round) else {
+                self.effort.over_quota += 1;
+                if is_gang {
+                    self.note_turn(rank, round.without_turn(), &mut round, now);
+                }
+                continue;
+            };
             if self.is_hopeless(candidate, &round) {
                 if is_gang {
                     self.note_turn(rank, round.without_turn(), &mut round, now);
@@ -203,6 +213,27 @@
         }
     }
 
+    /// Returns how many of a step's startable tasks the quota of its team lets start now, or `None` if
+    /// the step has no turn. A step that has to wait for its quota keeps that quota free of the team's
+    /// steps of lower rank, which would otherwise keep a wide one waiting for good.
+    fn within_quota(&self, candidate: &Candidate, round: &mut Round) -> Option<usize> {
+        let Candidate { startable, tasks, needs, is_gang, .. } = candidate;
+        let Some(team) = candidate.team() else { return Some(*startable) };
+        if round.teams_at_quota.contains(team) {
+            return None;
+        }
+        let together = if *is_gang { *tasks } else { 1 };
+        let headroom = self.accounts.headroom(Some(team), needs);
+        if headroom >= together && headroom >= *startable {
+            return Some(*startable);
+        }
+        let whole = needs.times(u64::try_from(together).unwrap_or(u64::MAX));
+        if self.accounts.may_ever_run(Some(team), &whole) {
+            round.teams_at_quota.push(team.clone());
+        }
+        (headroom >= together).then_some(headroom)
+    }
+
     fn note_turn(&mut self, rank: Rank, turn: Turn, round: &mut Round, now: Millis) {
         if turn == Turn::Crowded {
             round.crowded.get_or_insert(rank);
@@ -214,13 +245,14 @@
         let reserved = vec![Capacity::ZERO; self.hosts.len()];
         let mut round = Round { reserved, ..Round::default() };
         let hosts = self.hosts.iter().filter(|h| h.takes_work(now));
-        let whole: u64 = hosts.map(|h| h.entry.capacity.cpu_milli).sum();
+        let capacity = hosts.fold(Capacity::ZERO, |sum, h| sum.plus(&h.entry.capacity));
+        let whole = capacity.cpu_milli;
         self.update_room(&mut round, now);
         let free = round.room.cpu_milli;
         let released = self.turnover.expected(QUERY_AHEAD, now).min(whole);
         round.expects_room = released > 0;
         round.suspects = self.suspect_hosts();
-        round.whole = whole;
+        (round.whole, round.capacity) = (whole, capacity);
         round.gather_budget = whole * GATHERED_PERCENT / 100;
         round.query_budget =
             free * QUERY_FREE_TENTHS / 10 + released.max(whole * QUERY_TOTAL_PERCENT / 100);
@@ -306,12 +338,12 @@
         round: &mut Round,
         now: Millis,
     ) {
-        let needs = counted(waiting.step);
+        let needs = waiting.step.counted_needs();
         let hosts = self.single_hosts(waiting, &needs, round, now);
         let mut left = startable;
         if !hosts.is_empty() {
             let tasks: Vec<Task> = self.startable(replica, &waiting.step_id).collect();
-            let mut tasks = tasks.into_iter().peekable();
+            let mut tasks = tasks.into_iter().take(startable).peekable();
             for i in hosts {
                 let has_room = |owner: &Self, round: &Round| {
                     let host = &owner.hosts[i];
@@ -378,7 +410,7 @@
 
     /// Returns how many tasks of a step fit into `room` on one worker.
     pub(super) fn fits(step: &Step, room: &Capacity) -> usize {
-        let needs = counted(step);
+        let needs = step.counted_needs();
         if !room.holds(&needs) {
             return 0;
         }
@@ -415,7 +447,8 @@
         self.insert(Running {
             run,
             on: Arc::clone(&on),
-            needs: counted(waiting.step),
+            team: waiting.job.policy.team.clone(),
+            needs: waiting.step.counted_needs(),
             phase: Phase::Recording,
             ticket,
             valid_until: valid_until.unwrap_or(Millis::MAX),
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -273,10 +273,9 @@
         if self.run_index(&run).is_ok() {
             return;
         }
-        let needs = super::needs_of(replica, &run);
         let on = Arc::new(on.clone());
         self.notice(Notice::Unknown(run, Arc::clone(&on)));
-        let recovered = Running::recovered(run, on, needs, now);
+        let recovered = Running::recovered(run, on, replica, now);
         self.insert(Running { has_begun: true, ..recovered });
         self.stop(&run, StopReason::Stray, now);
     }
--- a/crates/core/src/contract/owner/tests/effort.rs
+++ b/crates/core/src/contract/owner/tests/effort.rs
@@ -11,12 +11,13 @@
 
 /// Returns the work since `before`.
 fn since(world: &World, before: Effort) -> Effort {
-    let Effort { steps, hosts, runs, overtaking } = world.owner.effort();
+    let Effort { steps, hosts, runs, overtaking, over_quota } = world.owner.effort();
     Effort {
         steps: steps - before.steps,
         hosts: hosts - before.hosts,
         runs: runs - before.runs,
         overtaking: overtaking - before.overtaking,
+        over_quota: over_quota - before.over_quota,
     }
 }
 
--- a/crates/core/src/contract/team.rs
+++ b/crates/core/src/contract/team.rs
@@ -10,7 +10,8 @@
 pub struct Team {
     /// Unique name.
     pub name: Name,
-    /// Weight in fair queueing, at least 1.
+    /// Weight in fair queueing, at least 1. On the users' platform it is also the number of jobs a second
+    /// that the team is owed; zero if it is owed none.
     pub weight: u32,
     /// Maximum total capacity of the team's running tasks.
     pub quota: Capacity,
--- a/crates/core/src/contract/work.rs
+++ b/crates/core/src/contract/work.rs
@@ -4,6 +4,7 @@
 //! it depends on are done. The [`Policy`] of the queue is copied into the job on acceptance, so
 //! that a later configuration that changes or removes the queue does not affect accepted jobs.
 
+mod policy;
 #[cfg(test)]
 pub(crate) mod tests;
 
@@ -13,6 +14,8 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
+pub use policy::{AdvisorTiming, Policy};
+
 /// Maximum number of tasks in a step.
 pub const MAX_TASKS: u32 = 10_000;
 /// Maximum number of steps in a job.
@@ -94,37 +97,6 @@
     }
 }
 
-/// Response times of the external advisor that decides which workers may run a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AdvisorTiming {
-    /// Base response time of a query, in microseconds.
-    pub answer_us: u64,
-    /// Additional response time for each worker named in a query, in microseconds.
-    pub worker_us: u64,
-    /// Validity of a ticket from the time of the answer.
-    pub valid_ms: Millis,
-}
-
-/// Service terms of a queue for its jobs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Policy {
-    /// Name of the queue.
-    pub queue: Box<str>,
-    /// Name of the worker pool that runs its tasks.
-    pub pool: Box<str>,
-    /// Priority among the queues; 0 is the highest.
-    pub priority: u32,
-    /// Number of failed runs of a task after which the job fails.
-    pub attempts: u32,
-    /// Completion objective of a job as a multiple of its critical path, in thousandths.
-    pub stretch_milli: u64,
-    /// Constant part of the completion objective, added to the multiple.
-    pub slack_ms: Millis,
-    /// Set if the external advisor must allow the workers of each step.
-    #[serde(rename = "advised")]
-    pub advisor_timing: Option<AdvisorTiming>,
-}
-
 /// A group of identical tasks of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
@@ -164,6 +136,13 @@
     pub misses: u32,
 }
 
+impl Step {
+    /// Returns the part of a task's needs that counts against its worker and its team.
+    pub const fn counted_needs(&self) -> Capacity {
+        if self.fills { Capacity { cpu_milli: 0, ..self.needs } } else { self.needs }
+    }
+}
+
 /// Repetition of a job's steps at fixed times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
--- a/crates/core/src/contract/work/tests.rs
+++ b/crates/core/src/contract/work/tests.rs
@@ -15,6 +15,7 @@
         stretch_milli: 2000,
         slack_ms: Millis(1000),
         advisor_timing: None,
+        team: None,
     }
 }
 
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -190,6 +190,8 @@
     pub command: Command,
     /// Response timeout that the queue's configuration sets.
     pub timeout: Millis,
+    /// Whether the request was accepted because of its key.
+    pub is_keyed: bool,
 }
 
 /// Answer to a caller.
@@ -203,6 +205,8 @@
     Waiting(usize),
     /// No queue matches the request.
     NoQueue,
+    /// The request carries no key of a team that the configuration knows.
+    NoKey,
     /// The job does not exist.
     NoJob,
     /// The request can't be decoded; the findings say why.
@@ -221,7 +225,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the answer to send when no queue matches or the request can't be decoded.
+    /// Returns the answer to send when no queue matches, when the request carries no valid key, or when
+    /// it can't be decoded.
     fn decode(&self, request: &Request<'_>, catalog: &Catalog) -> Result<Decoded, Answer>;
 
     /// Returns how long the caller waits for the response, if the request states it.
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -62,6 +62,7 @@
         Answer::State(_) => "state",
         Answer::Waiting(_) => "count",
         Answer::NoQueue => "no queue",
+        Answer::NoKey => "no key",
         Answer::NoJob => "no job",
         Answer::Malformed(_) => "malformed",
         Answer::TooLarge(_) => "too large",
@@ -107,13 +108,15 @@
             Ok(_) if request.body.len() > most => Err(Answer::TooLarge(most)),
             decoded => decoded,
         };
-        let Decoded { command, timeout } = match decoded {
+        let is_old = view::now().since(covered_until) > MAX_CONFIGURATION_AGE;
+        let Decoded { command, timeout, is_keyed } = match decoded {
             Ok(decoded) => decoded,
             Err(answer) => {
                 // A newer version may allow what this one does not.
-                let is_old = view::now().since(covered_until) > MAX_CONFIGURATION_AGE;
                 let answer = match answer {
-                    Answer::NoQueue | Answer::TooLarge(_) if is_old => Answer::NotDone(RETRY_AFTER),
+                    Answer::NoQueue | Answer::NoKey | Answer::TooLarge(_) if is_old => {
+                        Answer::NotDone(RETRY_AFTER)
+                    }
                     answer => answer,
                 };
                 let (method, path, version) = (request.method, request.path, catalog.version);
@@ -121,6 +124,22 @@
                 return answer;
             }
         };
+        if is_keyed && is_old {
+            let (method, path, version) = (request.method, request.path, catalog.version);
+            tracing::info!(
+                method,
+                path,
+                version,
+                "request refused: its key may have been withdrawn"
+            );
+            return Answer::NotDone(RETRY_AFTER);
+        }
+        if let Command::Submit(job) = &command
+            && let Err(findings) = catalog.roster.check_quota(job)
+        {
+            tracing::info!(job = %job.id, version = catalog.version, %findings, "job refused: over its team's quota");
+            return Answer::Malformed(findings);
+        }
         let timeout = self.callers.timeout(request).unwrap_or(MAX_STORE_TIMEOUT).min(timeout);
         let is_slow = self.shard_status.borrow().response_time.is_slow();
         let tenths = if is_slow { SLOW_STORE_TIMEOUT_TENTHS } else { STORE_TIMEOUT_TENTHS };
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -51,7 +51,8 @@
                     configuration.covered_until = began;
                     if let Some(newer) = newer {
                         let (version, queues) = (newer.version, newer.queues().len());
-                        tracing::info!(version, queues, "configuration in force");
+                        let (teams, keys) = (newer.roster.teams().len(), newer.roster.key_count());
+                        tracing::info!(version, queues, teams, keys, "configuration in force");
                         configuration.catalog = Some(Arc::new(newer));
                     }
                 });
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -142,7 +142,7 @@
         let reader = Reader { steward: events_in.clone(), shard_status: shard_status.clone() };
         let callers = Front {
             callers: Arc::clone(&platform.callers),
-            configuration,
+            configuration: configuration.clone(),
             intake: intake_in,
             inquiries: Inquiries::new(reader.clone(), peers.clone()),
             metrics: Arc::clone(&metrics),
@@ -179,6 +179,7 @@
             retention: settings.retention,
             takeover: settings.allotment.takeover(),
             drain: drain.clone(),
+            configuration,
             events,
             ledger: appends_in,
             orders: orders_in,
--- a/crates/daemon/src/shard/orders/tests.rs
+++ b/crates/daemon/src/shard/orders/tests.rs
@@ -109,6 +109,7 @@
         stretch_milli: 1500,
         slack_ms: Millis(600),
         advisor_timing: None,
+        team: None,
     };
     let (payload, steps) = ("".into(), Vec::new());
     let job = Arc::new(Job { id: Id(1), policy, payload, steps, schedule: None });
--- a/crates/daemon/src/shard/ready/tests.rs
+++ b/crates/daemon/src/shard/ready/tests.rs
@@ -4,6 +4,7 @@
 use googletest::prelude::*;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::{Bounds, Catalog};
+use pimentovalve_core::contract::roster::Roster;
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
@@ -16,7 +17,7 @@
         ShardStatus { caught_up: true, log_read_at, covered_until, ..ShardStatus::default() };
     let bounds =
         Bounds { header_bytes: 1, body_bytes: 1, header_ms: Millis(1), idle_ms: Millis(1) };
-    let catalog = Some(Arc::new(Catalog::new(1, Vec::new(), bounds)));
+    let catalog = Some(Arc::new(Catalog::new(1, Vec::new(), bounds, Roster::default())));
     let (_, shard_status) = ring::latest(status);
     let (_, configuration) = ring::latest(Configuration { catalog, covered_until });
     Ready { shard_status, configuration, draining: CancellationToken::new() }
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -11,15 +11,16 @@
 mod peers;
 mod recorded;
 mod snapshots;
+mod teams;
 
 use super::advice::Ask;
 use super::border::Member;
 use super::ledger::Append;
 use super::metrics::Metrics;
 use super::orders::Call;
-use super::view::{self, Peers, ShardStatus};
+use super::view::{self, Configuration, Peers, ShardStatus};
 use crate::duty::Duty;
-use crate::ring::{Publisher, Receiver, Reply, Sender};
+use crate::ring::{Latest, Publisher, Receiver, Reply, Sender};
 use effects::log_start;
 use load::Load;
 use peers::Peer;
@@ -142,6 +143,8 @@
     pub takeover: Millis,
     /// Cancelled when a planned stop begins; the steward then releases the shard.
     pub drain: CancellationToken,
+    /// Configuration in force.
+    pub configuration: Latest<Configuration>,
     /// Events from the other duties.
     pub events: Receiver<Event>,
     /// Ring to the ledger duty, for appends.
@@ -180,6 +183,8 @@
     last_record_at: Millis,
     /// Earliest time of the next placement pass.
     next_placement: Millis,
+    /// Version of the configuration whose teams the owner has; zero before the first.
+    teams_version: u64,
 }
 
 struct State {
@@ -477,6 +482,7 @@
                 last_sequence: 0,
                 last_record_at: now,
                 next_placement: now,
+                teams_version: 0,
             });
             self.update_askers(now);
             self.consider_earlier_owner(now);
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -25,11 +25,12 @@
     /// another daemon owns the shard.
     pub(super) fn run_owner(&mut self) {
         let now = view::now();
+        let is_configured = self.update_teams(now);
         let Some(tenure) = &mut self.tenure else { return };
         let epoch = tenure.epoch;
         // By an older list, tasks might start on a worker that drains.
         let is_listed = now.since(self.workers_listed_at) <= MAX_LIST_AGE;
-        if !is_listed {
+        if !is_listed || !is_configured {
             self.load.add_held_pass();
         } else if now >= tenure.next_placement {
             let began = Instant::now();
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -75,6 +75,8 @@
             hosts_examined = effort.hosts.saturating_sub(before.hosts),
             runs_examined = effort.runs.saturating_sub(before.runs),
             overtaking = effort.overtaking.saturating_sub(before.overtaking),
+            over_quota = effort.over_quota.saturating_sub(before.over_quota),
+            beyond_rate = tenure.owner.beyond_count(),
             open_steps = self.replica.open().len(),
             runs = tenure.owner.run_count(),
             workers = tenure.owner.hosts().len(),
--- a/crates/daemon/src/shard/steward/notices/tests.rs
+++ b/crates/daemon/src/shard/steward/notices/tests.rs
@@ -57,6 +57,7 @@
         stretch_milli: 1500,
         slack_ms: Millis(600),
         advisor_timing: None,
+        team: None,
     };
     let (payload, steps) = ("".into(), Vec::new());
     let job = Job { id: Id(1), policy, payload, steps, schedule: None };
