Relay: the configuration by way of a peer

Cause: a daemon that the store turns away answers 503 to every caller once its configuration is older than a key may be served, and an owner in this state starts nothing.

Change: while its own reads fail, a daemon asks the owner and then other peers for the configuration, on a new path of the interface for peers. What an answer covers is decided in `shard::relay`, without I/O. A peer with an older view, or of an earlier build, changes nothing.

--- a/crates/daemon/src/shard.rs
+++ b/crates/daemon/src/shard.rs
@@ -24,5 +24,6 @@
 pub mod orders;
 pub mod peer;
 pub mod ready;
+pub mod relay;
 pub mod steward;
 pub mod view;
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -197,7 +197,13 @@
                     claimed,
                     answered,
                 )),
-                tokio::spawn(follow::catalog(Arc::clone(&store), configuration)),
+                tokio::spawn(follow::catalog(Arc::clone(&store), configuration.clone())),
+                tokio::spawn(follow::relayed_catalog(
+                    Arc::clone(&client),
+                    configuration,
+                    peers.clone(),
+                    shard_status.clone(),
+                )),
                 tokio::spawn(follow::workers(
                     Arc::clone(&store),
                     steward.clone(),
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -1,14 +1,17 @@
 //! Loops that follow the configuration, the list of workers, the list of members and the owner.
 //!
+//! [`relayed_catalog`] asks peers for the configuration while the store turns this daemon away.
 //! [`owner`] learns whether the owner can go on, [`successor`] who owns the shard while the log can't
 //! be read.
 
 use super::{Backoff, OutageLog, TENURE_PATH};
 use crate::ring::{Latest, Publisher, Sender};
 use crate::shard::border::{self, Member, Store};
+use crate::shard::relay::{self, CONFIGURATION_PATH, Offer, Search};
 use crate::shard::steward::Event;
 use crate::shard::view::{self, Configuration, Peers, ShardStatus};
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::ledger::shard::succession::{self, Standing, Tenure};
 use pimentovalve_wire::http::client::{Client, Error};
 use std::sync::Arc;
@@ -45,17 +48,7 @@
             Ok(newest) => {
                 outage.regained();
                 backoff.reset();
-                let current = configuration.borrow().catalog.as_ref().map_or(0, |c| c.version);
-                let newer = newest.filter(|n| n.version > current);
-                configuration.send_modify(|configuration| {
-                    configuration.covered_until = began;
-                    if let Some(newer) = newer {
-                        let (version, queues) = (newer.version, newer.queues().len());
-                        let (teams, keys) = (newer.roster.teams().len(), newer.roster.key_count());
-                        tracing::info!(version, queues, teams, keys, "configuration in force");
-                        configuration.catalog = Some(Arc::new(newer));
-                    }
-                });
+                publish(&configuration, newest, began, "store");
             }
             Err(failure) => {
                 outage.lost(&failure);
@@ -65,6 +58,66 @@
     }
 }
 
+/// Publishes what a read or a peer said about the configuration.
+fn publish(
+    configuration: &Publisher<Configuration>,
+    catalog: Option<Catalog>,
+    covered_until: Millis,
+    from: &str,
+) {
+    configuration.send_modify(|configuration| {
+        if configuration.learn(catalog, covered_until)
+            && let Some(catalog) = &configuration.catalog
+        {
+            let (version, queues) = (catalog.version, catalog.queues().len());
+            let (teams, keys) = (catalog.roster.teams().len(), catalog.roster.key_count());
+            tracing::info!(version, queues, teams, keys, from, "configuration in force");
+        }
+    });
+}
+
+/// Asks peers for the configuration while this daemon's own reads of it fail. By an old one, callers
+/// whose keys were withdrawn would be served, or all callers refused.
+pub(super) async fn relayed_catalog(
+    client: Arc<Client>,
+    configuration: Publisher<Configuration>,
+    peers: Latest<Peers>,
+    shard_status: Latest<ShardStatus>,
+) {
+    let mut search = Search::default();
+    let mut is_relayed = false;
+    loop {
+        sleep(search.pause().into()).await;
+        let own = configuration.borrow().clone();
+        let peer = {
+            let (status, peers) = (shard_status.borrow(), peers.borrow());
+            let owner = if status.owns() { "" } else { &*status.owner };
+            search.peer(&own, owner, &peers, rand::random_range(0..usize::MAX), view::now())
+        };
+        let Some(peer) = peer else { continue };
+        let (asked, version) = (view::now(), own.catalog.map_or(0, |catalog| catalog.version));
+        let answer = client.exchange(&peer, CONFIGURATION_PATH, &version, relay::TIMEOUT).await;
+        let covered_until = match answer {
+            Ok(offer) => {
+                let offer: Offer = offer;
+                let covered_until = offer.covered_until(asked);
+                publish(&configuration, offer.catalog, covered_until, &peer);
+                Some(covered_until)
+            }
+            Err(error) => {
+                tracing::debug!(%peer, %error, "no configuration from a peer");
+                None
+            }
+        };
+        let helps = search.note(&peer, covered_until, view::now());
+        if helps != is_relayed {
+            let age_ms = view::now().since(configuration.borrow().covered_until).get();
+            tracing::info!(%peer, helps, age_ms, version, "configuration from a peer");
+            is_relayed = helps;
+        }
+    }
+}
+
 /// Sends the list of workers to the steward, at once when this daemon becomes owner.
 pub(super) async fn workers(
     store: Arc<dyn Store>,
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -154,6 +154,7 @@
             appends_succeed: Arc::clone(&appends_succeed),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
+            configuration: configuration.clone(),
             reader,
         };
         let [mut caller_front, mut duties, ..] = ShutdownStage::all();
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -1,6 +1,6 @@
 //! HTTP interface for peers and monitors: the owner stores entries that its peers received from
-//! callers, daemons answer their peers' inquiries and forward queries to the advisor, and monitors read
-//! metrics. The advisor
+//! callers, daemons answer their peers' inquiries, offer them the configuration and forward queries to
+//! the advisor, and monitors read metrics. The advisor
 //! answers one query at a time per daemon, so the owner also asks through its peers.
 
 use super::advice;
@@ -8,7 +8,8 @@
 use super::inquiry::{self, Inquiry, Reader};
 use super::ledger::{self, Append, Intake, Stored};
 use super::metrics::Metrics;
-use super::view::{self, ShardStatus};
+use super::relay::{CONFIGURATION_PATH, Offer};
+use super::view::{self, Configuration, ShardStatus};
 use crate::ring::{Latest, Sender};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::Query;
@@ -38,6 +39,8 @@
     pub metrics: Arc<Metrics>,
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
+    /// Configuration in force, for peers that the store turns away.
+    pub configuration: Latest<Configuration>,
     /// Answers peers' inquiries.
     pub reader: Reader,
 }
@@ -50,6 +53,7 @@
                 ledger::INTAKE_PATH => self.store(request.body).await,
                 inquiry::INQUIRY_PATH => self.answer(request.body).await,
                 ledger::TENURE_PATH => Response::pack(200, &self.tenure()),
+                CONFIGURATION_PATH => self.configuration(request.body),
                 METRICS => self.metrics(),
                 _ => Response::findings(404, &List::one("path", "is not known")),
             }
@@ -86,6 +90,17 @@
         Tenure { epoch, claim, caught_up, appends_succeed, owner }
     }
 
+    /// Offers the configuration to a peer that states which version it has.
+    fn configuration(&self, body: &[u8]) -> Response {
+        match codec::unpack::<u64>(body) {
+            Ok(version) => {
+                let configuration = self.configuration.borrow().clone();
+                Response::pack(200, &Offer::new(&configuration, version, view::now()))
+            }
+            Err(findings) => Response::findings(400, &findings),
+        }
+    }
+
     fn metrics(&self) -> Response {
         match self.metrics.text() {
             Ok(text) => Response::text(200, text),
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -79,6 +79,18 @@
     pub covered_until: Millis,
 }
 
+impl Configuration {
+    /// Takes what a read or a peer says: a version, and until when no newer one was accepted. Versions
+    /// and times only rise. Returns whether the version is newer than that in force.
+    pub fn learn(&mut self, catalog: Option<Catalog>, covered_until: Millis) -> bool {
+        self.covered_until = self.covered_until.max(covered_until);
+        let current = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        let Some(newer) = catalog.filter(|catalog| catalog.version > current) else { return false };
+        self.catalog = Some(Arc::new(newer));
+        true
+    }
+}
+
 /// Returns the reading of the steady clock: monotonic, and it counts the time for which the machine
 /// is suspended. Leases, tickets and the age of the replica therefore expire during a suspension.
 pub fn now() -> Millis {
