Quotas: what waits for the quota doesn't keep it from its team for good

Cause: a step that the quota held in part, but that no worker could run, kept the quota from all lower work of its team; so did a gang that waited for the quota which a run without an end used.

Change: only a step of which not one task, or not the whole gang, has room keeps the rest, in turns.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -362,7 +362,7 @@
     /// operation of the owner, so the caller controls how often it runs.
     pub fn schedule(&mut self, replica: &Replica, now: Millis, wall: Millis) {
         self.record_due(replica, wall);
-        if self.is_dirty || self.queries.is_due(now) {
+        if self.is_dirty || self.queries.is_due(now) || self.accounts.is_due(now) {
             self.is_dirty = false;
             self.place(replica, now);
         }
--- a/crates/core/src/contract/owner/account.rs
+++ b/crates/core/src/contract/owner/account.rs
@@ -19,6 +19,14 @@
 
 /// Time for which a team may save up jobs that it did not send.
 const RATE_INTERVAL: Millis = Millis::from_secs(1);
+/// Time for which a step that waits for its team's quota keeps what is left of it from the team's other
+/// work, while that leaves the team with under half of its quota in use; the others then have as long.
+/// Work that could run must not wait for 3 s at such a time.
+const KEEP: Millis = Millis(2500);
+/// The same while more of the quota is in use: the time of the longest usual runs.
+const LONG_KEEP: Millis = Millis::from_secs(10);
+/// Half of the whole, in the unit of [`Capacity::dominant`].
+const HALF: u64 = 500_000;
 /// One job, in the unit of [`Account::saved`].
 const JOB: u64 = 1000;
 
@@ -40,6 +48,10 @@
     is_active: bool,
     /// Whether it uses more than its share of the workers.
     is_over_share: bool,
+    /// Since when one of its steps waits for more of the quota than is left, pass after pass.
+    waits_since: Option<Millis>,
+    /// Whether one does in this pass.
+    waits: bool,
 }
 
 /// A job that was accepted for a team.
@@ -62,6 +74,8 @@
     silence: Millis,
     /// Jobs beyond the rate of their team, sorted.
     beyond: Vec<Id>,
+    /// When the quota of a team is next kept for a step, or no longer is; see [`Self::keeps_quota`].
+    next_turn: Option<Millis>,
 }
 
 impl Accounts {
@@ -109,6 +123,35 @@
         account.and_then(|account| account.quota).is_none_or(|quota| quota.holds(needs))
     }
 
+    /// Notes that a step of a team waits for more of its quota than is left. Returns whether the rest is
+    /// to be kept for it: a wide step would otherwise starve behind narrow ones. The turns change, as
+    /// what the step waits for may be a run without an end, or no worker may suit it.
+    pub(super) fn keeps_quota(&mut self, team: &Name, now: Millis) -> bool {
+        let account = self.account_mut(team);
+        account.waits = true;
+        let since = *account.waits_since.get_or_insert(now);
+        let used = account.quota.map_or(0, |quota| account.used.dominant(&quota));
+        let turn = if used < HALF { KEEP } else { LONG_KEEP };
+        let turns = now.since(since).get() / turn.get();
+        let next = since + turn.times(turns + 1);
+        self.next_turn = Some(self.next_turn.map_or(next, |turn| turn.min(next)));
+        turns.is_multiple_of(2)
+    }
+
+    /// Returns whether a placement pass is due because a turn of [`Self::keeps_quota`] has ended.
+    pub(super) fn is_due(&self, now: Millis) -> bool {
+        self.next_turn.is_some_and(|at| now >= at)
+    }
+
+    /// Begins a placement pass.
+    pub(super) fn begin_pass(&mut self) {
+        self.next_turn = None;
+        for account in &mut self.list {
+            account.waits_since = account.waits_since.filter(|_| account.waits);
+            account.waits = false;
+        }
+    }
+
     /// Judges jobs that arrived since the last call, in any order, by the rate of their teams. A time
     /// in which no job of any team arrived counts for the rate: the log could not be read, and the jobs
     /// were sent meanwhile.
@@ -214,6 +257,8 @@
             saved_at: Millis::ZERO,
             is_active: false,
             is_over_share: false,
+            waits_since: None,
+            waits: false,
         }
     }
 }
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -6,6 +6,7 @@
 //! their value count as in time. Gangs hold or gather room on workers ([`super::gang`]), and steps of
 //! lower rank are not placed there: small tasks would otherwise starve them.
 
+use super::account::Accounts;
 use super::advice::Permission;
 use super::backlog::{Candidate, Rank};
 use super::gang::{EXAMINED_PER_WORKER, GATHERED_PERCENT, MIN_GATHERING, scatter};
@@ -151,6 +152,7 @@
         self.update_backlog(replica);
         let mut round = self.round(now);
         if !self.accounts.is_empty() {
+            self.accounts.begin_pass();
             self.accounts.update_shares(&round.capacity, self.backlog.waiting_teams());
         }
         for rank in self.backlog.ranks(round.whole, &self.accounts, now) {
@@ -164,7 +166,8 @@
                 self.stop_gang(&rank.step_id, now);
                 continue;
             }
-            let Some(startable) = self.within_quota(candidate, &mut round) else {
+            let Some(startable) = within_quota(&mut self.accounts, candidate, &mut round, now)
+            else {
                 self.effort.over_quota += 1;
                 if is_gang {
                     self.note_turn(rank, round.without_turn(), &mut round, now);
@@ -213,27 +216,6 @@
         }
     }
 
-    /// Returns how many of a step's startable tasks the quota of its team lets start now, or `None` if
-    /// the step has no turn. A step that has to wait for its quota keeps that quota free of the team's
-    /// steps of lower rank, which would otherwise keep a wide one waiting for good.
-    fn within_quota(&self, candidate: &Candidate, round: &mut Round) -> Option<usize> {
-        let Candidate { startable, tasks, needs, is_gang, .. } = candidate;
-        let Some(team) = candidate.team() else { return Some(*startable) };
-        if round.teams_at_quota.contains(team) {
-            return None;
-        }
-        let together = if *is_gang { *tasks } else { 1 };
-        let headroom = self.accounts.headroom(Some(team), needs);
-        if headroom >= together && headroom >= *startable {
-            return Some(*startable);
-        }
-        let whole = needs.times(u64::try_from(together).unwrap_or(u64::MAX));
-        if self.accounts.may_ever_run(Some(team), &whole) {
-            round.teams_at_quota.push(team.clone());
-        }
-        (headroom >= together).then_some(headroom)
-    }
-
     fn note_turn(&mut self, rank: Rank, turn: Turn, round: &mut Round, now: Millis) {
         if turn == Turn::Crowded {
             round.crowded.get_or_insert(rank);
@@ -583,6 +565,32 @@
     }
 }
 
+/// Returns how many of a step's startable tasks the quota of its team lets start now, or `None` if the
+/// step has no turn. A step of which not even one task, or not the whole gang, has room in the quota
+/// keeps the rest free of the team's steps of lower rank, as long as [`Accounts::keeps_quota`] says.
+fn within_quota(
+    accounts: &mut Accounts,
+    candidate: &Candidate,
+    round: &mut Round,
+    now: Millis,
+) -> Option<usize> {
+    let Candidate { startable, tasks, needs, is_gang, .. } = candidate;
+    let Some(team) = candidate.team() else { return Some(*startable) };
+    if round.teams_at_quota.contains(team) {
+        return None;
+    }
+    let together = if *is_gang { *tasks } else { 1 };
+    let headroom = accounts.headroom(Some(team), needs);
+    if headroom >= together {
+        return Some(headroom.min(*startable));
+    }
+    let whole = needs.times(u64::try_from(together).unwrap_or(u64::MAX));
+    if accounts.may_ever_run(Some(team), &whole) && accounts.keeps_quota(team, now) {
+        round.teams_at_quota.push(team.clone());
+    }
+    None
+}
+
 /// What the workers that the advisor allows can hold of a step.
 #[derive(Default)]
 struct Allowance<'a> {
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -8,6 +8,7 @@
 mod gangs;
 mod load;
 mod notices;
+mod quotas;
 mod restarts;
 
 use super::advice::{Allowed, Query};
--- a/crates/core/src/contract/owner/tests/fleet.rs
+++ b/crates/core/src/contract/owner/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::contract::work::StepId;
+use crate::name::Name;
 
 /// Time between two steps of the simulation.
 const TICK: Millis = Millis(20);
@@ -265,6 +266,17 @@
         started.map(|(_, at)| at.since(seen))
     }
 
+    /// Returns the needs of the runs that workers execute for a team.
+    pub(super) fn used(&self, team: &Name) -> Capacity {
+        let running = self.workers.iter().flat_map(|w| &w.executions);
+        let needs = running.filter(|e| e.ends_at > self.now).filter_map(|e| {
+            let StepId { job, step, .. } = e.run.task.step_id;
+            let job = &self.replica.job(job)?.job;
+            (job.policy.team.as_ref() == Some(team)).then(|| job.steps[usize::from(step)].needs)
+        });
+        needs.fold(Capacity::ZERO, |sum, needs| sum.plus(&needs))
+    }
+
     /// Returns the number of queries about the steps of the jobs.
     pub(super) fn queries_sent(&self, jobs: std::ops::RangeInclusive<u64>) -> usize {
         self.asked.iter().filter(|(id, _)| jobs.contains(&id.0)).map(|(_, count)| count).sum()
