Succession: an owner that stops asks the daemon that should follow to claim the shard

The owner now chooses among the announced daemons (one that has been replaced while a replacement goes on, a large one, one near the store) and asks it to claim; the others wait 150 ms longer. A daemon's announced takeover time includes the distance from the store, and an owner that is far hands over once to one that is near.

A status question for a running job waits for the next read of the log, which it hastens, if the replica is older than 60 ms: the job may just have ended.

--- a/crates/core/src/ledger/shard/succession.rs
+++ b/crates/core/src/ledger/shard/succession.rs
@@ -9,6 +9,8 @@
 use crate::machine::allotment::MAX_TAKEOVER;
 use serde::{Deserialize, Serialize};
 
+pub mod field;
+
 #[cfg(test)]
 mod tests;
 
@@ -33,6 +35,13 @@
 /// one.
 const SLOW_STAGGER_READS: u64 = 16;
 
+/// Time for which the other daemons leave a released shard to the one that its owner has invited: the
+/// append of the release, a message and the append of the claim, each between regions.
+const INVITATION_WAIT: Millis = Millis(150);
+/// Appends and reads whose duration differs with the distance between the store and the owner, for each
+/// decision that a job waits for.
+const DISTANCE_CALLS: u64 = 2;
+
 /// What a daemon says about its own ownership of the shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tenure {
@@ -88,6 +97,18 @@
     }
 }
 
+/// Returns what the distance from the store adds to a daemon's takeover time, `least` being the
+/// shortest duration of its recent reads. A wrong estimate costs no more than the usual stagger.
+pub fn distance(least: Option<Millis>) -> Millis {
+    MAX_STAGGER.min(least.unwrap_or_default().times(DISTANCE_CALLS))
+}
+
+/// Returns the time without an owner after which a daemon may claim a vacant shard, apart from its claim
+/// delay. `is_released` says that an owner has given it up, which may have invited another daemon.
+pub const fn vacancy_timeout(is_released: bool) -> Millis {
+    if is_released { INVITATION_WAIT } else { Millis::ZERO }
+}
+
 /// Returns the time that a daemon waits before it claims a shard that may be claimed, so that the
 /// daemon that can serve it best claims first, and few others before they see that claim. `takeover`
 /// is the estimated time of a takeover, `nonce` a random number of the daemon.
--- a/crates/core/src/ledger/shard/succession/tests.rs
+++ b/crates/core/src/ledger/shard/succession/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the time after which the shard may be claimed.
 
-use super::{Standing, Tenure, claim_delay};
+use super::{Standing, Tenure, claim_delay, distance, vacancy_timeout};
 use crate::clock::Millis;
 use crate::link::response_time::ResponseTime;
 use googletest::prelude::*;
@@ -103,3 +103,13 @@
         expect_that!(delay, all![ge(Millis(40)), lt(Millis(160))]);
     }
 }
+
+#[gtest]
+fn the_distance_from_the_store_delays_a_claim_by_no_more_than_the_usual_stagger() {
+    expect_that!(distance(None), eq(Millis::ZERO));
+    expect_that!(distance(Some(Millis(2))), eq(Millis(4)));
+    expect_that!(distance(Some(Millis(5000))), eq(Millis(120)));
+    // A shard that nobody has released is claimed at once.
+    expect_that!(vacancy_timeout(false), eq(Millis::ZERO));
+    expect_that!(vacancy_timeout(true), lt(Standing::Absent.timeout(&ResponseTime::default())));
+}
--- a/crates/core/src/link/response_time.rs
+++ b/crates/core/src/link/response_time.rs
@@ -15,6 +15,8 @@
 /// Time-out as a multiple of the typical latency. An append waits behind others, takes as long as
 /// another read, and may be tried twice.
 const TIMEOUT_FACTOR: u64 = 8;
+/// Time for which the shortest latency is kept.
+const LEAST_WINDOW: Millis = Millis::from_secs(30);
 /// Longest time-out; callers themselves wait for 3 s.
 const MAX_TIMEOUT: Millis = Millis(3000);
 
@@ -51,3 +53,29 @@
         }
     }
 }
+
+/// Shortest latency of a dependency in the last minute: its distance, apart from what slows it down at
+/// times.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Least {
+    /// Start of the present window.
+    since: Millis,
+    /// Shortest latency of the present window and of the one before.
+    windows: [Option<Millis>; 2],
+}
+
+impl Least {
+    /// Records the latency of a response that arrived at `now`.
+    pub fn record(&mut self, took: Millis, now: Millis) {
+        let [present, before] = &mut self.windows;
+        if now.since(self.since) > LEAST_WINDOW {
+            (self.since, *before, *present) = (now, *present, None);
+        }
+        *present = Some(present.map_or(took, |p| p.min(took)));
+    }
+
+    /// Returns the shortest latency, `None` before the first response.
+    pub fn get(&self) -> Option<Millis> {
+        self.windows.into_iter().flatten().min()
+    }
+}
--- a/crates/core/src/link/response_time/tests.rs
+++ b/crates/core/src/link/response_time/tests.rs
@@ -1,4 +1,4 @@
-use super::ResponseTime;
+use super::{Least, ResponseTime};
 use crate::clock::Millis;
 use googletest::prelude::*;
 
@@ -32,3 +32,17 @@
     (0..6).for_each(|_| response_time.record(Millis(4)));
     expect_false!(response_time.is_slow());
 }
+
+#[gtest]
+fn the_shortest_latency_is_kept_for_a_minute_at_most() {
+    let mut least = Least::default();
+    expect_that!(least.get(), none());
+    let began = Millis(1_000_000);
+    for (after, took) in [(0, 60), (1, 4), (20, 90), (40, 70)] {
+        least.record(Millis(took), began + Millis::from_secs(after));
+    }
+    expect_that!(least.get(), some(eq(Millis(4))));
+    // The daemon, or the store, has moved.
+    least.record(Millis(65), began + Millis::from_secs(75));
+    expect_that!(least.get(), some(eq(Millis(65))));
+}
--- a/crates/daemon/src/shard/freshness.rs
+++ b/crates/daemon/src/shard/freshness.rs
@@ -28,6 +28,19 @@
 /// Daemons that are not the owner read the log every 200 ms.
 const READ_WAIT: Millis = Millis(600);
 
+/// Age of the replica above which a caller that asks for a running job waits for the next read of the log:
+/// the job may just have ended. Reads that callers wait for have this interval.
+const RECENT_AGE: Millis = Millis(60);
+
+/// Returns until when a caller that asked for a running job at `asked` waits for a newer read of the
+/// log, `None` if the replica is recent or a read takes too long to wait for.
+pub fn worth_waiting(status: &ShardStatus, asked: Millis) -> Option<Millis> {
+    let is_recent = asked.since(status.covered_until) <= RECENT_AGE;
+    let is_readable = status.caught_up && !status.response_time.is_slow() && !status.lags(asked);
+    let is_due = !status.owns() && !is_recent && is_readable;
+    is_due.then(|| asked + RECENT_AGE + status.response_time.typical())
+}
+
 /// What a caller is told from the replica and may have changed since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Statement {
--- a/crates/daemon/src/shard/freshness/tests.rs
+++ b/crates/daemon/src/shard/freshness/tests.rs
@@ -1,4 +1,4 @@
-use super::{Statement, Verdict};
+use super::{Statement, Verdict, worth_waiting};
 use crate::shard::view::ShardStatus;
 use googletest::prelude::*;
 use pimentovalve_core::clock::Millis;
@@ -61,3 +61,21 @@
     expect_that!(verdict(NOW), eq(Verdict::Wait(deadline)));
     expect_that!(verdict(deadline), eq(Verdict::TooOld));
 }
+
+#[gtest]
+fn a_caller_that_asks_for_a_running_job_waits_for_the_next_read_at_most() {
+    expect_that!(worth_waiting(&read(60), NOW), none());
+    let mut far = read(150);
+    far.response_time.record(Millis(70));
+    expect_that!(worth_waiting(&far, NOW), some(eq(NOW + Millis(130))));
+}
+
+#[gtest]
+fn no_caller_waits_for_an_owner_a_slow_store_or_a_replica_that_lags() {
+    expect_that!(worth_waiting(&ShardStatus { epoch: Some(1), ..read(150) }, NOW), none());
+    expect_that!(worth_waiting(&ShardStatus { caught_up: false, ..read(150) }, NOW), none());
+    let mut slow = read(150);
+    slow.response_time.record(Millis(400));
+    expect_that!(worth_waiting(&slow, NOW), none());
+    expect_that!(worth_waiting(&read(2000), NOW), none());
+}
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -163,7 +163,9 @@
         let queue = job.policy.queue.clone();
         let (tasks, core_ms) = (job.tasks(), job.effort() / 1000);
         let objective_ms = job.objective().get();
+        let asked = view::now();
         let stored = self.store(Entry::Submitted(job), until).await;
+        self.metrics.stage("stored", view::now().since(asked));
         tracing::info!(job = %id, %queue, version, tasks, core_ms, objective_ms,
             outcome = ?stored, "job submitted");
         match stored {
--- a/crates/daemon/src/shard/inquiry.rs
+++ b/crates/daemon/src/shard/inquiry.rs
@@ -4,7 +4,7 @@
 //! delays the daemon's reads, and after a start. The daemon then asks a peer: the owner, whose replica
 //! is the newest, and after it one other. A peer answers only if its own replica does not lag.
 
-use super::freshness::{Statement, Verdict};
+use super::freshness::{self, Statement, Verdict};
 use super::steward::Event;
 use super::view::{self, Peers, ShardStatus};
 use crate::ring::{self, Latest, Sender, Unanswered};
@@ -16,6 +16,7 @@
 use snafu::Snafu;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use tokio::sync::Notify;
 
 /// Path on which a daemon answers its peers' inquiries.
 pub const INQUIRY_PATH: &str = "/inquiry";
@@ -81,6 +82,8 @@
     pub steward: Sender<Event>,
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
+    /// Notified when a caller waits for a newer replica.
+    pub read_wanted: Arc<Notify>,
 }
 
 impl Reader {
@@ -118,6 +121,18 @@
             let Some(statement) = fact.statement() else { return Ok(fact) };
             let now = view::now();
             match statement.judge(&status, asked, until, now) {
+                // A running job may just have ended: the owner's record is worth a read.
+                Verdict::Current if matches!(fact, Fact::Status(Some(Status::Running))) => {
+                    let Some(limit) = freshness::worth_waiting(&status, asked) else {
+                        return Ok(fact);
+                    };
+                    self.read_wanted.notify_one();
+                    let newer = shard_status.wait_for(|s| s.covered_until > status.covered_until);
+                    // Without a newer read in time the answer stands.
+                    let is_newer =
+                        tokio::time::timeout(limit.since(now).into(), newer).await.is_ok();
+                    return if is_newer { Ok(self.look_up(inquiry).await?) } else { Ok(fact) };
+                }
                 Verdict::Current => return Ok(fact),
                 Verdict::Wait(limit) => {
                     let newer = shard_status.wait_for(|s| s.covered_until > status.covered_until);
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -6,6 +6,7 @@
 //! daemons don't all reconnect at once when the store recovers.
 
 mod follow;
+mod handover;
 mod intake;
 mod own;
 mod snapshots;
@@ -34,6 +35,10 @@
 pub const INTAKE_PATH: &str = "/intake";
 /// Path on which a daemon says whether it owns the shard.
 pub const TENURE_PATH: &str = "/tenure";
+/// Path on which an owner that has released the shard asks a daemon to claim it.
+pub const SUCCESSION_PATH: &str = "/succession";
+/// Interval between two announcements of this daemon.
+pub const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
 /// Capacity, in entries, of the ring for direct appends.
 const DIRECT_RING_CAPACITY: usize = 4096;
 /// Interval between two log reads of the owner, which needs entries that other daemons appended
@@ -41,6 +46,8 @@
 const OWNER_READ_INTERVAL: Duration = Duration::from_millis(80);
 /// Interval between two log reads of other daemons; the job states that they report are this stale.
 const READ_INTERVAL: Duration = Duration::from_millis(200);
+/// Minimum interval between two log reads of a daemon whose callers wait for a newer replica.
+const WANTED_READ_INTERVAL: Duration = Duration::from_millis(60);
 /// Timeout of an append. An append may queue behind others for two seconds in the store; retrying on
 /// another connection is usually faster.
 const APPEND_TIMEOUT: Millis = Millis(1000);
@@ -132,6 +139,8 @@
     pub peers: Latest<Peers>,
     /// Ring to the steward.
     pub steward: Sender<Event>,
+    /// Notified when a caller waits for a newer replica.
+    pub read_wanted: Arc<Notify>,
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
     /// Publishes the newest configuration to the other duties.
@@ -157,6 +166,7 @@
                 client,
                 peers,
                 steward,
+                read_wanted,
                 shard_status,
                 configuration,
                 appends_succeed,
@@ -195,6 +205,7 @@
                     steward.clone(),
                     shard_status.clone(),
                     claimed,
+                    read_wanted,
                     answered,
                 )),
                 tokio::spawn(follow::catalog(Arc::clone(&store), configuration)),
@@ -208,6 +219,7 @@
                     steward.clone(),
                     shard_status.clone(),
                 )),
+                tokio::spawn(handover::invite(Arc::clone(&client), shard_status.clone())),
                 tokio::spawn(follow::successor(
                     client,
                     steward.clone(),
@@ -310,6 +322,7 @@
     steward: Sender<Event>,
     mut shard_status: Latest<ShardStatus>,
     claimed: Arc<Notify>,
+    read_wanted: Arc<Notify>,
     answered: Publisher<Millis>,
 ) {
     sleep(replay_delay.into()).await;
@@ -356,6 +369,7 @@
                 tokio::select! {
                     () = sleep(pause) => {}
                     () = claimed.notified() => {}
+                    () = async { sleep(WANTED_READ_INTERVAL).await; read_wanted.notified().await } => {}
                     _ = shard_status.wait_for(|f| f.owns() && pause > OWNER_READ_INTERVAL) => {}
                 }
             }
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -3,7 +3,7 @@
 //! [`owner`] learns whether the owner can go on, [`successor`] who owns the shard while the log can't
 //! be read.
 
-use super::{Backoff, OutageLog, TENURE_PATH};
+use super::{ANNOUNCE_INTERVAL, Backoff, OutageLog, TENURE_PATH};
 use crate::ring::{Latest, Publisher, Sender};
 use crate::shard::border::{self, Member, Store};
 use crate::shard::steward::Event;
@@ -22,8 +22,6 @@
 /// Interval between two reads of the list of workers by other daemons. They read it only to have a
 /// recent list when they become owner.
 const LIST_INTERVAL: Duration = Duration::from_secs(3);
-/// Interval between two announcements of this daemon.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
 /// Announcements for each time that a daemon reads the list of members while it does not own the shard.
 const ROUNDS_PER_LIST: u64 = 8;
 
@@ -108,8 +106,11 @@
     for round in 0_u64.. {
         member.beat += 1;
         // A daemon that can't take the shard over now must not be offered it.
-        member.takeover =
-            if shard_status.borrow().can_own { takeover } else { border::UNKNOWN_TAKEOVER };
+        let (can_own, distance) = {
+            let status = shard_status.borrow();
+            (status.can_own, status.distance)
+        };
+        member.takeover = if can_own { takeover + distance } else { border::UNKNOWN_TAKEOVER };
         let announced = store.announce(&member).await;
         // The owner distributes calls to the advisor over the live members. The other daemons only need
         // addresses. Those that start together see each other in the second round.
@@ -128,7 +129,7 @@
                 let mut shard_status = shard_status.clone();
                 tokio::select! {
                     () = sleep(ANNOUNCE_INTERVAL) => {}
-                    _ = shard_status.wait_for(|f| f.owns() && !owns) => {}
+                    _ = shard_status.wait_for(|f| f.owns() && !owns || f.can_own != can_own) => {}
                 }
             }
             Err(failure) => {
--- a/crates/daemon/src/shard/metrics.rs
+++ b/crates/daemon/src/shard/metrics.rs
@@ -24,6 +24,7 @@
     order_ms: Histogram<u64>,
     order_wait_ms: Histogram<u64>,
     stop_ms: Histogram<u64>,
+    stage_ms: Histogram<u64>,
     entries: Counter<u64>,
 }
 
@@ -91,6 +92,10 @@
                 "pimentovalve_stop_ms",
                 "Time from the end of a job to the acknowledged stop of a run, in ms",
             ),
+            stage_ms: histogram(
+                "pimentovalve_stage_ms",
+                "Time of a stage between a job's request and its first start, in ms",
+            ),
             entries: counter("pimentovalve_entries", "Own entries in the log, by kind"),
         })
     }
@@ -118,6 +123,11 @@
         self.stop_ms.record(took.get(), &[]);
     }
 
+    /// Records the time of a stage between a job's request and the start of its first task.
+    pub fn stage(&self, stage: &'static str, took: Millis) {
+        self.stage_ms.record(took.get(), &[KeyValue::new("stage", stage)]);
+    }
+
     /// Counts entries of one kind that this daemon has recorded in the log.
     pub fn recorded(&self, kind: &'static str, count: usize) {
         self.entries.add(count as u64, &[KeyValue::new("entry", kind)]);
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -26,6 +26,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 /// Capacity of a ring, in items; holds about one second of peak load.
@@ -139,7 +140,12 @@
             configuration: configuration.clone(),
             draining: drain.clone(),
         };
-        let reader = Reader { steward: events_in.clone(), shard_status: shard_status.clone() };
+        let read_wanted = Arc::new(Notify::new());
+        let reader = Reader {
+            steward: events_in.clone(),
+            shard_status: shard_status.clone(),
+            read_wanted: Arc::clone(&read_wanted),
+        };
         let callers = Front {
             callers: Arc::clone(&platform.callers),
             configuration: configuration.clone(),
@@ -167,6 +173,7 @@
             client: Arc::new(Client::new()),
             peers,
             steward: events_in.clone(),
+            read_wanted,
             shard_status,
             configuration: configuration_in,
             appends_succeed,
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -8,6 +8,7 @@
 use super::inquiry::{self, Inquiry, Reader};
 use super::ledger::{self, Append, Intake, Stored};
 use super::metrics::Metrics;
+use super::steward::Event;
 use super::view::{self, ShardStatus};
 use crate::ring::{Latest, Sender};
 use pimentovalve_core::clock::Millis;
@@ -49,6 +50,7 @@
                 advice::ADVICE_PATH => self.advise(request.body).await,
                 ledger::INTAKE_PATH => self.store(request.body).await,
                 inquiry::INQUIRY_PATH => self.answer(request.body).await,
+                ledger::SUCCESSION_PATH => self.succeed(request.body),
                 ledger::TENURE_PATH => Response::pack(200, &self.tenure()),
                 METRICS => self.metrics(),
                 _ => Response::findings(404, &List::one("path", "is not known")),
@@ -77,6 +79,17 @@
         }
     }
 
+    /// Passes an owner's request to claim the shard on; the answer says whether the steward gets it.
+    fn succeed(&self, body: &[u8]) -> Response {
+        match codec::unpack::<u64>(body) {
+            Ok(claim) => {
+                let event = Event::Invited { claim };
+                Response::pack(200, &self.reader.steward.offer(event).is_ok())
+            }
+            Err(findings) => Response::findings(400, &findings),
+        }
+    }
+
     /// Returns what this daemon says about its own ownership.
     fn tenure(&self) -> Tenure {
         let status = self.shard_status.borrow();
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod recorded;
 mod snapshots;
+mod stages;
 mod teams;
 
 use super::advice::Ask;
@@ -36,9 +37,10 @@
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::succession::{self, Standing};
 use pimentovalve_core::ledger::shard::{Entry, Record};
-use pimentovalve_core::link::response_time::ResponseTime;
+use pimentovalve_core::link::response_time::{Least, ResponseTime};
 use pimentovalve_core::machine::host::WorkerEntry;
 use pimentovalve_wire::http::Pending;
+use stages::{Stage, Stages};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
@@ -121,6 +123,11 @@
         /// Peer address of the owner.
         address: Box<str>,
     },
+    /// The owner of the claim with this epoch has released the shard and asks this daemon to claim it.
+    Invited {
+        /// Epoch of the claim.
+        claim: u64,
+    },
     /// A caller requests the state of a job.
     Status(Id, Reply<Option<Status>>),
     /// A caller requests the number of jobs of a queue that have not started.
@@ -207,6 +214,12 @@
     append_sent_at: Millis,
     /// Latency estimate of log reads.
     response_time: ResponseTime,
+    /// Shortest duration of a log read, while the store is not slow.
+    least_read: Least,
+    /// Epoch of the claim whose owner has asked this daemon to claim the shard next.
+    invited: u64,
+    /// Epoch that this daemon has released, and address of the daemon that it asks to claim the shard.
+    successor: Option<(u64, Box<str>)>,
     caught_up: bool,
     /// Earliest time of this daemon's next claim.
     next_claim: Millis,
@@ -235,6 +248,7 @@
     /// Runs of ended jobs that may still execute, by the last count as the owner.
     leftover: Leftover,
     recorded: recorded::Runs,
+    stages: Stages,
 }
 
 impl State {
@@ -252,6 +266,9 @@
             covered_until: Millis::ZERO,
             append_sent_at: Millis::ZERO,
             response_time: ResponseTime::default(),
+            least_read: Least::default(),
+            invited: 0,
+            successor: None,
             caught_up: false,
             next_claim: Millis::ZERO,
             workers: Vec::new(),
@@ -268,6 +285,7 @@
             load: Load::default(),
             leftover: Leftover::default(),
             recorded: recorded::Runs::default(),
+            stages: Stages::default(),
         }
     }
 
@@ -303,6 +321,7 @@
     /// Stops owning the shard for good, because a planned stop has begun.
     fn drain(&mut self) {
         self.is_draining = true;
+        self.choose_successor(view::now());
         self.release();
         self.publish();
     }
@@ -325,6 +344,9 @@
                 // How long a part of a long log takes depends on its size and not on the store.
                 if self.caught_up {
                     self.response_time.record(now.since(began));
+                    if !self.response_time.is_slow() {
+                        self.least_read.record(now.since(began), now);
+                    }
                 }
                 self.apply_read(records, next, caught_up.then_some(began), now);
             }
@@ -352,6 +374,10 @@
                 self.found_owner = (claim, address);
                 self.publish();
             }
+            Event::Invited { claim } => {
+                self.invited = self.invited.max(claim);
+                self.consider_claim(now);
+            }
             Event::Status(id, reply) => {
                 // The receiver is gone when the caller has disconnected.
                 let _ = reply.send(self.replica.status(id));
@@ -362,6 +388,10 @@
             Event::Started(epoch, start, answer, clock) => {
                 let Start { on, run, .. } = *start;
                 log_start(&run, answer);
+                if matches!(answer, StartAnswer::Taken | StartAnswer::TakenOnRepeat) {
+                    let job = run.task.step_id.job;
+                    self.stages.reached(job, Stage::Begun, now, &self.duty.metrics);
+                }
                 if let Some(owner) = owner_of(&mut self.tenure, epoch) {
                     owner.start_answered(&on, &run, answer, clock, &self.replica, now);
                 }
@@ -384,6 +414,7 @@
             }
             Event::AdvisorAnswered(epoch, query, answer) => {
                 let (step, named) = (query.step_id, query.workers.len());
+                self.stages.reached(step.job, Stage::Advised, now, &self.duty.metrics);
                 let allowed = answer.as_ref().map(Vec::len);
                 tracing::info!(job = %step.job, %step, through = %query.through, named, ?allowed,
                     "advisor call finished");
@@ -444,8 +475,19 @@
                     let worker = &on.worker;
                     tracing::warn!(%job, %worker, epoch, "job given up: workers crashed under its task");
                 }
+                if let Entry::Started { runs, .. } = &entry {
+                    for run in runs {
+                        let job = run.task.step_id.job;
+                        self.stages.reached(job, Stage::Recorded, now, &self.duty.metrics);
+                    }
+                }
                 tenure.owner.entry_recorded(&entry, &self.replica, now);
             }
+            match applied {
+                Applied::Accepted(job) => self.stages.accepted(job, now),
+                Applied::Over(job) => self.stages.ended(job),
+                _ => {}
+            }
             tenure.owner.entry_applied(applied, now);
         }
         if applied == Applied::Saved {
@@ -469,6 +511,7 @@
         if let Some(tenure) = self.tenure.take() {
             tracing::info!(epoch = tenure.epoch, by = %owner, next_epoch = epoch, "ownership lost");
         }
+        self.stages.clear();
         if is_own && !self.is_draining {
             let mut owner = Owner::new(self.duty.limits, &self.replica, now);
             owner.update_workers(&self.workers, &self.replica, now);
@@ -546,7 +589,8 @@
     /// last complete read of the log, not to the present.
     fn consider_claim(&mut self, now: Millis) {
         let is_current = self.caught_up && now.since(self.log_read_at) < MAX_READ_GAP;
-        if !is_current || self.is_draining || now < self.next_claim {
+        let owns = self.tenure.is_some();
+        if !is_current || owns || self.is_draining || now < self.next_claim {
             return;
         }
         let claim = self.replica.claim();
@@ -556,12 +600,13 @@
         // Without a tenure, a claim in this instance's name is from an earlier process, which has
         // ended, or from a tenure that this process gave up.
         let is_vacant = claim.owner.is_empty() || claim.owner == self.duty.name;
-        let timeout = if is_vacant { Millis::ZERO } else { timeout };
-        let delay =
-            succession::claim_delay(self.duty.takeover, self.duty.nonce, &self.response_time);
+        let is_released = claim.owner.is_empty() && claim.epoch > 0;
+        let timeout = if is_vacant { succession::vacancy_timeout(is_released) } else { timeout };
+        let delay = succession::claim_delay(self.takeover(), self.duty.nonce, &self.response_time);
         // The process that says it does not own the shard writes no record that could be unread.
         let until = if standing == Standing::Disowned { now } else { self.log_read_at };
-        if until.since(self.owner_seen_at) < timeout + delay {
+        let is_invited = self.invited > 0 && self.invited == claim.epoch;
+        if !is_invited && until.since(self.owner_seen_at) < timeout + delay {
             return;
         }
         self.next_claim = now + CLAIM_INTERVAL;
@@ -580,6 +625,7 @@
         let claim = self.replica.claim();
         let (found, address) = &self.found_owner;
         let owner = if *found > claim.epoch { address } else { &claim.address };
+        let (claim_epoch, is_vacant) = (claim.epoch, claim.owner.is_empty());
         let (claim, owner) = (claim.epoch, owner.clone());
         let Self { caught_up, owner_seen_at, log_read_at, covered_until, response_time, .. } =
             *self;
@@ -587,6 +633,10 @@
         let owned_until = self.append_sent_at;
         let is_waiting = epoch.is_some() && !self.replica.old_leases_expired();
         let earlier_owner = self.earlier_owner.clone().filter(|_| is_waiting);
+        let distance = self.distance();
+        // The daemon is asked only once the release is in the log: its claim would fence it.
+        let is_released = |epoch| claim_epoch == epoch && is_vacant;
+        let successor = self.successor.clone().filter(|(epoch, _)| is_released(*epoch));
         let leftover = epoch.map(|_| self.leftover).unwrap_or_default();
         let shard_status = ShardStatus {
             epoch,
@@ -600,6 +650,8 @@
             owned_until,
             can_own,
             response_time,
+            distance,
+            successor,
             leftover,
         };
         self.duty.shard_status.send_replace(shard_status);
--- a/crates/daemon/src/shard/steward/effects.rs
+++ b/crates/daemon/src/shard/steward/effects.rs
@@ -1,6 +1,7 @@
 //! Executes the owner's effects: records go to the ledger duty, calls to the orders duty, queries
 //! to the advice duty. When a ring is full, the owner gets a failed answer at once.
 
+use super::stages::Stage;
 use super::{State, notices, owner_of};
 use crate::shard::advice::Ask;
 use crate::shard::freshness::MAX_LIST_AGE;
@@ -45,7 +46,15 @@
         let mut entries = Vec::new();
         for effect in effects {
             match effect {
-                Effect::Record(entry) => entries.push(entry),
+                Effect::Record(entry) => {
+                    if let Entry::Started { runs, .. } = &entry {
+                        for run in runs {
+                            let job = run.task.step_id.job;
+                            self.stages.reached(job, Stage::Decided, now, &self.duty.metrics);
+                        }
+                    }
+                    entries.push(entry);
+                }
                 Effect::QueryAdvisor(query) => self.ask(epoch, query),
                 Effect::Moved(run, to) => log_move(&run, &to),
                 Effect::Notice(notice) => notices::log(&notice, epoch, &self.replica, now),
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -62,6 +62,16 @@
         let Load {
             events, passes, held_passes, busy, placing, longest_pass, effort: before, ..
         } = std::mem::replace(&mut self.load, next);
+        let (unbegun, [advised_ms, decided_ms, recorded_ms, begun_ms]) = self.stages.take_medians();
+        tracing::info!(
+            epoch = tenure.epoch,
+            unbegun,
+            advised_ms,
+            decided_ms,
+            recorded_ms,
+            begun_ms,
+            "stages of starts"
+        );
         tracing::info!(
             epoch = tenure.epoch,
             over_ms = over.get(),
--- a/crates/daemon/src/shard/steward/peers.rs
+++ b/crates/daemon/src/shard/steward/peers.rs
@@ -2,8 +2,11 @@
 //! hands the shard over when that one can serve it better.
 
 use super::State;
-use crate::shard::border::Member;
+use crate::shard::border::{Member, UNKNOWN_TAKEOVER};
+use crate::shard::ledger::ANNOUNCE_INTERVAL;
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::ledger::shard::succession;
+use pimentovalve_core::ledger::shard::succession::field::{Candidate, Field, Incumbent};
 
 /// Time without a new announcement after which a peer gets no more queries.
 const MEMBER_TIMEOUT: Millis = Millis::from_secs(10);
@@ -12,9 +15,8 @@
 const HANDOVER_AFTER: Millis = Millis::from_secs(5);
 /// Maximum age of a peer's last announcement for a handover: one announcement interval and a read.
 const HANDOVER_MAX_AGE: Millis = Millis::from_secs(4);
-/// Minimum ratio between the estimated takeover times of this daemon and of the peer. A smaller gain
-/// is not worth the pause that a takeover costs.
-const HANDOVER_RATIO: u64 = 2;
+/// Announcements of a daemon when it starts and when it has caught up; then one follows each interval.
+const FIRST_BEATS: u64 = 2;
 /// Time after a handover in which this daemon does not claim the shard.
 const HANDOVER_GRACE: Millis = Millis::from_secs(2);
 
@@ -43,24 +45,61 @@
         self.update_askers(now);
     }
 
-    /// Releases the shard if a live peer can serve it much better: a daemon with little processor time
-    /// or a slow link owns a shard only while no larger one can.
+    /// Returns what the distance from the store adds to this daemon's takeover time.
+    pub(super) fn distance(&self) -> Millis {
+        succession::distance(self.least_read.get())
+    }
+
+    /// Returns the takeover time that this daemon announces while it can take the shard over.
+    pub(super) fn takeover(&self) -> Millis {
+        self.duty.takeover + self.distance()
+    }
+
+    /// Returns the other daemons. One that may have ended, or can't take the shard over, is there with
+    /// the takeover time of such a daemon, since its start still tells of a replacement.
+    fn field(&self, now: Millis) -> Field<'_> {
+        let others = self.peers.iter().filter(|p| p.member.name != self.duty.name);
+        let candidates = others.map(|Peer { member, seen, is_alive }| {
+            let can_own = *is_alive && now.since(*seen) < HANDOVER_MAX_AGE;
+            let intervals = member.beat.saturating_sub(FIRST_BEATS);
+            Candidate {
+                name: &member.name,
+                address: &member.address,
+                takeover: if can_own { member.takeover } else { UNKNOWN_TAKEOVER },
+                started: seen.since(Millis::from(ANNOUNCE_INTERVAL).times(intervals)),
+            }
+        });
+        Field::new(candidates.collect())
+    }
+
+    /// Chooses the daemon that shall claim the shard after this one has released it.
+    pub(super) fn choose_successor(&mut self, now: Millis) {
+        let Some(epoch) = self.tenure.as_ref().map(|t| t.epoch) else { return };
+        let field = self.field(now);
+        let is_changing = field.is_changing(now);
+        let successor = field.successor(now);
+        let peer = successor.map(|s| s.name);
+        tracing::info!(epoch, ?peer, is_changing, "successor chosen");
+        self.successor = successor.map(|s| (epoch, s.address.into()));
+    }
+
+    /// Releases the shard if a live peer can serve it much better: a daemon with little processor time,
+    /// with a slow link or far from the store owns a shard only while no other one can.
     pub(super) fn consider_handover(&mut self, now: Millis) {
         let Some(tenure) = &self.tenure else { return };
         if now.since(tenure.since) < HANDOVER_AFTER {
             return;
         }
-        let is_better = |p: &&Peer| {
-            p.is_alive
-                && now.since(p.seen) < HANDOVER_MAX_AGE
-                && p.member.takeover.times(HANDOVER_RATIO) <= self.duty.takeover
-        };
-        let Some(peer) = self.peers.iter().filter(is_better).min_by_key(|p| p.member.takeover)
-        else {
-            return;
-        };
-        let (own_ms, peer_ms) = (self.duty.takeover.get(), peer.member.takeover.get());
-        tracing::info!(peer = %peer.member.name, own_ms, peer_ms, "handing the shard over to a larger daemon");
+        let (size, takeover) = (self.duty.takeover, self.takeover());
+        let is_store_slow = self.response_time.is_slow();
+        let owner = Incumbent { size, takeover, is_store_slow };
+        let epoch = tenure.epoch;
+        let field = self.field(now);
+        let Some(peer) = field.better(&owner, now) else { return };
+        let (own_ms, peer_ms) = (takeover.get(), peer.takeover.get());
+        tracing::info!(epoch, peer = %peer.name, own_ms, peer_ms, size_ms = size.get(),
+            "handing the shard over to a larger or nearer daemon");
+        self.successor = Some((epoch, peer.address.into()));
         self.next_claim = now + HANDOVER_GRACE;
         self.release();
     }
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -44,6 +44,11 @@
     pub can_own: bool,
     /// Latency estimate of the store's log reads.
     pub response_time: ResponseTime,
+    /// What the distance from the store adds to this daemon's takeover time.
+    pub distance: Millis,
+    /// Epoch that this daemon has released, and peer address of the daemon to claim the shard next, until
+    /// it is claimed.
+    pub successor: Option<(u64, Box<str>)>,
     /// Runs of ended jobs that may still execute, while this daemon owns the shard.
     pub leftover: Leftover,
 }
