Store silent: hold callers' entries outside appends, refuse truly, probe for its return

While an append is in flight or retried, callers' entries waited in the owner's ring: their fronts timed out and answered 504 though nothing was sent. They are held by deadline now, and refused as not run when they can't be stored in time. Peers hold entries at the owner for most of their callers' time. Reads that were sent in the outage ended up to 2.5 s after it (their time-out had grown); probes on new connections notice the return and repeat them.

--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -107,6 +107,10 @@
         timeout: Millis,
     ) -> Pending<'a, Result<(), Failure>>;
 
+    /// Asks for something small, to learn whether the store answers, and waits up to `timeout`. An answer
+    /// that refuses the question is one, unless the store refuses all calls.
+    fn probe(&self, timeout: Millis) -> Pending<'_, Result<(), Failure>>;
+
     /// Reads records of the shard's log, starting at offset `from`. The end of the log may lie beyond
     /// the returned records.
     fn read(&self, from: u64) -> Pending<'_, Result<Chunk, Failure>>;
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -12,6 +12,7 @@
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::ledger::shard::Entry;
 use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
+use pimentovalve_core::link::patience::hold;
 use pimentovalve_wire::http::{Handler, Pending, Request, Response};
 use std::sync::Arc;
 
@@ -144,11 +145,18 @@
         let is_slow = self.shard_status.borrow().response_time.is_slow();
         let tenths = if is_slow { SLOW_STORE_TIMEOUT_TENTHS } else { STORE_TIMEOUT_TENTHS };
         let store_timeout = MAX_STORE_TIMEOUT.min(Millis(timeout.get() * tenths / 10));
-        let until = view::now() + store_timeout;
+        let now = view::now();
+        let until = now + store_timeout;
+        let silence = self.shard_status.borrow().store_silence(now);
+        // In an outage, an entry is held for the store's return.
+        let store_until = match silence {
+            Some(silence) => now + MAX_STORE_TIMEOUT.min(hold(timeout, RETRY_AFTER, silence)),
+            None => until,
+        };
         match command {
-            Command::Submit(job) => self.submit(job, catalog.version, until).await,
+            Command::Submit(job) => self.submit(job, catalog.version, store_until).await,
             Command::Status(id) => self.status(id, until).await,
-            Command::Cancel(id) => self.cancel(id, until).await,
+            Command::Cancel(id) => self.cancel(id, store_until).await,
             Command::Count(queue) => self.count(queue, until).await,
         }
     }
@@ -224,6 +232,12 @@
 
     /// Passes an entry to the ledger duty and waits for the outcome.
     async fn store(&self, entry: Entry, until: Millis) -> Stored {
+        if until <= view::now() {
+            tracing::info!(
+                "entry refused: the store has been silent for longer than its caller can wait"
+            );
+            return Stored::No;
+        }
         let outcome =
             ring::ask(&self.intake, |reply| Intake { entry, until, may_be_stored: false, reply })
                 .await;
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -5,9 +5,11 @@
 //! and the members. Every loop retries on its own with jittered exponential backoff, so that the
 //! daemons don't all reconnect at once when the store recovers.
 
+pub mod counts;
 mod follow;
 mod intake;
 mod own;
+mod probe;
 mod snapshots;
 
 use super::border::{Chunk, Failure, Member, Store};
@@ -15,6 +17,7 @@
 use super::view::{self, Configuration, Peers, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
+use counts::Counts;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::{Entry, Record};
@@ -32,6 +35,9 @@
 
 /// Path on which the owner accepts entries that its peers received from callers.
 pub const INTAKE_PATH: &str = "/intake";
+/// The same while the store answers neither of them: the owner holds the entries for its peers' whole time.
+/// Builds without this path answer 404.
+pub const HELD_PATH: &str = "/intake-held";
 /// Path on which a daemon says whether it owns the shard.
 pub const TENURE_PATH: &str = "/tenure";
 /// Capacity, in entries, of the ring for direct appends.
@@ -138,6 +144,8 @@
     pub configuration: Publisher<Configuration>,
     /// Whether the last fenced append attempt of this daemon succeeded; `true` before the first one.
     pub appends_succeed: Arc<AtomicBool>,
+    /// Counts of entries that wait for the store.
+    pub counts: Arc<Counts>,
 }
 
 impl Duty for Ledger {
@@ -160,33 +168,41 @@
                 shard_status,
                 configuration,
                 appends_succeed,
+                counts,
             } = *self;
             let (direct, direct_intake) = ring::ring(DIRECT_RING_CAPACITY);
             let (answered, log_answered_at) = ring::latest(view::now());
             // Triggers a log read right after a claim attempt, to learn whether the claim succeeded.
             let claimed = Arc::new(Notify::new());
-            let own = own::append_own(
-                Arc::clone(&store),
+            // Repeats reads that are stuck when the store answers again.
+            let regained = Arc::new(Notify::new());
+            let own = own::Writer {
+                store: Arc::clone(&store),
                 appends,
-                steward.clone(),
-                shard_status.clone(),
-                Arc::clone(&claimed),
-                Arc::clone(&appends_succeed),
-            );
-            let own = tokio::spawn(own);
-            let relay = tokio::spawn(intake::relay(
-                intake,
-                shard_status.clone(),
+                steward: steward.clone(),
+                shard_status: shard_status.clone(),
+                claimed: Arc::clone(&claimed),
+                regained: Arc::clone(&regained),
+                appends_succeed: Arc::clone(&appends_succeed),
+                log_answered_at: log_answered_at.clone(),
+                counts: Arc::clone(&counts),
+            };
+            let own = tokio::spawn(own.run());
+            let route = intake::Route {
+                shard_status: shard_status.clone(),
                 owner,
                 direct,
-                Arc::clone(&client),
+                client: Arc::clone(&client),
                 appends_succeed,
-            ));
+                log_answered_at: log_answered_at.clone(),
+                counts,
+            };
+            let relay = tokio::spawn(intake::relay(intake, route));
             let direct = tokio::spawn(intake::append_direct(
                 Arc::clone(&store),
                 direct_intake,
                 shard_status.clone(),
-                log_answered_at,
+                log_answered_at.clone(),
             ));
             let loops = [
                 tokio::spawn(tail(
@@ -195,13 +211,25 @@
                     steward.clone(),
                     shard_status.clone(),
                     claimed,
+                    Arc::clone(&regained),
                     answered,
                 )),
-                tokio::spawn(follow::catalog(Arc::clone(&store), configuration)),
+                tokio::spawn(probe::watch(
+                    Arc::clone(&store),
+                    log_answered_at,
+                    shard_status.clone(),
+                    Arc::clone(&regained),
+                )),
+                tokio::spawn(follow::catalog(
+                    Arc::clone(&store),
+                    configuration,
+                    Arc::clone(&regained),
+                )),
                 tokio::spawn(follow::workers(
                     Arc::clone(&store),
                     steward.clone(),
                     shard_status.clone(),
+                    regained,
                 )),
                 tokio::spawn(follow::owner(
                     Arc::clone(&client),
@@ -267,11 +295,12 @@
         }
     }
 
-    fn regained(&mut self) {
-        if let Some(at) = self.lost_at.take() {
-            let lost_ms = view::now().since(at).get();
-            tracing::info!(of = self.of, lost_ms, "dependency regained");
-        }
+    /// Returns whether there was an outage, which has ended.
+    fn regained(&mut self) -> bool {
+        let Some(at) = self.lost_at.take() else { return false };
+        let lost_ms = view::now().since(at).get();
+        tracing::info!(of = self.of, lost_ms, "dependency regained");
+        true
     }
 }
 
@@ -310,6 +339,7 @@
     steward: Sender<Event>,
     mut shard_status: Latest<ShardStatus>,
     claimed: Arc<Notify>,
+    regained: Arc<Notify>,
     answered: Publisher<Millis>,
 ) {
     sleep(replay_delay.into()).await;
@@ -332,9 +362,15 @@
             }
         }
         let began = view::now();
-        match store.read(from).await {
+        let read = tokio::select! {
+            read = store.read(from) => read,
+            () = regained.notified() => continue,
+        };
+        match read {
             Ok(chunk) => {
-                outage.regained();
+                if outage.regained() {
+                    regained.notify_waiters();
+                }
                 backoff.reset();
                 answered.send_replace(view::now());
                 has_started = true;
@@ -384,7 +420,10 @@
             }
             Err(failure) => {
                 outage.lost(&failure);
-                backoff.pause().await;
+                tokio::select! {
+                    () = backoff.pause() => {}
+                    () = regained.notified() => {}
+                }
             }
         }
     }
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -13,6 +13,7 @@
 use pimentovalve_wire::http::client::{Client, Error};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// Long-poll timeout of one configuration read.
@@ -37,11 +38,19 @@
 
 /// Publishes each new version of the configuration, and when it was last read; older versions are
 /// ignored.
-pub(super) async fn catalog(store: Arc<dyn Store>, configuration: Publisher<Configuration>) {
+pub(super) async fn catalog(
+    store: Arc<dyn Store>,
+    configuration: Publisher<Configuration>,
+    regained: Arc<Notify>,
+) {
     let (mut outage, mut backoff) = (OutageLog::new("configuration"), Backoff::new());
     loop {
         let began = view::now();
-        match store.catalog(CATALOG_WAIT).await {
+        let read = tokio::select! {
+            read = store.catalog(CATALOG_WAIT) => read,
+            () = regained.notified() => continue,
+        };
+        match read {
             Ok(newest) => {
                 outage.regained();
                 backoff.reset();
@@ -59,7 +68,10 @@
             }
             Err(failure) => {
                 outage.lost(&failure);
-                backoff.pause().await;
+                tokio::select! {
+                    () = backoff.pause() => {}
+                    () = regained.notified() => {}
+                }
             }
         }
     }
@@ -70,11 +82,16 @@
     store: Arc<dyn Store>,
     steward: Sender<Event>,
     mut shard_status: Latest<ShardStatus>,
+    regained: Arc<Notify>,
 ) {
     let (mut outage, mut backoff) = (OutageLog::new("list of workers"), Backoff::new());
     loop {
         let began = view::now();
-        match store.workers().await {
+        let listed = tokio::select! {
+            listed = store.workers() => listed,
+            () = regained.notified() => continue,
+        };
+        match listed {
             Ok(workers) => {
                 outage.regained();
                 backoff.reset();
@@ -90,7 +107,10 @@
             }
             Err(failure) => {
                 outage.lost(&failure);
-                backoff.pause().await;
+                tokio::select! {
+                    () = backoff.pause() => {}
+                    () = regained.notified() => {}
+                }
             }
         }
     }
--- a/crates/daemon/src/shard/ledger/own.rs
+++ b/crates/daemon/src/shard/ledger/own.rs
@@ -1,5 +1,12 @@
 //! Appends of the owner: fenced by its epoch, in order, each append number once.
+//!
+//! Callers' entries are held outside while an append is in flight, so that their outcome is certain until
+//! they are sent. While the store does not answer, the owner's own records are the probes.
 
+mod attempt;
+mod queue;
+
+use super::counts::Counts;
 use super::{
     APPEND_TIMEOUT, Append, Backoff, Intake, MAX_GROUP_BYTES, MAX_GROUP_RECORDS, OutageLog, Stored,
     encode, snapshots,
@@ -10,6 +17,7 @@
 use crate::shard::view::{self, ShardStatus};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::ledger::shard::{Entry, Record};
+use queue::Queue;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -23,25 +31,30 @@
 /// value is ten times the store's stated append time plus the longest latency between regions.
 const SLOW_APPEND: Millis = Millis(200);
 
+/// Share of a batch, in quarters, that the owner's records may take while callers' entries are held.
+const OWN_QUARTERS: usize = 3;
+
 /// Batch of records and callers' entries for one append of the owner.
 #[derive(Default)]
 struct Group {
+    /// The owner's records, and after them those of `intake`.
     records: Vec<Record>,
+    /// Number of the owner's records.
+    own: usize,
     intake: Vec<Intake>,
     bytes: Vec<Vec<u8>>,
     size: usize,
 }
 
 impl Group {
-    fn put(&mut self, append: Append) {
-        match append {
-            Append::Own(records) => records.into_iter().for_each(|r| self.add(r)),
-            Append::Intake(item) => {
-                self.add(Record::open(item.entry.clone()));
-                self.intake.push(item);
-            }
-            Append::Claim { .. } | Append::Snapshot { .. } => {}
-        }
+    fn add_own(&mut self, records: Vec<Record>) {
+        records.into_iter().for_each(|r| self.add(r));
+        self.own = self.records.len();
+    }
+
+    fn add_entry(&mut self, item: Intake) {
+        self.add(Record::open(item.entry.clone()));
+        self.intake.push(item);
     }
 
     fn add(&mut self, record: Record) {
@@ -52,133 +65,166 @@
         }
     }
 
+    /// Removes the callers' entries.
+    fn withdraw(&mut self) -> Vec<Intake> {
+        self.records.truncate(self.own);
+        self.bytes.truncate(self.own);
+        self.size = self.bytes.iter().map(Vec::len).sum();
+        std::mem::take(&mut self.intake)
+    }
+
     fn is_full(&self) -> bool {
         self.records.len() >= MAX_GROUP_RECORDS || self.size >= MAX_GROUP_BYTES
     }
 
+    fn is_mostly_full(&self) -> bool {
+        self.records.len() >= MAX_GROUP_RECORDS / 4 * OWN_QUARTERS
+            || self.size >= MAX_GROUP_BYTES / 4 * OWN_QUARTERS
+    }
+
     fn epoch(&self) -> u64 {
         self.records.iter().map(|r| r.epoch).max().unwrap_or_default()
     }
+}
 
-    /// Answers callers whose deadline has passed. Their entries stay in the batch, so their outcome is
-    /// unknown.
-    fn expire_intake(&mut self, now: Millis) {
-        let (late, waiting): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.intake).into_iter().partition(|i| now >= i.until);
-        late.into_iter().for_each(|item| item.answer(Stored::Unknown));
-        self.intake = waiting;
-    }
+/// What became of a batch.
+enum Outcome {
+    /// The append was carried out, or fenced.
+    Ended(Stored),
+    /// The store refused a batch of callers' entries, which are held again. Its number is free.
+    Withdrawn,
 }
 
-/// Carries out the steward's writes one after the other, and reports each append to the steward.
-pub(super) async fn append_own(
-    store: Arc<dyn Store>,
-    appends: Receiver<Append>,
-    steward: Sender<Event>,
-    shard_status: Latest<ShardStatus>,
-    claimed: Arc<Notify>,
-    appends_succeed: Arc<AtomicBool>,
-) {
-    // Epoch and number of the last append.
-    let mut last = (0, 0);
-    let mut deferred: Option<Append> = None;
-    loop {
-        let next = match deferred.take() {
-            Some(append) => Some(append),
-            None => appends.next().await,
-        };
-        let mut group = Group::default();
-        match next {
-            None => return,
-            Some(Append::Claim { entry, epoch }) => {
-                let timeout = shard_status.borrow().response_time.timeout(APPEND_TIMEOUT);
-                claim(&*store, entry, epoch, timeout).await;
-                claimed.notify_one();
-                continue;
+/// Carries out the steward's writes and appends callers' entries while this daemon is the owner.
+pub(super) struct Writer {
+    pub(super) store: Arc<dyn Store>,
+    pub(super) appends: Receiver<Append>,
+    pub(super) steward: Sender<Event>,
+    pub(super) shard_status: Latest<ShardStatus>,
+    /// Triggers a log read after a claim.
+    pub(super) claimed: Arc<Notify>,
+    /// Notified when an append succeeds after an outage: reads that are stuck can be repeated.
+    pub(super) regained: Arc<Notify>,
+    pub(super) appends_succeed: Arc<AtomicBool>,
+    /// When a read of the log was last answered.
+    pub(super) log_answered_at: Latest<Millis>,
+    pub(super) counts: Arc<Counts>,
+}
+
+impl Writer {
+    /// Carries out the writes one after the other, and reports each append to the steward.
+    pub(super) async fn run(self) {
+        let mut queue = Queue::new(self.appends.clone(), Arc::clone(&self.counts));
+        // Epoch and number of the last append.
+        let mut last = (0, 0);
+        while queue.wait().await {
+            match queue.take_single() {
+                Some(Append::Claim { entry, epoch }) => {
+                    queue.during(&mut Vec::new(), self.claim(entry, epoch)).await;
+                    self.claimed.notify_one();
+                    continue;
+                }
+                Some(Append::Snapshot { snapshot, is_retry }) => {
+                    let store = Arc::clone(&self.store);
+                    tokio::spawn(
+                        async move { snapshots::save(&*store, &snapshot, is_retry).await },
+                    );
+                    continue;
+                }
+                _ => {}
             }
-            Some(Append::Snapshot { snapshot, is_retry }) => {
-                let store = Arc::clone(&store);
-                tokio::spawn(async move { snapshots::save(&*store, &snapshot, is_retry).await });
+            let mut group = queue.take_group(view::now());
+            // A batch of callers' entries only is fenced by this daemon's present epoch.
+            let current = self.shard_status.borrow().epoch;
+            let Some(epoch) = Some(group.epoch()).filter(|e| *e > 0).or(current) else {
+                group.intake.into_iter().for_each(|i| i.answer(Stored::No));
                 continue;
+            };
+            // Append numbers restart at 1 in each epoch; the claim has number 0.
+            let number = if last.0 == epoch { last.1 + 1 } else { 1 };
+            let token = FencingToken { epoch, number };
+            let began = view::now();
+            let stored = match self.append(&mut queue, &mut group, token).await {
+                Outcome::Ended(stored) => stored,
+                Outcome::Withdrawn => continue,
+            };
+            last = (epoch, number);
+            group.intake.into_iter().for_each(|item| item.answer(stored));
+            let records = group.records;
+            let event = match stored {
+                Stored::Yes => Event::Recorded { records, began },
+                Stored::No | Stored::Unknown => Event::Fenced { epoch },
+            };
+            if self.steward.push(event).await.is_err() {
+                return;
             }
-            Some(other) => group.put(other),
-        }
-        while !group.is_full() && deferred.is_none() {
-            match appends.try_next() {
-                Some(single @ (Append::Claim { .. } | Append::Snapshot { .. })) => {
-                    deferred = Some(single)
-                }
-                Some(other) => group.put(other),
-                None => break,
-            }
-        }
-        // A batch of callers' entries only is fenced by this daemon's present epoch.
-        let current = shard_status.borrow().epoch;
-        let Some(epoch) = Some(group.epoch()).filter(|e| *e > 0).or(current) else {
-            std::mem::take(&mut group.intake).into_iter().for_each(|i| i.answer(Stored::No));
-            continue;
-        };
-        // Append numbers restart at 1 in each epoch; the claim has number 0.
-        last = if last.0 == epoch { (epoch, last.1 + 1) } else { (epoch, 1) };
-        let token = FencingToken { epoch, number: last.1 };
-        let began = view::now();
-        let stored =
-            append_fenced(&*store, &mut group, token, &shard_status, &appends_succeed).await;
-        std::mem::take(&mut group.intake).into_iter().for_each(|item| item.answer(stored));
-        let records = group.records;
-        let event = match stored {
-            Stored::Yes => Event::Recorded { records, began },
-            Stored::No | Stored::Unknown => Event::Fenced { epoch },
-        };
-        if steward.push(event).await.is_err() {
-            return;
+            queue.during(&mut Vec::new(), sleep(OWNER_APPEND_INTERVAL)).await;
         }
-        sleep(OWNER_APPEND_INTERVAL).await;
     }
-}
 
-/// Tries to append a claim, once.
-async fn claim(store: &dyn Store, entry: Entry, epoch: u64, timeout: Millis) {
-    let Some(body) = encode(&Record::open(entry)) else { return };
-    let outcome = store.append(&[body], Some(FencingToken { epoch, number: 0 }), timeout).await;
-    // The outcome is only logged. Whether the claim succeeded is learned by reading the log.
-    tracing::info!(epoch, outcome = ?outcome.err(), "claim of the shard sent");
-}
+    /// Tries to append a claim, once.
+    async fn claim(&self, entry: Entry, epoch: u64) {
+        let Some(body) = encode(&Record::open(entry)) else { return };
+        let timeout = self.shard_status.borrow().response_time.timeout(APPEND_TIMEOUT);
+        let token = FencingToken { epoch, number: 0 };
+        let outcome = self.store.append(&[body], Some(token), timeout).await;
+        // The outcome is only logged. Whether the claim succeeded is learned by reading the log.
+        tracing::info!(epoch, outcome = ?outcome.err(), "claim of the shard sent");
+    }
 
-/// Appends a batch of the owner, retrying until it is in the log or a later epoch fences it.
-async fn append_fenced(
-    store: &dyn Store,
-    group: &mut Group,
-    token: FencingToken,
-    shard_status: &Latest<ShardStatus>,
-    appends_succeed: &AtomicBool,
-) -> Stored {
-    let (mut outage, mut backoff) = (OutageLog::new("fenced append"), Backoff::new());
-    let mut outcome_if_fenced = Stored::No;
-    loop {
-        let timeout = shard_status.borrow().response_time.timeout(APPEND_TIMEOUT);
-        let began = view::now();
-        match store.append(&group.bytes, Some(token), timeout).await {
-            Ok(()) => {
-                outage.regained();
-                let took = view::now().since(began);
-                if took > SLOW_APPEND {
-                    let (entries, bytes, number) = (group.records.len(), group.size, token.number);
-                    tracing::info!(number, entries, bytes, took_ms = took.get(), "slow append");
+    /// Appends a batch, retrying until it is in the log or a later epoch fences it. As long as the store
+    /// has refused all attempts, callers' entries are taken out of the batch: they have had no effect.
+    async fn append(&self, queue: &mut Queue, group: &mut Group, token: FencingToken) -> Outcome {
+        let (mut outage, mut backoff) = (OutageLog::new("fenced append"), Backoff::new());
+        let mut outcome_if_fenced = Stored::No;
+        let mut bodies = Arc::new(std::mem::take(&mut group.bytes));
+        loop {
+            let is_doubtful = outcome_if_fenced == Stored::Unknown;
+            let attempts = self.attempts(Arc::clone(&bodies), group.size, token, is_doubtful);
+            match queue.during(&mut group.intake, attempts).await {
+                Ok(took) => {
+                    outage.regained();
+                    if took > SLOW_APPEND {
+                        let (entries, bytes, number) =
+                            (group.records.len(), group.size, token.number);
+                        tracing::info!(number, entries, bytes, took_ms = took.get(), "slow append");
+                    }
+                    self.succeeded(queue, took);
+                    return Outcome::Ended(Stored::Yes);
+                }
+                Err(Failure::Fenced) => return Outcome::Ended(outcome_if_fenced),
+                Err(failure) => {
+                    if matches!(failure, Failure::Unknown { .. }) {
+                        outcome_if_fenced = Stored::Unknown;
+                    }
+                    outage.lost(&failure);
+                    self.appends_succeed.store(false, Ordering::Relaxed);
+                    queue.gate.failed(view::now());
                 }
-                appends_succeed.store(true, Ordering::Relaxed);
-                return Stored::Yes;
             }
-            Err(Failure::Fenced) => return outcome_if_fenced,
-            Err(failure) => {
-                if matches!(failure, Failure::Unknown { .. }) {
-                    outcome_if_fenced = Stored::Unknown;
+            if outcome_if_fenced == Stored::No && !group.intake.is_empty() {
+                group.bytes = Arc::unwrap_or_clone(bodies);
+                group.withdraw().into_iter().for_each(|item| queue.hold(item));
+                if group.records.is_empty() {
+                    queue.publish();
+                    return Outcome::Withdrawn;
                 }
-                outage.lost(&failure);
-                appends_succeed.store(false, Ordering::Relaxed);
+                bodies = Arc::new(std::mem::take(&mut group.bytes));
             }
+            queue.publish();
+            queue.during(&mut group.intake, backoff.pause()).await;
+        }
+    }
+
+    /// Closes the breaker after an append.
+    fn succeeded(&self, queue: &mut Queue, took: Millis) {
+        self.appends_succeed.store(true, Ordering::Relaxed);
+        if let Some(open_for) = queue.gate.succeeded(view::now(), took) {
+            let (held, open_ms) = (queue.gate.len(), open_for.get());
+            tracing::info!(held, open_ms, "store answers again; held entries are appended");
+            self.counts.flushed(held);
+            self.regained.notify_waiters();
         }
-        group.expire_intake(view::now());
-        backoff.pause().await;
+        queue.publish();
     }
 }
--- a/crates/daemon/src/shard/metrics.rs
+++ b/crates/daemon/src/shard/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a shard's daemon, exported in the Prometheus text format.
 
+use super::ledger::counts::Counts;
 use super::view::{self, ShardStatus};
 use crate::metrics::{Depth, Error, Export, gauge};
 use crate::ring::Latest;
@@ -29,7 +30,7 @@
 
 impl Metrics {
     /// Registers the instruments. `rings` holds each ring with the name of its receiving duty, `workers`
-    /// counts the connections to workers.
+    /// counts the connections to workers, `counts` the entries that wait for the store.
     ///
     /// # Errors
     ///
@@ -38,6 +39,7 @@
         shard_status: Latest<ShardStatus>,
         rings: Vec<(&'static str, Box<dyn Depth>)>,
         workers: Arc<Traffic>,
+        counts: Arc<Counts>,
     ) -> Result<Self, Error> {
         let export = Export::new()?;
         let meter = export.meter(METER);
@@ -72,6 +74,10 @@
         gauge(&meter, name, "Connections to workers, by state", "state", move || {
             vec![("open", workers.open()), ("opened", workers.opened())]
         });
+        let name = "pimentovalve_waiting_entries";
+        gauge(&meter, name, "Callers' entries that wait for the store", "state", move || {
+            counts.values()
+        });
         let counter = |name, about| meter.u64_counter(name).with_description(about).build();
         let histogram = |name, about| {
             let builder = meter.u64_histogram(name).with_description(about);
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -5,6 +5,7 @@
 use super::front::Front;
 use super::inquiry::{Inquiries, Reader};
 use super::ledger::Ledger;
+use super::ledger::counts::Counts;
 use super::metrics::Metrics;
 use super::orders::Orders;
 use super::peer::Peer;
@@ -115,6 +116,7 @@
         let (facts_in, shard_status) = ring::latest(ShardStatus::default());
         let (peers_in, peers) = ring::latest(Peers::default());
         let (configuration_in, configuration) = ring::latest(Configuration::default());
+        let counts = Arc::new(Counts::default());
         let metrics = Arc::new(Metrics::new(
             shard_status.clone(),
             vec![
@@ -125,6 +127,7 @@
                 ("advice", Box::new(asks_in.clone())),
             ],
             platform.workers.traffic(),
+            Arc::clone(&counts),
         )?);
         let drain = CancellationToken::new();
         let appends_succeed = Arc::new(AtomicBool::new(true));
@@ -170,6 +173,7 @@
             shard_status,
             configuration: configuration_in,
             appends_succeed,
+            counts,
         }))?;
         duties.start(Box::new(Steward {
             name: settings.name.clone(),
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -25,6 +25,9 @@
 const METRICS: &str = "/metrics";
 /// Share of a peer's timeout, in tenths, after which the outcome is reported as unknown.
 const ANSWER_TIMEOUT_TENTHS: u64 = 8;
+/// Minimum time that the answer about held entries has to reach the peer: a round trip between regions,
+/// twice on a busy machine.
+const MIN_ANSWER_MARGIN: Millis = Millis(120);
 
 /// HTTP handler for peers and monitors.
 pub struct Peer {
@@ -47,7 +50,8 @@
         Box::pin(async move {
             match request.path {
                 advice::ADVICE_PATH => self.advise(request.body).await,
-                ledger::INTAKE_PATH => self.store(request.body).await,
+                ledger::INTAKE_PATH => self.store(request.body, false).await,
+                ledger::HELD_PATH => self.store(request.body, true).await,
                 inquiry::INQUIRY_PATH => self.answer(request.body).await,
                 ledger::TENURE_PATH => Response::pack(200, &self.tenure()),
                 METRICS => self.metrics(),
@@ -94,31 +98,41 @@
     }
 
     /// Appends a peer's batch of entries with the owner's own. The answer is `Yes` only when every
-    /// entry is stored.
-    async fn store(&self, body: &[u8]) -> Response {
+    /// entry is stored, and `No` only when none is and none will be. With `is_held`, the entries wait for
+    /// a store that does not answer.
+    async fn store(&self, body: &[u8], is_held: bool) -> Response {
         let (timeout, entries) = match codec::unpack::<(Millis, Vec<Entry>)>(body) {
             Ok(message) => message,
             Err(findings) => return Response::findings(400, &findings),
         };
         // The refusal makes peers append directly at once while the owner's appends fail.
-        if !self.shard_status.borrow().owns() || !self.appends_succeed.load(Ordering::Relaxed) {
+        let can_append = is_held || self.appends_succeed.load(Ordering::Relaxed);
+        if !self.shard_status.borrow().owns() || !can_append {
             return Response::findings(503, &List::one("owner", "can't append here now"));
         }
-        let until = view::now() + Millis(timeout.get() * ANSWER_TIMEOUT_TENTHS / 10);
+        let answer_in = match is_held {
+            true => timeout.since(MIN_ANSWER_MARGIN.max(Millis(timeout.get() / 10))),
+            false => Millis(timeout.get() * ANSWER_TIMEOUT_TENTHS / 10),
+        };
+        let until = view::now() + answer_in;
         let mut answers = Vec::with_capacity(entries.len());
         for entry in entries {
             let (reply, answer) = oneshot::channel();
             let item = Intake { entry, until, may_be_stored: false, reply };
             if self.owner.offer(Append::Intake(item)).is_err() {
-                return Response::pack(200, &Stored::Unknown);
+                let stored = if answers.is_empty() { Stored::No } else { Stored::Unknown };
+                return Response::pack(200, &stored);
             }
             answers.push(answer);
         }
+        let mut common = None;
         for answer in answers {
-            if !matches!(answer.await, Ok(Stored::Yes)) {
+            let stored = answer.await.unwrap_or(Stored::Unknown);
+            if stored == Stored::Unknown || common.is_some_and(|other| other != stored) {
                 return Response::pack(200, &Stored::Unknown);
             }
+            common = Some(stored);
         }
-        Response::pack(200, &Stored::Yes)
+        Response::pack(200, &common.unwrap_or(Stored::Yes))
     }
 }
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -3,6 +3,7 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::contract::owner::Leftover;
+use pimentovalve_core::link::patience::SILENT_AFTER;
 use pimentovalve_core::link::response_time::ResponseTime;
 use rustix::time::{ClockId, clock_gettime};
 use std::sync::Arc;
@@ -61,6 +62,13 @@
         !self.caught_up || now.since(current_until) > MAX_LAG + self.response_time.typical()
     }
 
+    /// Returns for how long the store has answered no read of the log, if that is longer than usual.
+    pub fn store_silence(&self, now: Millis) -> Option<Millis> {
+        let silence = now.since(self.log_read_at);
+        let usual = SILENT_AFTER + self.response_time.typical();
+        Some(silence).filter(|silence| self.caught_up && *silence > usual)
+    }
+
     /// Returns whether this daemon owns the shard.
     pub const fn owns(&self) -> bool {
         self.epoch.is_some()
