--- a/crates/core/src/link/patience.rs
+++ b/crates/core/src/link/patience.rs
@@ -20,12 +20,17 @@
 /// Silence, as a multiple of the time for which a caller would be held, above which it is refused at
 /// once: an outage that has lasted `n` times as long ends in that time with a chance of `1 / (n + 1)`.
 const MAX_SILENCE_FACTOR: u64 = 3;
+/// The same for a caller that can't come back, for which even a small chance is the only one.
+const LAST_MAX_SILENCE_FACTOR: u64 = 12;
 
 /// Returns for how long to hold a caller that has `left`, if a refused caller returns after
 /// `retry_after` and the dependency has been silent for `silence`; zero when it has to be refused at once.
 pub fn hold(left: Millis, retry_after: Millis, silence: Millis) -> Millis {
     let first = Millis(left.get() * HELD_PERCENT / 100);
     let can_return = first + retry_after < left;
-    let held = if can_return { first } else { Millis(left.get() * LAST_HELD_PERCENT / 100) };
-    if silence > held.times(MAX_SILENCE_FACTOR) { Millis::ZERO } else { held }
+    let (held, factor) = match can_return {
+        true => (first, MAX_SILENCE_FACTOR),
+        false => (Millis(left.get() * LAST_HELD_PERCENT / 100), LAST_MAX_SILENCE_FACTOR),
+    };
+    if silence > held.times(factor) { Millis::ZERO } else { held }
 }
--- a/crates/core/src/link/patience/tests.rs
+++ b/crates/core/src/link/patience/tests.rs
@@ -22,5 +22,6 @@
 fn in_an_old_outage_a_caller_is_refused_at_once() {
     expect_that!(hold(Millis(3000), RETRY_AFTER, Millis(4000)), gt(Millis::ZERO));
     expect_that!(hold(Millis(3000), RETRY_AFTER, Millis(6000)), eq(Millis::ZERO));
-    expect_that!(hold(Millis(500), RETRY_AFTER, Millis(2000)), eq(Millis::ZERO));
+    expect_that!(hold(Millis(500), RETRY_AFTER, Millis(4000)), gt(Millis::ZERO));
+    expect_that!(hold(Millis(500), RETRY_AFTER, Millis(6000)), eq(Millis::ZERO));
 }
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -171,9 +171,12 @@
         let queue = job.policy.queue.clone();
         let (tasks, core_ms) = (job.tasks(), job.effort() / 1000);
         let objective_ms = job.objective().get();
+        let began = view::now();
+        let silent_ms = self.shard_status.borrow().store_silence(began).unwrap_or_default().get();
         let stored = self.store(Entry::Submitted(job), until).await;
+        let waited_ms = view::now().since(began).get();
         tracing::info!(job = %id, %queue, version, tasks, core_ms, objective_ms,
-            outcome = ?stored, "job submitted");
+            silent_ms, waited_ms, outcome = ?stored, "job submitted");
         match stored {
             Stored::Yes => Answer::Accepted,
             Stored::No => Answer::NotDone(RETRY_AFTER),
--- a/crates/daemon/src/shard/ledger/own/attempt.rs
+++ b/crates/daemon/src/shard/ledger/own/attempt.rs
@@ -10,13 +10,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep_until};
 
 /// Interval between two attempts while the store is silent. A connection that was opened in an outage may
 /// answer only a second after its end; a new one answers at once.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of attempts that await an answer.
-const MAX_PROBES: usize = 4;
+const MAX_PROBES: usize = 6;
 /// Maximum size of a batch that is sent several times at once: a link of 2 Mbit/s sends it in 60 ms.
 const MAX_PROBE_BYTES: usize = 16 * 1024;
 
@@ -41,6 +41,7 @@
                 let outcome = store.append(&bodies, Some(token), timeout).await;
                 outcome.map(|()| view::now().since(began))
             });
+            let next_probe = Instant::now() + PROBE_INTERVAL;
             let mut failure = None;
             loop {
                 let may_send = may_probe && attempts.len() < MAX_PROBES && self.is_store_silent();
@@ -57,7 +58,7 @@
                             return Err(failure.unwrap_or(Failure::Unknown { message }));
                         }
                     },
-                    () = sleep(PROBE_INTERVAL), if may_send => break,
+                    () = sleep_until(next_probe), if may_send => break,
                 }
             }
         }
--- a/crates/daemon/src/shard/ledger/own/queue.rs
+++ b/crates/daemon/src/shard/ledger/own/queue.rs
@@ -147,7 +147,7 @@
         if count > 0 {
             self.counts.let_go(count);
             let held = self.gate.len();
-            tracing::info!(count, held, "held entries let go: they can't be stored in time");
+            tracing::debug!(count, held, "held entries let go: they can't be stored in time");
         }
         self.publish();
     }
--- a/crates/daemon/src/shard/orders/tests.rs
+++ b/crates/daemon/src/shard/orders/tests.rs
@@ -240,7 +240,8 @@
     let (orders_in, orders) = ring::ring(64);
     let (steward, events) = ring::ring(64);
     let (_, shard_status) = ring::latest(ShardStatus::default());
-    let metrics = Arc::new(Metrics::new(shard_status, Vec::new(), Arc::default()).unwrap());
+    let metrics =
+        Arc::new(Metrics::new(shard_status, Vec::new(), Arc::default(), Arc::default()).unwrap());
     let duty =
         Orders { workers: Arc::clone(&workers) as Arc<dyn Workers>, orders, metrics, steward };
     for _ in 0..ORDERS {
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -28,6 +28,8 @@
 /// Minimum time that the answer about held entries has to reach the peer: a round trip between regions,
 /// twice on a busy machine.
 const MIN_ANSWER_MARGIN: Millis = Millis(120);
+/// The same as a fraction of the peer's timeout.
+const HELD_MARGIN_DIVISOR: u64 = 7;
 
 /// HTTP handler for peers and monitors.
 pub struct Peer {
@@ -111,7 +113,9 @@
             return Response::findings(503, &List::one("owner", "can't append here now"));
         }
         let answer_in = match is_held {
-            true => timeout.since(MIN_ANSWER_MARGIN.max(Millis(timeout.get() / 10))),
+            true => {
+                timeout.since(MIN_ANSWER_MARGIN.max(Millis(timeout.get() / HELD_MARGIN_DIVISOR)))
+            }
             false => Millis(timeout.get() * ANSWER_TIMEOUT_TENTHS / 10),
         };
         let until = view::now() + answer_in;
--- a/crates/daemon/src/shard/steward/notices/tests.rs
+++ b/crates/daemon/src/shard/steward/notices/tests.rs
@@ -190,7 +190,7 @@
 fn metrics(leftover: Leftover) -> Metrics {
     let (_publisher, status) =
         ring::latest(ShardStatus { epoch: Some(4), leftover, ..ShardStatus::default() });
-    Metrics::new(status, Vec::new(), Arc::default()).unwrap()
+    Metrics::new(status, Vec::new(), Arc::default(), Arc::default()).unwrap()
 }
 
 /// Returns the value of a metric, by the start of its name.
--- a/src/commands/explain/cause.rs
+++ b/src/commands/explain/cause.rs
@@ -59,6 +59,10 @@
     let outages = outages(lines, Some(&line.process), line.at, line.at);
     let (from, to) = (line.at.since(TAKEOVER_WINDOW), line.at + TAKEOVER_WINDOW);
     let mut found = outages;
+    if let Some(silent) = line.number("silent_ms").filter(|silent| *silent > 0) {
+        let waited = line.number("waited_ms").unwrap_or_default();
+        found.insert(0, format!("when it came the store had been silent for {silent} ms, and it was held for {waited} ms"));
+    }
     if found.is_empty() {
         found.extend(takeovers(lines, from, to));
         found.extend(slowest_append(lines, from, to));
--- a/src/commands/explain/tests.rs
+++ b/src/commands/explain/tests.rs
@@ -33,6 +33,14 @@
     expect_that!(explained, contains_substring("answered 429"));
 }
 
+#[gtest]
+fn refusal_is_explained_by_a_store_that_had_been_silent() {
+    let refused = OUTAGE[2].replace("\"version\":2", "\"silent_ms\":1900,\"waited_ms\":1440");
+    let explained = causes(&lines(&[&refused]), "889437b27aef8a96").join("\n");
+    expect_that!(explained, contains_substring("the store had been silent for 1900 ms"));
+    expect_that!(explained, contains_substring("held for 1440 ms"));
+}
+
 #[gtest]
 fn unknown_outcome_is_explained_by_a_takeover_and_the_longest_wait_is_reported() {
     let explained = causes(&lines(&TAKEOVER), "16cfbbbb4ac26d3c");
