--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -5,10 +5,12 @@
 //! and the members. Every loop retries on its own with jittered exponential backoff, so that the
 //! daemons don't all reconnect at once when the store recovers.
 
+pub mod counts;
 mod follow;
 mod handover;
 mod intake;
 mod own;
+mod probe;
 mod snapshots;
 
 use super::border::{Chunk, Failure, Member, Store};
@@ -16,6 +18,7 @@
 use super::view::{self, Configuration, Peers, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
+use counts::Counts;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
 use pimentovalve_core::ledger::shard::{Entry, Record};
@@ -33,6 +36,9 @@
 
 /// Path on which the owner accepts entries that its peers received from callers.
 pub const INTAKE_PATH: &str = "/intake";
+/// The same while the store answers neither of them: the owner holds the entries for its peers' whole time.
+/// Builds without this path answer 404.
+pub const HELD_PATH: &str = "/intake-held";
 /// Path on which a daemon says whether it owns the shard.
 pub const TENURE_PATH: &str = "/tenure";
 /// Path on which an owner that has released the shard asks a daemon to claim it.
@@ -147,6 +153,8 @@
     pub configuration: Publisher<Configuration>,
     /// Whether the last fenced append attempt of this daemon succeeded; `true` before the first one.
     pub appends_succeed: Arc<AtomicBool>,
+    /// Counts of entries that wait for the store.
+    pub counts: Arc<Counts>,
 }
 
 impl Duty for Ledger {
@@ -170,33 +178,41 @@
                 shard_status,
                 configuration,
                 appends_succeed,
+                counts,
             } = *self;
             let (direct, direct_intake) = ring::ring(DIRECT_RING_CAPACITY);
             let (answered, log_answered_at) = ring::latest(view::now());
             // Triggers a log read right after a claim attempt, to learn whether the claim succeeded.
             let claimed = Arc::new(Notify::new());
-            let own = own::append_own(
-                Arc::clone(&store),
+            // Repeats reads that are stuck when the store answers again.
+            let regained = Arc::new(Notify::new());
+            let own = own::Writer {
+                store: Arc::clone(&store),
                 appends,
-                steward.clone(),
-                shard_status.clone(),
-                Arc::clone(&claimed),
-                Arc::clone(&appends_succeed),
-            );
-            let own = tokio::spawn(own);
-            let relay = tokio::spawn(intake::relay(
-                intake,
-                shard_status.clone(),
+                steward: steward.clone(),
+                shard_status: shard_status.clone(),
+                claimed: Arc::clone(&claimed),
+                regained: Arc::clone(&regained),
+                appends_succeed: Arc::clone(&appends_succeed),
+                log_answered_at: log_answered_at.clone(),
+                counts: Arc::clone(&counts),
+            };
+            let own = tokio::spawn(own.run());
+            let route = intake::Route {
+                shard_status: shard_status.clone(),
                 owner,
                 direct,
-                Arc::clone(&client),
+                client: Arc::clone(&client),
                 appends_succeed,
-            ));
+                log_answered_at: log_answered_at.clone(),
+                counts,
+            };
+            let relay = tokio::spawn(intake::relay(intake, route));
             let direct = tokio::spawn(intake::append_direct(
                 Arc::clone(&store),
                 direct_intake,
                 shard_status.clone(),
-                log_answered_at,
+                log_answered_at.clone(),
             ));
             let loops = [
                 tokio::spawn(tail(
@@ -206,9 +222,20 @@
                     shard_status.clone(),
                     claimed,
                     read_wanted,
+                    Arc::clone(&regained),
                     answered,
                 )),
-                tokio::spawn(follow::catalog(Arc::clone(&store), configuration.clone())),
+                tokio::spawn(probe::watch(
+                    Arc::clone(&store),
+                    log_answered_at,
+                    shard_status.clone(),
+                    Arc::clone(&regained),
+                )),
+                tokio::spawn(follow::catalog(
+                    Arc::clone(&store),
+                    configuration.clone(),
+                    Arc::clone(&regained),
+                )),
                 tokio::spawn(follow::relayed_catalog(
                     Arc::clone(&client),
                     configuration,
@@ -219,6 +246,7 @@
                     Arc::clone(&store),
                     steward.clone(),
                     shard_status.clone(),
+                    regained,
                 )),
                 tokio::spawn(follow::owner(
                     Arc::clone(&client),
@@ -285,11 +313,12 @@
         }
     }
 
-    fn regained(&mut self) {
-        if let Some(at) = self.lost_at.take() {
-            let lost_ms = view::now().since(at).get();
-            tracing::info!(of = self.of, lost_ms, "dependency regained");
-        }
+    /// Returns whether there was an outage, which has ended.
+    fn regained(&mut self) -> bool {
+        let Some(at) = self.lost_at.take() else { return false };
+        let lost_ms = view::now().since(at).get();
+        tracing::info!(of = self.of, lost_ms, "dependency regained");
+        true
     }
 }
 
@@ -329,6 +358,7 @@
     mut shard_status: Latest<ShardStatus>,
     claimed: Arc<Notify>,
     read_wanted: Arc<Notify>,
+    regained: Arc<Notify>,
     answered: Publisher<Millis>,
 ) {
     sleep(replay_delay.into()).await;
@@ -351,9 +381,15 @@
             }
         }
         let began = view::now();
-        match store.read(from).await {
+        let read = tokio::select! {
+            read = store.read(from) => read,
+            () = regained.notified() => continue,
+        };
+        match read {
             Ok(chunk) => {
-                outage.regained();
+                if outage.regained() {
+                    regained.notify_waiters();
+                }
                 backoff.reset();
                 answered.send_replace(view::now());
                 has_started = true;
@@ -404,7 +440,10 @@
             }
             Err(failure) => {
                 outage.lost(&failure);
-                backoff.pause().await;
+                tokio::select! {
+                    () = backoff.pause() => {}
+                    () = regained.notified() => {}
+                }
             }
         }
     }
