Preview: where a job would go now, and why, without submitting it

Cause: operators could ask why a job was refused or late afterwards only, from the logs.

Change: `pimentovalve preview` sends a submission to the peer address of any daemon under `/preview`; the owner runs a placement pass on a copy of its state in which the job is submitted, and answers with what that pass does for each step, or why its tasks wait. Host, path, key, body and quota are checked by the code that checks submissions. Nothing is recorded, asked or ordered.

Tests: what a preview foretells is what happens when the job is then submitted; a reason for each wait; end to end, the owner answers, another daemon names the owner, and the job does not exist afterwards.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -26,6 +26,7 @@
 pub mod order;
 mod place;
 mod poll;
+pub mod preview;
 mod runs;
 mod stop;
 #[cfg(test)]
@@ -184,7 +185,7 @@
 }
 
 /// Scheduling state of a shard, held by the daemon that owns the shard.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Owner {
     limits: Limits,
     /// Sorted by the worker's name.
@@ -368,6 +369,13 @@
         }
     }
 
+    /// Returns the waiting steps in the order of placement.
+    fn ranks(&self, now: Millis) -> Vec<backlog::Rank> {
+        let hosts = self.hosts.iter().filter(|host| host.takes_work(now));
+        let cpu_milli = hosts.map(|host| host.entry.capacity.cpu_milli).sum();
+        self.backlog.ranks(cpu_milli, &self.accounts, now)
+    }
+
     /// Drains the effects produced since the last call.
     pub fn effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
--- a/crates/core/src/contract/owner/account.rs
+++ b/crates/core/src/contract/owner/account.rs
@@ -63,7 +63,7 @@
 }
 
 /// The accounts of all teams.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Accounts {
     /// Sorted by team. A team that the configuration no longer names keeps its last quota.
     list: Vec<Account>,
--- a/crates/core/src/contract/owner/advice.rs
+++ b/crates/core/src/contract/owner/advice.rs
@@ -103,7 +103,7 @@
 }
 
 /// Queries to the advisor in flight, and the answers for all open steps.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Queries {
     /// Sorted by step.
     steps: Vec<(StepId, StepAdvice)>,
--- a/crates/core/src/contract/owner/advice/relay.rs
+++ b/crates/core/src/contract/owner/advice/relay.rs
@@ -50,7 +50,7 @@
 }
 
 /// The daemons through which queries can be sent, the own one first.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Relays(Vec<Relay>);
 
 impl Relay {
--- a/crates/core/src/contract/owner/backlog.rs
+++ b/crates/core/src/contract/owner/backlog.rs
@@ -74,7 +74,7 @@
 }
 
 /// The open steps of the shard.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Backlog {
     /// Sorted by step.
     steps: Vec<Candidate>,
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -289,7 +289,8 @@
             return Rc::clone(known);
         }
         let hosts = 0..self.hosts.len();
-        let includes: Vec<bool> = hosts.map(|i| self.is_eligible(waiting, i, now)).collect();
+        let includes: Vec<bool> =
+            hosts.map(|i| self.hosts[i].accepts(waiting.job, waiting.step, now)).collect();
         let hosts = (0..).zip(&includes).filter(|(_, includes)| **includes);
         let hosts = hosts.map(|(i, _)| i).collect();
         let (pool, label) = (pool.clone(), label.clone());
@@ -382,14 +383,6 @@
         best.into_iter().map(|(_, _, i)| i).collect()
     }
 
-    /// Returns whether a worker accepts work and has the pool and label that the step requires.
-    fn is_eligible(&self, waiting: &WaitingStep<'_>, i: usize, now: Millis) -> bool {
-        let host = &self.hosts[i];
-        host.takes_work(now)
-            && host.entry.pool == waiting.job.policy.pool
-            && waiting.step.label.as_deref().is_none_or(|l| host.has_label(l))
-    }
-
     /// Returns how many tasks of a step fit into `room` on one worker.
     pub(super) fn fits(step: &Step, room: &Capacity) -> usize {
         let needs = step.counted_needs();
--- a/crates/core/src/contract/owner/runs.rs
+++ b/crates/core/src/contract/owner/runs.rs
@@ -8,7 +8,7 @@
 use std::ops::{Index, IndexMut, Range};
 
 /// Open runs, addressed by their position in the order of [`Run`].
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Runs {
     /// Sorted by run. The state of a run is boxed, so that an insertion moves little memory.
     list: Vec<(Run, Box<Running>)>,
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -24,7 +24,7 @@
 use googletest::prelude::*;
 use std::sync::Arc;
 
-const LIMITS: Limits = Limits {
+pub(super) const LIMITS: Limits = Limits {
     lease: Millis::from_secs(6),
     max_lease: Millis::from_secs(10),
     max_store_silence: Millis::from_secs(12),
@@ -185,7 +185,7 @@
 }
 
 /// A worker with four cores.
-fn worker_entry(name: &str, born: u64) -> WorkerEntry {
+pub(super) fn worker_entry(name: &str, born: u64) -> WorkerEntry {
     WorkerEntry {
         incarnation: Incarnation { worker: name.into(), born },
         address: "127.0.0.1:1".into(),
--- a/crates/core/src/machine/host.rs
+++ b/crates/core/src/machine/host.rs
@@ -8,6 +8,7 @@
 mod tests;
 
 use crate::clock::Millis;
+use crate::contract::work::{Job, Step};
 use crate::ledger::shard::{Incarnation, Run};
 use crate::machine::capacity::Capacity;
 use serde::{Deserialize, Serialize};
@@ -154,6 +155,14 @@
         self.is_listed && self.is_responsive && !self.entry.draining && now >= self.excluded_until
     }
 
+    /// Returns whether new runs of a step may be placed on the worker: it takes work, and has the pool
+    /// and the label that the step requires.
+    pub fn accepts(&self, job: &Job, step: &Step, now: Millis) -> bool {
+        self.takes_work(now)
+            && self.entry.pool == job.policy.pool
+            && step.label.as_deref().is_none_or(|label| self.has_label(label))
+    }
+
     /// Returns whether the worker's list entry carries `label`.
     pub fn has_label(&self, label: &str) -> bool {
         self.entry.labels.iter().any(|l| &**l == label)
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -163,8 +163,9 @@
             appends_succeed: Arc::clone(&appends_succeed),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
-            configuration: configuration.clone(),
             reader,
+            callers: Arc::clone(&platform.callers),
+            configuration: configuration.clone(),
         };
         let [mut caller_front, mut duties, ..] = ShutdownStage::all();
         duties.start(Box::new(Ledger {
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -4,14 +4,14 @@
 //! answers one query at a time per daemon, so the owner also asks through its peers.
 
 use super::advice;
-use super::border::Advisor;
+use super::border::{Advisor, Answer, Callers, Command, Decoded};
 use super::inquiry::{self, Inquiry, Reader};
 use super::ledger::{self, Append, Intake, Stored};
 use super::metrics::Metrics;
 use super::relay::{CONFIGURATION_PATH, Offer};
 use super::steward::Event;
 use super::view::{self, Configuration, ShardStatus};
-use crate::ring::{Latest, Sender};
+use crate::ring::{self, Latest, Sender};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::Query;
 use pimentovalve_core::finding::List;
@@ -25,6 +25,8 @@
 
 /// Path of the metrics.
 const METRICS: &str = "/metrics";
+/// Path before that of a submission, to ask what would become of it.
+pub const PREVIEW_PATH: &str = "/preview";
 /// Share of a peer's timeout, in tenths, after which the outcome is reported as unknown.
 const ANSWER_TIMEOUT_TENTHS: u64 = 8;
 /// Minimum time that the answer about held entries has to reach the peer: a round trip between regions,
@@ -49,6 +51,8 @@
     pub configuration: Latest<Configuration>,
     /// Answers peers' inquiries.
     pub reader: Reader,
+    /// Platform adapter for the callers' protocol, in which operators ask for previews.
+    pub callers: Arc<dyn Callers>,
 }
 
 impl Handler for Peer {
@@ -63,6 +67,10 @@
                 ledger::TENURE_PATH => Response::pack(200, &self.tenure()),
                 CONFIGURATION_PATH => self.configuration(request.body),
                 METRICS => self.metrics(),
+                path if path.starts_with(PREVIEW_PATH) => {
+                    let path = &path[PREVIEW_PATH.len()..];
+                    self.preview(&Request { path, ..request }).await
+                }
                 _ => Response::findings(404, &List::one("path", "is not known")),
             }
         })
@@ -120,6 +128,35 @@
         }
     }
 
+    /// Answers what would become of a submission, without submitting it. A daemon that does not own the
+    /// shard names the owner.
+    async fn preview(&self, request: &Request<'_>) -> Response {
+        let Some(catalog) = self.configuration.borrow().catalog.clone() else {
+            return self.callers.encode(&Answer::NotDone(Millis::from_secs(1)));
+        };
+        let job = match self.callers.decode(request, &catalog) {
+            Ok(Decoded { command: Command::Submit(job), .. }) => job,
+            Ok(_) => {
+                return Response::findings(
+                    400,
+                    &List::one("method", "must be that of a submission"),
+                );
+            }
+            Err(answer) => return self.callers.encode(&answer),
+        };
+        if let Err(findings) = catalog.roster.check_quota(&job) {
+            return Response::findings(400, &findings);
+        }
+        match ring::ask(&self.reader.steward, |reply| Event::Preview(job, reply)).await {
+            Ok(Some(preview)) => Response::json(200, &preview),
+            Ok(None) => {
+                let owner = self.shard_status.borrow().owner.clone();
+                Response::findings(421, &List::one("owner", owner))
+            }
+            Err(error) => Response::findings(503, &List::one("steward", error.to_string())),
+        }
+    }
+
     fn metrics(&self) -> Response {
         match self.metrics.text() {
             Ok(text) => Response::text(200, text),
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -28,10 +28,11 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::{Allowed, Query};
 use pimentovalve_core::contract::owner::order::{Poll, Start, Stop};
+use pimentovalve_core::contract::owner::preview::Preview;
 use pimentovalve_core::contract::owner::{
     Leftover, Limits, Owner, PollError, Report, StartAnswer, StopAnswer,
 };
-use pimentovalve_core::contract::work::{Id, Status};
+use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
 use pimentovalve_core::ledger::shard::replica::{Applied, Replica};
 use pimentovalve_core::ledger::shard::snapshot::Snapshot;
@@ -132,6 +133,8 @@
     Status(Id, Reply<Option<Status>>),
     /// A caller requests the number of jobs of a queue that have not started.
     Count(Box<str>, Reply<Backlog>),
+    /// An operator requests what would become of a job. `None` if this daemon does not own the shard.
+    Preview(Box<Job>, Reply<Option<Preview>>),
 }
 
 /// The steward duty.
@@ -385,6 +388,11 @@
             Event::Count(queue, reply) => {
                 let _ = reply.send(self.replica.backlog(&queue));
             }
+            Event::Preview(job, reply) => {
+                let tenure = self.tenure.as_ref();
+                let preview = tenure.map(|t| t.owner.preview(&self.replica, &job, now));
+                let _ = reply.send(preview);
+            }
             Event::Started(epoch, start, answer, clock) => {
                 let Start { on, run, .. } = *start;
                 log_start(&run, answer);
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -14,6 +14,7 @@
 pub mod input;
 mod logs;
 pub mod patch;
+pub mod preview;
 pub mod reader;
 pub mod release;
 pub mod sizes;
@@ -72,6 +73,8 @@
     Timeline(timeline::Arguments),
     /// Show why a job was refused, delayed or never completed
     Explain(explain::Arguments),
+    /// Show where a job would go now and why, without submitting it
+    Preview(preview::Arguments),
     /// Show how often jobs were completed in time, by queue and size
     Sizes(sizes::Arguments),
     /// Run an end-to-end demo with an embedded cell and a daemon failure
@@ -93,6 +96,7 @@
             Self::Release(arguments) => arguments,
             Self::Timeline(arguments) => arguments,
             Self::Explain(arguments) => arguments,
+            Self::Preview(arguments) => arguments,
             Self::Sizes(arguments) => arguments,
             Self::Demo(arguments) => arguments,
             Self::Audit(arguments) => arguments,
