--- a/crates/daemon/src/shard/inquiry.rs
+++ b/crates/daemon/src/shard/inquiry.rs
@@ -87,6 +87,11 @@
 }
 
 impl Reader {
+    /// Returns a reader of the replica that `steward` has.
+    pub fn new(steward: Sender<Event>, shard_status: Latest<ShardStatus>) -> Self {
+        Self { steward, shard_status, read_wanted: Arc::default() }
+    }
+
     /// Returns the answer of the present replica, whatever its age.
     ///
     /// # Errors
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -26,7 +26,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 /// Capacity of a ring, in items; holds about one second of peak load.
@@ -140,12 +139,8 @@
             configuration: configuration.clone(),
             draining: drain.clone(),
         };
-        let read_wanted = Arc::new(Notify::new());
-        let reader = Reader {
-            steward: events_in.clone(),
-            shard_status: shard_status.clone(),
-            read_wanted: Arc::clone(&read_wanted),
-        };
+        let reader = Reader::new(events_in.clone(), shard_status.clone());
+        let read_wanted = Arc::clone(&reader.read_wanted);
         let callers = Front {
             callers: Arc::clone(&platform.callers),
             configuration: configuration.clone(),
