--- a/crates/core/src/contract/work/policy.rs
+++ b/crates/core/src/contract/work/policy.rs
@@ -5,6 +5,9 @@
 use serde::ser::SerializeMap;
 use serde::{Deserialize, Serialize, Serializer};
 
+#[cfg(test)]
+mod tests;
+
 /// Response times of the external advisor that decides which workers may run a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdvisorTiming {
--- a/src/commands/explain/cause.rs
+++ b/src/commands/explain/cause.rs
@@ -24,11 +24,13 @@
 /// `lines` must be sorted by time.
 pub(super) fn causes(lines: &[Line], job: &str) -> Vec<String> {
     let own: Vec<&Line> = lines.iter().filter(|l| l.field("job") == Some(job)).collect();
-    if own.is_empty() {
+    let mut refused = refused_requests(lines, job);
+    if own.is_empty() && refused.is_empty() {
         return vec![not_logged(lines)];
     }
     let submissions = || own.iter().filter(|l| JOB_SUBMITTED.contains(&l.message.as_str()));
     let mut causes: Vec<String> = submissions().filter_map(|line| refusal(lines, line)).collect();
+    causes.append(&mut refused);
     if submissions().any(|l| l.field("outcome") == Some("Yes")) {
         causes.extend(never_started(&own));
         causes.extend(run_failures(&own));
@@ -47,6 +49,47 @@
     }
 }
 
+/// Counts the requests for a job that were refused before anything was stored, by cause. Lines of
+/// requests without a valid key have no job, only a path that ends with its id.
+fn refused_requests(lines: &[Line], job: &str) -> Vec<String> {
+    let mut causes: Vec<(String, &Line, usize)> = Vec::new();
+    for line in lines {
+        let is_for_job = line.field("path").is_some_and(|path| path.ends_with(job));
+        let version = line.number("version").unwrap_or_default();
+        let cause = match line.message.as_str() {
+            "request refused" if is_for_job => match line.field("answer") {
+                Some("NoKey") => format!("version {version} of the configuration has no such key"),
+                Some("NoQueue") => {
+                    format!("version {version} of the configuration has no such queue")
+                }
+                _ => continue,
+            },
+            "request refused: its key may have been withdrawn" if is_for_job => {
+                format!(
+                    "version {version} of the configuration was too old to tell whether its key is valid"
+                )
+            }
+            "job refused: over its team's quota" if line.field("job") == Some(job) => {
+                let findings = line.field("findings").unwrap_or("no finding");
+                format!("its team's quota can never hold it: {findings}")
+            }
+            _ => continue,
+        };
+        match causes.iter_mut().find(|(known, ..)| *known == cause) {
+            Some((.., count)) => *count += 1,
+            None => causes.push((cause, line, 1)),
+        }
+    }
+    let tell = |(cause, line, count): (String, &Line, usize)| {
+        format!(
+            "{count} requests were refused, the first at {} by {}: {cause}",
+            line.time(),
+            line.process
+        )
+    };
+    causes.into_iter().map(tell).collect()
+}
+
 /// Explains why a submission was not stored, or why it is unknown whether it was. Outages of the
 /// daemon that took it come first; takeovers and slow appends count only if there was none.
 fn refusal(lines: &[Line], line: &Line) -> Option<String> {
--- a/src/commands/explain/tests.rs
+++ b/src/commands/explain/tests.rs
@@ -255,3 +255,34 @@
         expect_that!(causes, not(contains(contains_substring("after the cancellation"))));
     }
 }
+
+#[gtest]
+fn requests_without_a_valid_key_are_found_by_their_path() {
+    let refused = r#"{"timestamp":"2026-09-02T20:53:42.600000Z","level":"INFO","message":"request refused","method":"POST","path":"/q/889437b27aef8a96","version":12,"answer":"NoKey","target":"x"}"#;
+    let old = refused
+        .replace("request refused", "request refused: its key may have been withdrawn")
+        .replace("NoKey", "");
+    let other = refused.replace("889437b27aef8a96", "16cfbbbb4ac26d3c");
+    let explained = causes(&lines(&[refused, refused, &other, &old]), "889437b27aef8a96");
+    expect_that!(
+        explained,
+        elements_are![
+            all![
+                contains_substring(
+                    "2 requests were refused, the first at 2026-09-02T20:53:42.600Z"
+                ),
+                contains_substring("version 12 of the configuration has no such key")
+            ],
+            contains_substring("too old to tell whether its key is valid")
+        ]
+    );
+}
+
+#[gtest]
+fn a_job_over_its_teams_quota_is_explained_by_the_findings() {
+    let refused = r#"{"timestamp":"2026-09-02T20:53:42.600000Z","level":"INFO","message":"job refused: over its team's quota","job":"889437b27aef8a96","version":12,"findings":"steps[0]: too much","target":"x"}"#;
+    expect_that!(
+        causes(&lines(&[refused]), "889437b27aef8a96"),
+        elements_are![contains_substring("quota can never hold it: steps[0]: too much")]
+    );
+}
