--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -45,6 +45,8 @@
 pub const SUCCESSION_PATH: &str = "/succession";
 /// Interval between two announcements of this daemon.
 pub const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
+/// Long-poll timeout of one configuration read.
+pub const CATALOG_WAIT: Millis = Millis(1000);
 /// Capacity, in entries, of the ring for direct appends.
 const DIRECT_RING_CAPACITY: usize = 4096;
 /// Interval between two log reads of the owner, which needs entries that other daemons appended
@@ -214,6 +216,7 @@
                 shard_status.clone(),
                 log_answered_at.clone(),
             ));
+            let catalog_failed = Arc::new(AtomicBool::new(false));
             let loops = [
                 tokio::spawn(tail(
                     Arc::clone(&store),
@@ -235,10 +238,12 @@
                     Arc::clone(&store),
                     configuration.clone(),
                     Arc::clone(&regained),
+                    Arc::clone(&catalog_failed),
                 )),
                 tokio::spawn(follow::relayed_catalog(
                     Arc::clone(&client),
                     configuration,
+                    catalog_failed,
                     peers.clone(),
                     shard_status.clone(),
                 )),
