--- a/crates/core/src/link/breaker.rs
+++ b/crates/core/src/link/breaker.rs
@@ -13,7 +13,7 @@
 /// Interval between two probes.
 const PROBE_INTERVAL: Millis = Millis(250);
 /// Calls of the first step after an outage.
-const FIRST_STEP: usize = 64;
+const FIRST_STEP: usize = 256;
 /// Weight, as a divisor, of the newest duration in the average.
 const AVERAGE_WEIGHT: u64 = 4;
 /// Maximum of the average duration. A longer one comes from an outage.
--- a/crates/daemon/src/shard/ledger/intake.rs
+++ b/crates/daemon/src/shard/ledger/intake.rs
@@ -35,6 +35,9 @@
 const ANSWER_MARGIN: Millis = Millis(20);
 /// The same while the store is silent: a call to the owner would come back too late.
 const SILENT_ANSWER_MARGIN: Millis = Millis(200);
+/// Time after the store's return within which the owner must have answered about held entries: a few
+/// appends. An owner that has lost power answers nothing.
+const OWNER_GRACE: Duration = Duration::from_millis(400);
 /// Minimum time between two direct appends; entries that arrive in between form a batch.
 const MIN_INTAKE_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -165,6 +168,14 @@
         matches!(tokio::time::timeout(SILENT_AFTER.min(left).into(), answer).await, Ok(Ok(_)))
     }
 
+    /// Waits until a read of the log has been answered after `since`, and the owner had time to answer.
+    async fn store_returned(&self, since: Millis) {
+        if self.log_answered_at.clone().wait_for(|at| *at > since).await.is_err() {
+            return std::future::pending().await;
+        }
+        sleep(OWNER_GRACE).await;
+    }
+
     /// Forwards a batch to the owner. While the store is silent the owner holds it for the callers'
     /// whole time.
     async fn forward(&self, address: &str, group: &[Intake], is_slow: bool) -> Call {
@@ -178,7 +189,14 @@
         let timeout = Millis(until.since(now).get() * tenths / 10);
         let entries: Vec<&Entry> = group.iter().map(|i| &i.entry).collect();
         let message = (timeout, entries);
-        let outcome = self.client.exchange::<_, Stored>(address, path, &message, timeout).await;
+        let call = self.client.exchange::<_, Stored>(address, path, &message, timeout);
+        let outcome = tokio::select! {
+            outcome = call => outcome,
+            () = self.store_returned(now), if path == HELD_PATH => {
+                tracing::info!(address, entries = group.len(), "owner silent after the store's return");
+                return Call::Unknown;
+            }
+        };
         if !matches!(outcome, Ok(Stored::Yes)) {
             let (entries, is_held) = (group.len(), path == HELD_PATH);
             tracing::info!(address, entries, is_held, outcome = ?outcome, "owner did not confirm entries");
