Announcements before their time don't count as rounds

A daemon that announced itself when it had caught up read the list of members for the second time at once, before daemons that started with it were listed, and then only 24 s later. Found by a_daemon_that_the_store_refuses_asks_its_peers and ..._finds_the_next_owner (platform/tests/age.rs), which pass.

--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -103,7 +103,9 @@
 ) {
     let (mut outage, mut backoff) = (OutageLog::new("list of members"), Backoff::new());
     let takeover = member.takeover;
-    for round in 0_u64.. {
+    // An announcement before its time does not count: the others that start may not be listed yet.
+    let mut round = 0_u64;
+    loop {
         member.beat += 1;
         // A daemon that can't take the shard over now must not be offered it.
         let (can_own, distance) = {
@@ -128,7 +130,7 @@
                 }
                 let mut shard_status = shard_status.clone();
                 tokio::select! {
-                    () = sleep(ANNOUNCE_INTERVAL) => {}
+                    () = sleep(ANNOUNCE_INTERVAL) => round += 1,
                     _ = shard_status.wait_for(|f| f.owns() && !owns || f.can_own != can_own) => {}
                 }
             }
