--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -27,9 +27,6 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(3);
 /// Announcements for each time that a daemon reads the list of members while it does not own the shard.
 const ROUNDS_PER_LIST: u64 = 8;
-/// Announcements with which each daemon reads that list: at its start, once it has caught up, and an
-/// interval later, when those that started with it have announced themselves.
-const FIRST_LISTS: u64 = 3;
 
 /// Interval between two questions to a silent owner.
 const TENURE_INTERVAL: Duration = Duration::from_millis(150);
@@ -196,9 +193,9 @@
         member.takeover = if can_own { takeover + distance } else { border::UNKNOWN_TAKEOVER };
         let announced = store.announce(&member).await;
         // The owner distributes calls to the advisor over the live members. The other daemons only need
-        // addresses.
+        // addresses. Those that start together see each other in the second round.
         let owns = shard_status.borrow().owns();
-        let is_listed = owns || round < FIRST_LISTS || round % ROUNDS_PER_LIST == 0;
+        let is_listed = owns || round < 2 || round % ROUNDS_PER_LIST == 0;
         let listed = if is_listed { store.members().await.map(Some) } else { Ok(None) };
         match announced.and(listed) {
             Ok(listed) => {
