--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -117,7 +117,7 @@
         // The owner distributes calls to the advisor over the live members. The other daemons only need
         // addresses. Those that start together see each other in the second round.
         let owns = shard_status.borrow().owns();
-        let is_listed = owns || round < 2 || round % ROUNDS_PER_LIST == 0;
+        let is_listed = owns || round < 2 || round.is_multiple_of(ROUNDS_PER_LIST);
         let listed = if is_listed { store.members().await.map(Some) } else { Ok(None) };
         match announced.and(listed) {
             Ok(listed) => {
