Silent store: a daemon that alone is refused asks the owner whether the store serves it

Change: while its replica lags, a daemon also asks the owner for its standing; the store counts as silent only since the owner last said that its appends succeed.

--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -257,7 +257,8 @@
 }
 
 /// Asks peers for the owner while this daemon's replica lags: the shard may have changed hands, and
-/// callers' entries have to reach the present owner.
+/// callers' entries have to reach the present owner. The owner that is known is asked whether the store
+/// accepts its appends: it can store what this daemon can't.
 pub(super) async fn successor(
     client: Arc<Client>,
     steward: Sender<Event>,
@@ -267,13 +268,21 @@
     let mut known = 0;
     loop {
         sleep(SUCCESSOR_INTERVAL).await;
-        let claim = {
+        let (claim, owner) = {
             let status = shard_status.borrow();
             if status.owns() || !status.lags(view::now()) {
                 continue;
             }
-            status.claim.max(known)
+            (status.claim.max(known), status.owner.clone())
         };
+        let asked = view::now();
+        if !owner.is_empty()
+            && let Ok(Tenure { epoch: Some(_), appends_succeed: true, .. }) =
+                client.exchange(&owner, TENURE_PATH, &claim, TENURE_TIMEOUT).await
+            && steward.push(Event::OwnerServes { asked }).await.is_err()
+        {
+            return;
+        }
         let peer = {
             let peers = peers.borrow();
             let at = rand::random_range(0..peers.len().max(1));
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -124,6 +124,11 @@
         /// Peer address of the owner.
         address: Box<str>,
     },
+    /// The owner says that the store accepts its appends.
+    OwnerServes {
+        /// When it was asked, on the steady clock.
+        asked: Millis,
+    },
     /// The owner of the claim with this epoch has released the shard and asks this daemon to claim it.
     Invited {
         /// Epoch of the claim.
@@ -209,6 +214,8 @@
     earlier_owner: Option<(u64, Box<str>)>,
     /// Newest claim that a peer has read, and the address of the owner that it names.
     found_owner: (u64, Box<str>),
+    /// When the owner was last asked and said that the store accepts its appends.
+    owner_served_at: Millis,
     /// When the log was last read to its end.
     log_read_at: Millis,
     /// When that read was sent: the replica contains everything appended before.
@@ -265,6 +272,7 @@
             standing: (0, Standing::Unknown),
             earlier_owner: None,
             found_owner: (0, "".into()),
+            owner_served_at: Millis::ZERO,
             log_read_at: Millis::ZERO,
             covered_until: Millis::ZERO,
             append_sent_at: Millis::ZERO,
@@ -377,6 +385,10 @@
                 self.found_owner = (claim, address);
                 self.publish();
             }
+            Event::OwnerServes { asked } => {
+                self.owner_served_at = asked;
+                self.publish();
+            }
             Event::Invited { claim } => {
                 self.invited = self.invited.max(claim);
                 self.consider_claim(now);
@@ -638,7 +650,7 @@
         let Self { caught_up, owner_seen_at, log_read_at, covered_until, response_time, .. } =
             *self;
         let can_own = caught_up && !self.is_draining;
-        let owned_until = self.append_sent_at;
+        let (owned_until, owner_served_at) = (self.append_sent_at, self.owner_served_at);
         let is_waiting = epoch.is_some() && !self.replica.old_leases_expired();
         let earlier_owner = self.earlier_owner.clone().filter(|_| is_waiting);
         let distance = self.distance();
@@ -652,6 +664,7 @@
             owner,
             earlier_owner,
             owner_seen_at,
+            owner_served_at,
             caught_up,
             log_read_at,
             covered_until,
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -32,6 +32,8 @@
     pub earlier_owner: Option<(u64, Box<str>)>,
     /// When a record of the owner was last read, on the steady clock.
     pub owner_seen_at: Millis,
+    /// When the owner was last asked and said that the store accepts its appends, on the steady clock.
+    pub owner_served_at: Millis,
     /// Whether the log has been read to its end since the start, or since a snapshot was restored.
     pub caught_up: bool,
     /// When the log was last read to its end, on the steady clock.
@@ -67,9 +69,10 @@
         !self.caught_up || now.since(current_until) > MAX_LAG + self.response_time.typical()
     }
 
-    /// Returns for how long the store has answered no read of the log, if that is longer than usual.
+    /// Returns for how long the store has answered neither this daemon's reads of the log nor the owner, if
+    /// that is longer than usual.
     pub fn store_silence(&self, now: Millis) -> Option<Millis> {
-        let silence = now.since(self.log_read_at);
+        let silence = now.since(self.log_read_at.max(self.owner_served_at));
         let usual = SILENT_AFTER + self.response_time.typical();
         Some(silence).filter(|silence| self.caught_up && *silence > usual)
     }
