Speed of workers, measured from the ends of their runs

The owner places short work whose objective is near on the fastest workers with room, and last on workers that have turned slow or fail what they start. While workers can't be told apart, placement is as before.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -20,6 +20,7 @@
 mod backlog;
 mod crash;
 mod gang;
+mod haste;
 mod incarnation;
 mod lead;
 mod notice;
@@ -40,16 +41,19 @@
 use crate::ledger::shard::{Entry, Incarnation, Run};
 use crate::machine::capacity::Capacity;
 use crate::machine::host::{self, Host, WorkerEntry};
+use crate::machine::speed::Timed;
 use crate::name::Name;
 use account::Accounts;
 use advice::Queries;
 use backlog::Backlog;
+use haste::Paces;
 use order::{Order, Start, StopReason};
 use runs::Runs;
 use std::sync::Arc;
 use turnover::Turnover;
 
 pub use answer::{StartAnswer, StopAnswer};
+pub use haste::Speeds;
 pub use notice::{Leftover, Notice, Tally};
 pub use poll::{PollError, Progress, Report};
 pub use wait::{Wait, Waited};
@@ -139,6 +143,8 @@
     /// Whether the end of its worker's incarnation is accounted for: the worker left, or its crash is
     /// recorded.
     is_accounted: bool,
+    /// When it was ordered, if its time shows the speed of its worker.
+    timed: Option<Timed>,
 }
 
 /// An action that the caller of [`Owner`] must carry out.
@@ -208,6 +214,7 @@
     /// Usage after the last placement pass.
     usage: Usage,
     turnover: Turnover,
+    paces: Paces,
     /// Gangs that became late or started since [`Self::waited`] was last called.
     waited: Vec<Waited>,
     /// Number of releases of capacity so far.
@@ -238,6 +245,7 @@
             effort: Effort::default(),
             usage: Usage::default(),
             turnover: Turnover::default(),
+            paces: Paces::default(),
             waited: Vec::new(),
             releases: 0,
             is_dirty: true,
@@ -465,8 +473,11 @@
         host.next_poll = host.next_poll.min(now + lease);
         let Some(state) = replica.job(run.task.step_id.job) else { return };
         let saved = state.task(&run.task).map(|t| t.saved.clone()).unwrap_or_default();
+        let step = state.job.steps.get(usize::from(run.task.step_id.step));
+        let timed = step.and_then(|s| self.timed(&self.runs[i], s, !saved.is_empty(), now));
         let running = &mut self.runs[i];
         running.phase = Phase::Ordered;
+        running.timed = timed;
         let (on, ticket) = (Arc::clone(&running.on), running.ticket.clone());
         let job = Arc::clone(&state.job);
         let start = Start { on, address, run, job, lease_end, saved, ticket };
@@ -621,6 +632,7 @@
             has_begun: false,
             has_open_order: false,
             is_accounted: false,
+            timed: None,
         }
     }
 }
--- a/crates/core/src/contract/owner/gang.rs
+++ b/crates/core/src/contract/owner/gang.rs
@@ -8,6 +8,7 @@
 
 use super::Owner;
 use super::advice::{Permission, Plan, TICKET_TRANSIT};
+use super::haste::SHUNNED;
 use super::place::{Round, WaitingStep, select_workers};
 use super::wait::Turn;
 use crate::clock::Millis;
@@ -15,6 +16,7 @@
 use crate::ledger::shard::Run;
 use crate::ledger::shard::replica::Replica;
 use crate::machine::capacity::Capacity;
+use std::cmp::Reverse;
 
 /// Number of gangs that may gather room whatever they need.
 pub(super) const MIN_GATHERING: usize = 2;
@@ -47,6 +49,8 @@
     is_named: bool,
     /// When the ticket for it expires, [`Millis::MAX`] if none is needed.
     until: Millis,
+    /// See [`Owner::grade`].
+    grade: u64,
     /// Number of members that fit now.
     free: usize,
     /// Number of members that fit while nothing else runs there.
@@ -127,7 +131,7 @@
         if waiting.job.policy.advisor_timing.is_none() {
             self.examine(&eligible.hosts);
             let sites = eligible.hosts.iter();
-            let site = |i: &usize| self.site(waiting, *i, Access::Open, Millis::MAX, round);
+            let site = |i: &usize| self.site(waiting, *i, Access::Open, Millis::MAX, round, now);
             return sites.filter_map(site).collect();
         }
         let tickets = self.queries.tickets(&waiting.step_id).iter();
@@ -140,7 +144,8 @@
             .collect();
         self.effort.hosts += u64::try_from(allowed.len()).unwrap_or(u64::MAX);
         let sites = allowed.into_iter();
-        sites.filter_map(|(i, access, until)| self.site(waiting, i, access, until, round)).collect()
+        let site = |(i, access, until)| self.site(waiting, i, access, until, round, now);
+        sites.filter_map(site).collect()
     }
 
     /// Returns the eligible workers that the advisor was not asked about.
@@ -155,7 +160,7 @@
         let (step_id, record_delay) = (&waiting.step_id, self.record_delay);
         let said = self.queries.permissions(step_id, &eligible.hosts, record_delay, now);
         let unasked = said.filter(|(_, permission)| *permission == Permission::Unknown);
-        let site = |i| self.site(waiting, i, Access::Unknown, Millis::ZERO, round);
+        let site = |i| self.site(waiting, i, Access::Unknown, Millis::ZERO, round, now);
         unasked.filter_map(|(i, _)| site(i)).collect()
     }
 
@@ -167,6 +172,7 @@
         access: Access,
         until: Millis,
         round: &Round,
+        now: Millis,
     ) -> Option<Site> {
         let state = &self.hosts[host];
         let whole = Self::fits(waiting.step, &state.entry.capacity);
@@ -176,6 +182,7 @@
             host,
             access,
             until,
+            grade: self.grade(waiting.haste, host, now),
             is_named: self.queries.is_named(&waiting.step_id, worker),
             free: if is_apart { Self::fits(waiting.step, &round.room(host, state)) } else { 0 },
             whole,
@@ -261,9 +268,7 @@
         let has_room = free >= count;
         // Other steps take most of the room before the answer arrives.
         let fits = |c: &Site| if has_room { c.free.min(1) } else { c.whole };
-        let entry = |c: &Site| {
-            (fits(c).min(count), scatter(&waiting.step_id, c.host), self.worker_name(c.host))
-        };
+        let entry = |c: &Site| self.nominee(waiting, c.host, fits(c).min(count), now);
         let plan = self.queries.plan(&waiting.job.policy.queue, timing, now);
         let plan = if has_room { plan } else { Plan { idle: 0, ..plan } };
         let workers =
@@ -292,8 +297,8 @@
 fn assignments(sites: &[Site], count: usize) -> Option<Vec<usize>> {
     let mut open: Vec<&Site> = sites.iter().filter(|s| s.access == Access::Open).collect();
     // Workers that hold the most members come first: a gang on few workers has its members near
-    // each other.
-    open.sort_by_key(|s| (std::cmp::Reverse(s.free), s.host));
+    // each other. Its slowest member decides when it ends.
+    open.sort_by_key(|s| (s.grade == SHUNNED, Reverse(s.free), s.grade, s.host));
     let selected = take_room(&open, count, |s| s.free)?;
     let members = selected.iter().flat_map(|s| std::iter::repeat_n(s.host, s.free));
     Some(members.take(count).collect())
@@ -311,7 +316,7 @@
     is_reserved: impl Fn(usize) -> bool,
 ) -> Option<Vec<(&Site, usize)>> {
     let mut order: Vec<(&Site, bool)> = sites.iter().map(|s| (s, is_reserved(s.host))).collect();
-    order.sort_by_key(|(s, is_reserved)| (std::cmp::Reverse(s.free), *is_reserved, s.host));
+    order.sort_by_key(|(s, is_reserved)| (Reverse(s.free), *is_reserved, s.host));
     let mut total = 0;
     let mut gathered: Vec<(&Site, usize)> = Vec::new();
     for (site, is_reserved) in &order {
@@ -340,7 +345,8 @@
 /// that the queries in flight name come first, so that the selection outlasts them.
 fn roomy(sites: &[Site], count: usize) -> Option<Vec<&Site>> {
     let mut allowed: Vec<&Site> = sites.iter().collect();
-    allowed.sort_by_key(|c| (std::cmp::Reverse((c.is_named, c.free)), c.host));
+    let is_shunned = |c: &Site| !c.is_named && c.grade == SHUNNED;
+    allowed.sort_by_key(|c| (is_shunned(c), Reverse((c.is_named, c.free)), c.grade, c.host));
     take_room(&allowed, count, |c| c.free)
 }
 
--- a/crates/core/src/contract/owner/incarnation.rs
+++ b/crates/core/src/contract/owner/incarnation.rs
@@ -99,6 +99,7 @@
         running.on = Arc::clone(to);
         running.has_begun = false;
         running.is_accounted = false;
+        running.timed = None;
         let (run, needs) = (running.run, running.needs);
         let is_answered = matches!(running.phase, Phase::Working { .. }) && !running.has_open_order;
         if let Some(host) = self.host_mut(to) {
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -9,6 +9,7 @@
 use super::advice::Permission;
 use super::backlog::{Candidate, Rank};
 use super::gang::{EXAMINED_PER_WORKER, GATHERED_PERCENT, MIN_GATHERING, scatter};
+use super::haste::{Haste, SHUNNED};
 use super::order::StopReason;
 use super::wait::Turn;
 use super::{Effect, Owner, Phase, Running, Usage};
@@ -20,6 +21,7 @@
 use crate::machine::capacity::Capacity;
 use crate::machine::host::Host;
 use crate::name::Name;
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -43,6 +45,8 @@
     pub(super) job: &'a Arc<Job>,
     pub(super) step: &'a Step,
     pub(super) state: &'a StepState,
+    /// What it can't bear of a worker.
+    pub(super) haste: Haste,
 }
 
 /// State of one placement pass.
@@ -149,6 +153,7 @@
     pub(super) fn place(&mut self, replica: &Replica, now: Millis) {
         self.queries.expire(now);
         self.update_backlog(replica);
+        self.compare_speeds(now);
         let mut round = self.round(now);
         if !self.accounts.is_empty() {
             self.accounts.update_shares(&round.capacity, self.backlog.waiting_teams());
@@ -187,7 +192,8 @@
                 }
                 continue;
             }
-            let Some(waiting) = waiting(replica, rank.step_id) else { continue };
+            let Some(mut waiting) = waiting(replica, rank.step_id) else { continue };
+            waiting.haste = self.haste(&waiting, replica, now);
             self.effort.steps += 1;
             let before = round.count;
             if is_gang {
@@ -373,8 +379,8 @@
         self.effort.hosts += u64::try_from(hosts.len()).unwrap_or(u64::MAX);
     }
 
-    /// Returns the workers with room for a task, the best fit first: those on the rack of its data,
-    /// then those with the least free processor time. Tasks that fill spare processor time go where
+    /// Returns the workers with room for a task, the best first: those that it does not shun, on the rack
+    /// of its data, of the best [grade](Self::grade), then those with the least free processor time. Tasks that fill spare processor time go where
     /// most is free.
     fn single_hosts(
         &mut self,
@@ -385,7 +391,7 @@
     ) -> Vec<usize> {
         let admitting = self.admitting(waiting, round, now);
         self.examine(&admitting);
-        let mut best: Vec<(bool, u64, usize)> = Vec::new();
+        let mut best: Vec<((bool, bool, u64), u64, usize)> = Vec::new();
         for i in admitting {
             let host = &self.hosts[i];
             let free = round.room(i, host);
@@ -394,7 +400,8 @@
             }
             let is_far = waiting.step.data_rack.as_deref().is_some_and(|r| !host.has_label(r));
             let rest = if waiting.step.fills { u64::MAX - free.cpu_milli } else { free.cpu_milli };
-            best.push((is_far, rest, i));
+            let grade = self.grade(waiting.haste, i, now);
+            best.push(((grade == SHUNNED, is_far, grade), rest, i));
         }
         best.sort_unstable();
         best.into_iter().map(|(_, _, i)| i).collect()
@@ -459,6 +466,7 @@
             has_begun: false,
             has_open_order: false,
             is_accounted: false,
+            timed: None,
         });
         if self.is_suspect(&run.task) {
             round.suspects.push((i, run.task.step_id.job));
@@ -494,7 +502,7 @@
         }
         let plan = self.queries.plan(&waiting.job.policy.queue, timing, now);
         let Allowance { expired, free, whole, valid } = self.allowance(waiting, count, round, now);
-        let workers = if expired.iter().any(|(fits, ..)| *fits > 0)
+        let workers = if expired.iter().any(|worker| worker.fits > 0)
             || (!expired.is_empty() && valid < count)
         {
             select_workers(expired, count, |needed| needed)
@@ -503,7 +511,7 @@
             let most = SEARCHED_PER_NAMED * plan.named(count);
             self.examine(&hosts[..most.min(hosts.len())]);
             let unknown = self.unasked(waiting, hosts, (count, most), round, now);
-            let room: usize = unknown.iter().map(|(fits, ..)| fits).sum();
+            let room: usize = unknown.iter().map(|worker| worker.fits).sum();
             let is_full = free == 0 && room > 0;
             if unknown.is_empty() || whole >= count && !is_full && room < count * 2 {
                 return self.queries.explored(&waiting.step_id, now);
@@ -536,7 +544,7 @@
             if matches!(permission, Permission::Allowed(..)) {
                 allowance.valid += whole;
             } else {
-                let candidate = self.candidate_worker(waiting, ticket.host, count, round);
+                let candidate = self.candidate_worker(waiting, ticket.host, count, round, now);
                 allowance.expired.extend(candidate);
             }
         }
@@ -552,7 +560,7 @@
         (count, most): (usize, usize),
         round: &Round,
         now: Millis,
-    ) -> Vec<(usize, u64, &str)> {
+    ) -> Vec<Nominee<'_>> {
         let length = u64::try_from(hosts.len()).unwrap_or(u64::MAX).max(1);
         let start = usize::try_from(scatter(&waiting.step_id, 0) % length).unwrap_or(0);
         let (before, after) = hosts.split_at(start.min(hosts.len()));
@@ -560,10 +568,24 @@
             |hosts| self.queries.permissions(&waiting.step_id, hosts, self.record_delay, now);
         let said = said(after).chain(said(before));
         let unknown = said.filter(|(_, permission)| *permission == Permission::Unknown);
-        let worker = |(i, _)| self.candidate_worker(waiting, i, count, round);
+        let worker = |(i, _)| self.candidate_worker(waiting, i, count, round, now);
         unknown.filter_map(worker).take(most).collect()
     }
 
+    /// Returns a worker on which `fits` tasks of a step fit, as [`select_workers`] takes it.
+    pub(super) fn nominee(
+        &self,
+        waiting: &WaitingStep<'_>,
+        i: usize,
+        fits: usize,
+        now: Millis,
+    ) -> Nominee<'_> {
+        let grade = self.grade(waiting.haste, i, now);
+        let (is_fit, key) = (fits > 0 && grade != SHUNNED, scatter(&waiting.step_id, i));
+        let worker = &*self.hosts[i].incarnation.worker;
+        Nominee { is_fit, grade: Reverse(grade), fits, key, worker }
+    }
+
     /// Returns a worker as [`select_workers`] takes it, or `None` if it has no room and can't be
     /// expected to have some soon: it is too small, gangs of higher rank keep it, or no runs end.
     fn candidate_worker(
@@ -572,22 +594,37 @@
         i: usize,
         count: usize,
         round: &Round,
-    ) -> Option<(usize, u64, &str)> {
+        now: Millis,
+    ) -> Option<Nominee<'_>> {
         let host = &self.hosts[i];
         let free = Self::fits(waiting.step, &round.room(i, host)).min(count);
         let is_able = free > 0
             || round.expects_room
                 && !round.is_reserved(i)
                 && Self::fits(waiting.step, &host.entry.capacity) > 0;
-        is_able.then(|| (free, scatter(&waiting.step_id, i), &*host.incarnation.worker))
+        is_able.then(|| self.nominee(waiting, i, free, now))
     }
 }
 
+/// A worker that a query may name. The greatest are named first: those with room, of the best grade, with
+/// the most room.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Nominee<'a> {
+    /// Whether it has room and the step does not shun it.
+    is_fit: bool,
+    grade: Reverse<u64>,
+    /// Number of tasks that fit.
+    fits: usize,
+    /// Orders workers with the same room.
+    key: u64,
+    worker: &'a str,
+}
+
 /// What the workers that the advisor allows can hold of a step.
 #[derive(Default)]
 struct Allowance<'a> {
     /// Workers whose tickets have expired, as [`select_workers`] takes them.
-    expired: Vec<(usize, u64, &'a str)>,
+    expired: Vec<Nominee<'a>>,
     /// Number of tasks that fit now.
     free: usize,
     /// Number of tasks that fit while nothing else runs.
@@ -596,23 +633,22 @@
     valid: usize,
 }
 
-/// Returns the workers to name in a round of queries, those with the most room first. `named` is
-/// given how many of them `count` tasks need, and returns how many to name. Each of `workers` is the
-/// number of tasks that fit, a key that orders workers with the same room, and the name.
+/// Returns the workers to name in a round of queries, the greatest first. `named` is
+/// given how many of them `count` tasks need, and returns how many to name.
 pub(super) fn select_workers(
-    mut workers: Vec<(usize, u64, &str)>,
+    mut workers: Vec<Nominee<'_>>,
     count: usize,
     named: impl Fn(usize) -> usize,
 ) -> Vec<Box<str>> {
     workers.sort_by(|a, b| b.cmp(a));
     let mut left = count;
-    let has_need = |(fits, ..): &&(usize, u64, &str)| {
+    let has_need = |nominee: &&Nominee<'_>| {
         let needs_more = left > 0;
-        left = left.saturating_sub((*fits).max(1));
+        left = left.saturating_sub(nominee.fits.max(1));
         needs_more
     };
     let needed = workers.iter().take_while(has_need).count();
-    workers.iter().take(named(needed)).map(|(_, _, worker)| (*worker).into()).collect()
+    workers.iter().take(named(needed)).map(|nominee| nominee.worker.into()).collect()
 }
 
 /// Returns a step and its state; `None` if the replica has no such step.
@@ -621,5 +657,5 @@
     let occurrence = job.occurrences.get(usize::try_from(step_id.occurrence).ok()?)?;
     let state = occurrence.steps.get(usize::from(step_id.step))?;
     let step = job.job.steps.get(usize::from(step_id.step))?;
-    Some(WaitingStep { step_id, job: &job.job, step, state })
+    Some(WaitingStep { step_id, job: &job.job, step, state, haste: Haste::default() })
 }
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -5,6 +5,7 @@
 use super::order::{Order, Poll, StopReason};
 use super::{Effect, Owner, Phase, Running};
 use crate::clock::Millis;
+use crate::contract::work::Outcome;
 use crate::ledger::shard::replica::Replica;
 use crate::ledger::shard::{End, Entry, Incarnation, Run};
 use std::sync::Arc;
@@ -162,6 +163,10 @@
             self.is_dirty = true;
             self.resolve_previous_incarnations(&incarnation, now);
         }
+        if was_silent {
+            // What was reported late shows the way to the worker, not its speed.
+            self.forget_times(on);
+        }
         self.record_ends(on, report, now);
         self.reconcile(on, number, report, replica, now);
     }
@@ -179,6 +184,11 @@
         for end in &ends {
             let Ok(i) = self.run_index(&end.run) else { continue };
             if *self.runs[i].on == *on {
+                let running = &self.runs[i];
+                let is_whole = end.outcome == Outcome::Done && !running.has_open_order;
+                if let Some(timed) = running.timed.filter(|_| is_whole) {
+                    self.measure_end(on, &timed, now);
+                }
                 self.release_capacity(i);
                 self.runs[i].phase = Phase::Ending;
             }
@@ -210,6 +220,7 @@
         listed.sort_by_key(|w| w.run);
         let max_stop = self.limits.max_stop + ANSWER_MARGIN;
         let (mut lost, mut stops, mut ignored) = (Vec::new(), Vec::new(), Vec::new());
+        let mut paced = Vec::new();
         let Some(host) = self.host(on) else { return };
         let last_end = host.submitted_end;
         for run in host.runs.clone() {
@@ -223,6 +234,7 @@
                     stops.push((run, StopReason::Over));
                 }
                 (Ok(at), Phase::Working { .. }) => {
+                    paced.push((i, listed[at].percent));
                     if listed[at].percent > running.progress.0 {
                         running.progress = (listed[at].percent, now);
                     } else if is_hung(replica, running, now) {
@@ -250,6 +262,9 @@
                 _ => {}
             }
         }
+        for (i, percent) in paced {
+            self.measure_progress(i, percent, now);
+        }
         self.record_lost(&lost);
         for run in &lost {
             self.break_gang(run, replica, now);
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -9,6 +9,7 @@
 mod load;
 mod notices;
 mod restarts;
+mod speeds;
 
 use super::advice::{Allowed, Query};
 use super::order::{Order, Poll, Start, Stop, StopReason};
--- a/crates/core/src/contract/owner/tests/fleet.rs
+++ b/crates/core/src/contract/owner/tests/fleet.rs
@@ -25,6 +25,7 @@
 /// A run that a simulated worker executes.
 struct Execution {
     run: Run,
+    began: Millis,
     ends_at: Millis,
     outcome: Outcome,
 }
@@ -35,10 +36,15 @@
     executions: Vec<Execution>,
     /// Number of the last end.
     last_end: u64,
+    /// Time that its runs take, in thousandths of that on a usual worker.
+    slowness: u64,
+    /// Share of its runs that fail, in percent.
+    failing: u64,
 }
 
 /// A shard in simulated time. The simulated advisor allows a part of the workers and serves one
-/// query at a time for each daemon; the simulated workers run each task for its estimated time.
+/// query at a time for each daemon; the simulated workers run each task for its estimated time, apart from
+/// their slowness and the error of the estimate.
 pub(super) struct Fleet {
     site: Site,
     list: Vec<WorkerEntry>,
@@ -57,6 +63,10 @@
     polls: Vec<Poll>,
     /// Steps that have started, each with the time of its first start.
     started: Vec<(StepId, Millis)>,
+    /// All starts, each with its worker and time.
+    pub(super) placed: Vec<(Run, Box<str>, Millis)>,
+    /// Greatest error of an estimate, in thousandths.
+    pub(super) error: u64,
     /// Number of queries by job.
     asked: Vec<(Id, usize)>,
     /// When the next owner takes the shard over, if it has none.
@@ -77,6 +87,8 @@
             name: e.incarnation.worker.clone(),
             executions: Vec::new(),
             last_end: 0,
+            slowness: 1000,
+            failing: 0,
         };
         let workers = list.iter().map(worker).collect();
         let served_by = relays(&site).into_iter().map(|name| (name, now)).collect();
@@ -94,6 +106,8 @@
             workers,
             polls: Vec::new(),
             started: Vec::new(),
+            placed: Vec::new(),
+            error: 0,
             asked: Vec::new(),
             owned_from: None,
         };
@@ -208,9 +222,15 @@
                 self.started.push((step_id, self.now));
             }
             let step = &start.job.steps[usize::from(step_id.step)];
-            let ends_at = self.now + step.estimate_ms;
-            let execution = Execution { run: start.run, ends_at, outcome: Outcome::Done };
-            self.worker(&start.on.worker).executions.push(execution);
+            self.placed.push((start.run, start.on.worker.clone(), self.now));
+            let (run, began) = (start.run, self.now);
+            let estimate = step.estimate_ms.get() * rough(&run, self.error) / 1000;
+            let worker = self.worker(&start.on.worker);
+            let fails = mix(run.task.step_id.job.0, run.number) % 100 < worker.failing;
+            let takes = if fails { estimate / 4 } else { estimate * worker.slowness / 1000 };
+            let outcome = if fails { Outcome::Failed } else { Outcome::Done };
+            let ends_at = began + Millis(takes);
+            worker.executions.push(Execution { run, began, ends_at, outcome });
             let clock = Some(self.now.get());
             let answer = StartAnswer::Taken;
             self.owner.start_answered(
@@ -248,11 +268,21 @@
                 report.ends.push(End { run, number, outcome, saved: "".into() });
             }
             let running = worker.executions.iter();
-            report.running = running.map(|e| Progress { run: e.run, percent: 1 }).collect();
+            report.running = running.map(|e| e.progress(now)).collect();
             self.owner.poll_answered(&poll.on, poll.number, Ok(&report), &self.replica, self.now);
         }
     }
 
+    /// Sets the slowness of a worker, in thousandths, for the runs that it starts from now on.
+    pub(super) fn set_slowness(&mut self, worker: usize, slowness: u64) {
+        self.workers[worker].slowness = slowness;
+    }
+
+    /// Sets which share of the runs that a worker starts from now on fail, in percent.
+    pub(super) fn set_failing(&mut self, worker: usize, percent: u64) {
+        self.workers[worker].failing = percent;
+    }
+
     fn worker(&mut self, name: &str) -> &mut Worker {
         let i = self.workers.binary_search_by(|w| (*w.name).cmp(name)).unwrap();
         &mut self.workers[i]
@@ -276,6 +306,28 @@
     }
 }
 
+impl Execution {
+    fn progress(&self, now: Millis) -> Progress {
+        let whole = self.ends_at.since(self.began).get().max(1);
+        Progress {
+            run: self.run,
+            percent: (now.since(self.began).get() * 100 / whole).clamp(1, 99),
+        }
+    }
+}
+
+/// Returns the time that a run takes in thousandths of its estimate, which is wrong by `error` at most.
+/// Tasks have their own errors, which don't change from run to run.
+fn rough(run: &Run, error: u64) -> u64 {
+    1000 - error + mix(run.task.step_id.job.0, run.task.index) % (2 * error + 1)
+}
+
+const fn mix(job: u64, number: u32) -> u64 {
+    let seed = job ^ ((number as u64) << 48);
+    let hash = (seed ^ (seed >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 33
+}
+
 fn relays(site: &Site) -> Vec<Box<str>> {
     (0..site.relays).map(|i| format!("node-{i}").into()).collect()
 }
--- a/crates/core/src/machine/host.rs
+++ b/crates/core/src/machine/host.rs
@@ -10,6 +10,7 @@
 use crate::clock::Millis;
 use crate::ledger::shard::{Incarnation, Run};
 use crate::machine::capacity::Capacity;
+use crate::machine::speed::Speed;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -98,6 +99,8 @@
     /// Until when an order that got no answer may begin a run here, also after the worker has started
     /// anew. Until then the worker is polled even if no run is known there.
     pub watched_until: Millis,
+    /// How fast it is, and how much of its runs fails.
+    pub speed: Speed,
     clock: Option<ClockReference>,
     /// Time by which every lease granted so far has expired on the worker.
     leases_expire_at: Millis,
@@ -135,6 +138,7 @@
             submitted_end: recorded_end,
             is_replaced: false,
             watched_until: Millis::ZERO,
+            speed: Speed::default(),
             clock: None,
             leases_expire_at,
             inherited_leases_expire_at: Millis::ZERO,
@@ -239,6 +243,7 @@
     /// Records a failed run. After `MAX_CONSECUTIVE_FAILURES` the worker is excluded from
     /// placement.
     pub fn record_failure(&mut self, now: Millis) {
+        self.speed.record_failure(now);
         self.consecutive_failures += 1;
         if self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES {
             self.consecutive_failures = 0;
@@ -255,6 +260,7 @@
 
     /// Resets the failure count and the exclusion back-off after a successful run.
     pub const fn record_success(&mut self) {
+        self.speed.record_success();
         self.consecutive_failures = 0;
         self.exclusions = 0;
     }
--- a/crates/daemon/src/shard/steward/load.rs
+++ b/crates/daemon/src/shard/steward/load.rs
@@ -57,6 +57,7 @@
         self.leftover = tenure.owner.leftover(&self.replica, now);
         let effort = tenure.owner.effort();
         let usage = tenure.owner.usage();
+        let speeds = tenure.owner.speeds(now);
         let percent = |part: u64| (part * 100).checked_div(usage.total).unwrap_or_default();
         let next = Load { logged_at: now, effort, ..Load::default() };
         let Load {
@@ -82,6 +83,10 @@
             workers = tenure.owner.hosts().len(),
             used_percent = percent(usage.used),
             held_percent = percent(usage.held),
+            fastest_percent = speeds.fastest_percent,
+            slowest_percent = speeds.slowest_percent,
+            slowed = speeds.slowed,
+            failing = speeds.failing,
             "owner load"
         );
     }
