Speeds: the usual time of a run is that on a typical worker

The runs of short steps are mostly on fast workers once these are known, so that their usual time became that of a fast worker, and the difference between the workers vanished and came back.

--- a/crates/core/src/machine/speed.rs
+++ b/crates/core/src/machine/speed.rs
@@ -37,7 +37,7 @@
 /// Smallest difference between workers, as a standard deviation, that counts as one.
 const MIN_SPREAD: u64 = 80;
 /// Standard deviations by which the difference between workers has to be more than chance. It is
-/// looked at again and again.
+/// looked at again and again. Once they differ, half of the variance is enough.
 const CERTAIN: u64 = 4;
 /// Greatest ratio of a run that counts for the worker's last runs, and for the usual time. A run that is
 /// expected to take so long is overdue.
@@ -130,7 +130,8 @@
         let usual = &mut self.usual[class(run.estimate)];
         let was_known = usual.is_known();
         let of_estimate = now.since(run.ordered).get().saturating_mul(TYPICAL) / run.estimate.get();
-        usual.record(run, of_estimate, now);
+        // Most runs of a class may be on fast workers, since they are chosen for them.
+        usual.record(run, of_estimate.saturating_mul(TYPICAL) / speed.ratio().max(1), now);
         if !was_known {
             return;
         }
@@ -175,7 +176,8 @@
     pub fn compare<'a>(&mut self, speeds: impl Iterator<Item = &'a Speed> + Clone, now: Millis) {
         let compared = speeds.filter(|s| s.runs >= MIN_COMPARED_RUNS && !s.is_slowed(now));
         let count = u64::try_from(compared.clone().count()).unwrap_or(u64::MAX);
-        (self.spread, self.mean) = (0, TYPICAL);
+        let was_uneven = std::mem::take(&mut self.spread) > 0;
+        self.mean = TYPICAL;
         if count < MIN_COMPARED_WORKERS {
             return;
         }
@@ -186,7 +188,8 @@
         let spread = total.saturating_sub(chance);
         // The variance of as many random values has a standard deviation of sqrt(2 / count) of itself.
         let by_chance = chance * CERTAIN * (2_000_000 / count).isqrt() / 1000;
-        if spread >= MIN_SPREAD.pow(2) && spread >= by_chance {
+        let least = by_chance.max(MIN_SPREAD.pow(2));
+        if spread >= if was_uneven { least / 2 } else { least } {
             (self.spread, self.mean) = (spread, mean);
         }
     }
@@ -230,7 +233,7 @@
         self.runs >= MIN_CLASS_RUNS
     }
 
-    /// Counts a run that took `of_estimate`, in thousandths of its estimate.
+    /// Counts a run that would have taken `of_estimate`, in thousandths of its estimate, on a typical worker.
     fn record(&mut self, run: &Timed, of_estimate: u64, now: Millis) {
         let since = *self.since.get_or_insert(run.ordered);
         let longest = Millis(2 << class(run.estimate));
