--- a/crates/core/src/contract/owner/haste.rs
+++ b/crates/core/src/contract/owner/haste.rs
@@ -177,6 +177,7 @@
         let is_near = step.data_rack.as_deref().is_none_or(|rack| host.has_label(rack));
         let is_alone = !step.one_rack && (!step.gang || step.count == 1);
         let shows_speed = is_near && is_alone && !step.fills && !step.lasting && !is_resumed;
-        shows_speed.then_some(Timed { ordered: now, estimate: step.estimate_ms, is_overdue: false })
+        let (step_id, estimate) = (running.run.task.step_id, step.estimate_ms);
+        shows_speed.then_some(Timed { ordered: now, step_id, estimate, is_overdue: false })
     }
 }
--- a/crates/core/src/contract/owner/tests/fleet.rs
+++ b/crates/core/src/contract/owner/tests/fleet.rs
@@ -317,9 +317,11 @@
 }
 
 /// Returns the time that a run takes in thousandths of its estimate, which is wrong by `error` at most.
-/// Tasks have their own errors, which don't change from run to run.
+/// Two thirds of the error are that of the job, and one is the task's own. Neither changes from run to run.
 fn rough(run: &Run, error: u64) -> u64 {
-    1000 - error + mix(run.task.step_id.job.0, run.task.index) % (2 * error + 1)
+    let job = run.task.step_id.job.0;
+    let of = |number, error| mix(job, number) % (2 * error + 1);
+    1000 - error + of(u32::MAX, error * 2 / 3) + of(run.task.index, error / 3)
 }
 
 const fn mix(job: u64, number: u32) -> u64 {
--- a/crates/core/src/contract/owner/tests/speeds.rs
+++ b/crates/core/src/contract/owner/tests/speeds.rs
@@ -12,10 +12,10 @@
 /// Greatest error of the estimates, in thousandths.
 const ERROR: u64 = 700;
 /// Slack of a short job: 600 ms, less what calls between regions take that the fleet doesn't have.
-const SLACK: Millis = Millis(400);
+const SLACK: Millis = Millis(300);
 const SLICE: Millis = Millis(20);
 /// Time from the first arrival after which most workers are measured.
-const LEARNT: Millis = Millis::from_secs(12);
+const LEARNT: Millis = Millis::from_secs(20);
 /// Ids from which jobs are long ones.
 const LONG: u64 = 1 << 32;
 
@@ -50,8 +50,8 @@
     fn play(&mut self, time: Millis) {
         let until = self.fleet.now + time;
         while self.fleet.now < until {
-            // 20 short jobs and 5 long ones a second.
-            for (is_short, per_second) in [(true, 20), (false, 5)] {
+            // 40 short jobs and 5 long ones a second.
+            for (is_short, per_second) in [(true, 40), (false, 5)] {
                 if self.random.random_range(0..1000) < per_second * SLICE.get() {
                     self.submit(is_short);
                 }
@@ -122,7 +122,7 @@
 fn short_work_is_in_time_on_uneven_workers() {
     let late = |is_measured| {
         let mut callers = Callers::new(is_measured).uneven();
-        callers.play(Millis::from_secs(30));
+        callers.play(Millis::from_secs(40));
         let learnt = callers.began + LEARNT;
         let share = |kind| callers.share(learnt, Millis::MAX, |i| i % 3 == kind);
         let shares = [share(0), share(1), share(2)];
@@ -143,7 +143,7 @@
 fn even_workers_are_chosen_as_if_their_speeds_were_not_measured() {
     let placed = |is_measured| {
         let mut callers = Callers::new(is_measured);
-        callers.play(Millis::from_secs(20));
+        callers.play(Millis::from_secs(30));
         callers.fleet.placed
     };
     let (with, without) = (placed(true), placed(false));
--- a/crates/core/src/machine/speed.rs
+++ b/crates/core/src/machine/speed.rs
@@ -9,6 +9,7 @@
 mod tests;
 
 use crate::clock::Millis;
+use crate::contract::work::StepId;
 
 /// The run time of a typical worker, or as estimated.
 pub const TYPICAL: u64 = 1000;
@@ -25,6 +26,8 @@
 /// Time before which ends don't count, from the first order, as a multiple of the time that runs take: the
 /// first runs to end are the shortest.
 const WARM_UP: u64 = 2;
+/// Number of steps that a worker remembers, so that each counts once.
+const COUNTED: usize = 4;
 /// Weight of the newest run in a worker's mean, as a divisor; less while it has had few runs.
 const WORKER_RUNS: u64 = 16;
 /// Runs of even weight that are worth a mean in which the newest has the weight 1 / [`WORKER_RUNS`].
@@ -70,8 +73,11 @@
 pub struct Speed {
     /// When the first one of its runs was ordered.
     since: Option<Millis>,
-    /// Number of runs that count.
+    /// Number of runs that count: one for each step, since the tasks of a step share the error of their
+    /// estimate.
     runs: u64,
+    /// The steps of the last of them, the newest first.
+    counted: [Option<StepId>; COUNTED],
     /// Mean ratio of these runs, the newest with more weight.
     mean: u64,
     /// Mean ratio of the last runs.
@@ -89,6 +95,8 @@
 pub struct Timed {
     /// When it was ordered.
     pub ordered: Millis,
+    /// The step of its task.
+    pub step_id: StepId,
     /// Estimated run time.
     pub estimate: Millis,
     /// Whether [`Pace::note_progress`] has found it overdue.
@@ -142,7 +150,8 @@
         let since = *speed.since.get_or_insert(run.ordered);
         let is_early = now.since(since) < self.usual(run.estimate).times(WARM_UP);
         // Runs of a worker that has turned slow say nothing about its usual speed.
-        if is_early || ratio >= SLOWED || speed.is_slowed(now) {
+        let is_repeated = speed.counted.contains(&Some(run.step_id));
+        if is_early || is_repeated || ratio >= SLOWED || speed.is_slowed(now) {
             return;
         }
         let ratio = ratio.clamp(RATIOS.0, RATIOS.1);
@@ -151,6 +160,8 @@
             let residual = ratio.abs_diff(speed.mean).pow(2);
             self.noise = smooth(self.noise, residual, self.residuals.min(POOL_RUNS));
         }
+        speed.counted.rotate_right(1);
+        speed.counted[0] = Some(run.step_id);
         speed.runs += 1;
         speed.mean = smooth(speed.mean, ratio, speed.runs.min(WORKER_RUNS));
     }
--- a/crates/core/src/machine/speed/tests.rs
+++ b/crates/core/src/machine/speed/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of what the times of runs show about their workers.
 
 use super::*;
+use crate::contract::work::Id;
 use googletest::prelude::*;
 
 const ESTIMATE: Millis = Millis(1000);
@@ -31,7 +32,13 @@
 
 fn end(pace: &mut Pace, speed: &mut Speed, took: u64, now: Millis) {
     let ordered = Millis(now.get() - took);
-    pace.record(speed, &Timed { ordered, estimate: ESTIMATE, is_overdue: false }, now);
+    pace.record(speed, &Timed { ordered, ..timed(now.get() + took) }, now);
+}
+
+/// A run of a step of its own.
+fn timed(job: u64) -> Timed {
+    let step_id = StepId { job: Id(job), occurrence: 0, step: 0 };
+    Timed { ordered: NOW, step_id, estimate: ESTIMATE, is_overdue: false }
 }
 
 /// Errors of estimates that average out.
@@ -93,7 +100,7 @@
 fn runs_under_way_show_that_a_worker_has_turned_slow_before_they_end() {
     let (pace, mut speeds) = pool(rough);
     let ordered = Millis(NOW.get() - 1500);
-    let mut runs = [Timed { ordered, estimate: ESTIMATE, is_overdue: false }; 2];
+    let mut runs = [Timed { ordered, ..timed(0) }; 2];
     // Half done after one and a half of its usual time: rough, but no sign.
     pace.note_progress(&mut speeds[0], &mut runs[0], 60, NOW);
     expect_that!(runs[0].is_overdue, eq(false));
@@ -126,3 +133,16 @@
         expect_that!(speed.is_failing(NOW), eq(millis > 0), "{ends:?}");
     }
 }
+
+/// The tasks of a step share the error of their estimate, so that many of them show no more than one.
+#[gtest]
+fn runs_of_one_step_on_a_worker_count_once() {
+    let (mut pace, mut speeds) = pool(rough);
+    let before = speeds[0].mean;
+    let run = Timed { ordered: Millis(NOW.get() - 1700), ..timed(1) };
+    pace.record(&mut speeds[0], &run, NOW);
+    let once = speeds[0].mean;
+    expect_that!(once, gt(before));
+    (0..5).for_each(|_| pace.record(&mut speeds[0], &run, NOW));
+    expect_that!(speeds[0].mean, eq(once));
+}
