--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -10,6 +10,7 @@
 mod notices;
 mod quotas;
 mod restarts;
+mod speeds;
 
 use super::advice::{Allowed, Query};
 use super::order::{Order, Poll, Start, Stop, StopReason};
