Owner: what runs take beyond their estimates counts for being in time

A step counted as in time until its objective less the estimated chain, although each start costs a record, the way to the worker, a poll and another record.

Fronts: a job that can't end while its result has value is refused at once

The owner sums up what waits once a second; daemons ask for it at most twice a second while callers submit jobs, and refuse a job, before anything is stored, if even three objectives are out of reach by a margin. No summary, an old one or one of another owner: accept.

--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -24,6 +24,8 @@
 mod lead;
 mod notice;
 pub mod order;
+pub mod outlook;
+mod overrun;
 mod place;
 mod poll;
 mod runs;
@@ -45,6 +47,8 @@
 use advice::Queries;
 use backlog::Backlog;
 use order::{Order, Start, StopReason};
+use outlook::Inflow;
+use overrun::Overruns;
 use runs::Runs;
 use std::sync::Arc;
 use turnover::Turnover;
@@ -130,6 +134,8 @@
     reason: StopReason,
     /// When its stop was first ordered.
     stopping_since: Option<Millis>,
+    /// When it was placed; `None` if an earlier owner placed it or its worker did not answer meanwhile.
+    placed_at: Option<Millis>,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
     /// Whether the incarnation `on` has certainly accepted the start order, or listed the run.
@@ -208,6 +214,8 @@
     /// Usage after the last placement pass.
     usage: Usage,
     turnover: Turnover,
+    overruns: Overruns,
+    inflow: Inflow,
     /// Gangs that became late or started since [`Self::waited`] was last called.
     waited: Vec<Waited>,
     /// Number of releases of capacity so far.
@@ -238,6 +246,8 @@
             effort: Effort::default(),
             usage: Usage::default(),
             turnover: Turnover::default(),
+            overruns: Overruns::default(),
+            inflow: Inflow::new(now),
             waited: Vec::new(),
             releases: 0,
             is_dirty: true,
@@ -317,6 +327,9 @@
                 for end in ends {
                     // Also if the run is not open: a late end can complete a waiting task.
                     self.backlog.mark_changed(end.run.task.step_id);
+                    if end.outcome == Outcome::Done {
+                        self.measure_overrun(&end.run, on, replica, now);
+                    }
                     self.remove(&end.run, on);
                     self.handle_end(&end.run, end.outcome, on, replica, now);
                 }
@@ -503,6 +516,20 @@
         }
     }
 
+    /// Records how much longer than estimated a run took that is done.
+    fn measure_overrun(&mut self, run: &Run, on: &Incarnation, replica: &Replica, now: Millis) {
+        let Ok(i) = self.run_index(run) else { return };
+        let Running { on: placed_on, placed_at: Some(placed_at), .. } = &self.runs[i] else {
+            return;
+        };
+        let Some(state) = replica.job(run.task.step_id.job) else { return };
+        let step = state.job.steps.get(usize::from(run.task.step_id.step));
+        if let Some(step) = step.filter(|step| !step.lasting && **placed_on == *on) {
+            let took = now.since(*placed_at);
+            self.overruns.record(&state.job.policy.queue, step.estimate_ms, took);
+        }
+    }
+
     fn host_index(&self, worker: &str) -> Result<usize, usize> {
         self.hosts.binary_search_by(|h| (*h.incarnation.worker).cmp(worker))
     }
@@ -617,6 +644,7 @@
             stop_requested: false,
             reason: StopReason::Stray,
             stopping_since: None,
+            placed_at: None,
             progress: (0, now),
             has_begun: false,
             has_open_order: false,
--- a/crates/core/src/contract/owner/account.rs
+++ b/crates/core/src/contract/owner/account.rs
@@ -144,6 +144,15 @@
         self.beyond.binary_search(&job).is_ok()
     }
 
+    /// Returns the teams whose next job is beyond their rate, sorted.
+    pub(super) fn spent(&self, now: Millis) -> Vec<Name> {
+        let is_spent = |account: &&Account| {
+            let gained = u64::from(account.weight) * now.since(account.saved_at).get();
+            account.quota.is_some() && account.saved.saturating_add(gained) < JOB
+        };
+        self.list.iter().filter(is_spent).map(|account| account.team.clone()).collect()
+    }
+
     /// Returns the number of open jobs beyond the rates of their teams.
     pub(super) const fn beyond_count(&self) -> usize {
         self.beyond.len()
--- a/crates/core/src/contract/owner/backlog.rs
+++ b/crates/core/src/contract/owner/backlog.rs
@@ -5,17 +5,19 @@
 
 use super::account::{Accounts, Arrival};
 use super::lead::Leads;
+use super::overrun::Overruns;
 use super::wait::{Turn, Wait, Waited};
 use super::{Owner, place};
 use crate::clock::Millis;
-use crate::contract::work::{Job, StepId, Task};
+use crate::contract::work::{Job, Step, StepId, Task};
 use crate::ledger::shard::replica::Replica;
+use crate::ledger::shard::state::StepState;
 use crate::machine::capacity::Capacity;
 use crate::name::Name;
 use std::sync::Arc;
 
 /// Multiple of its objective after which a job's result has no value.
-const WORTHLESS_OBJECTIVES: u64 = 3;
+pub(super) const WORTHLESS_OBJECTIVES: u64 = 3;
 /// Share of the workers' processor time that late steps ranked as if they were in time may need, in
 /// percent. They take room from work that can still meet its objective.
 const LAST_CHANCES_PERCENT: u64 = 1;
@@ -47,6 +49,17 @@
     }
 }
 
+/// Work of one open step that waits and is not late, and of the steps after it.
+pub(super) struct Waiting {
+    pub(super) priority: u32,
+    /// Whether the job is beyond the rate of its team.
+    pub(super) is_beyond: bool,
+    /// Time until its latest turn.
+    pub(super) turn_in: Millis,
+    /// Work in core milliseconds, thousandths.
+    pub(super) work: u64,
+}
+
 /// An open step.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
@@ -69,6 +82,10 @@
     /// Latest start with which the job's result has value; `None` for a lasting step.
     worthless_after: Option<Millis>,
     latest_start: Millis,
+    /// Number of steps that follow each other from this one to the end of the job.
+    depth: u64,
+    /// Time that the job may take beyond its estimate.
+    slack: Millis,
     /// How it has waited, if it is a gang.
     wait: Wait,
 }
@@ -95,12 +112,20 @@
     }
 
     /// Notes what a pass did for a waiting gang. Returns its wait if it became late or starts.
-    pub(super) fn note_turn(&mut self, at: usize, turn: Turn, now: Millis) -> Option<Waited> {
+    pub(super) fn note_turn(
+        &mut self,
+        at: usize,
+        turn: Turn,
+        overruns: &Overruns,
+        now: Millis,
+    ) -> Option<Waited> {
         let candidate = &mut self.steps[at];
+        let overrun = candidate.overrun(overruns);
         let Candidate { step_id, tasks, wait, .. } = candidate;
         let (step_id, tasks) = (*step_id, *tasks);
         let was_late = wait.late > Millis::ZERO;
-        wait.late = candidate.late_after.map_or(Millis::ZERO, |limit| now.since(limit));
+        wait.late =
+            candidate.late_after.map_or(Millis::ZERO, |limit| now.since(limit.since(overrun)));
         wait.add(turn, now);
         let (wait, has_started) = (*wait, turn == Turn::Started);
         if has_started {
@@ -116,13 +141,41 @@
         self.steps.iter().filter(|c| c.startable > 0).filter_map(Candidate::team)
     }
 
+    /// Returns the waiting work that can still be in time.
+    pub(super) fn waiting(
+        &self,
+        replica: &Replica,
+        accounts: &Accounts,
+        overruns: &Overruns,
+        now: Millis,
+    ) -> impl Iterator<Item = Waiting> {
+        let startable = self.steps.iter().enumerate().filter(|(_, c)| c.startable > 0);
+        startable.filter_map(move |(at, c)| {
+            let rank = c.rank(at, &self.leads, accounts, overruns, now);
+            let is_first = at == 0 || self.steps[at - 1].step_id.job != c.step_id.job;
+            let (is_beyond, priority) = (rank.is_beyond, rank.priority);
+            (!rank.is_late && !rank.is_worthless).then(|| Waiting {
+                priority,
+                is_beyond,
+                turn_in: rank.latest_turn.since(now),
+                work: c.work(replica, is_first),
+            })
+        })
+    }
+
     /// Returns the steps with tasks that can start, in the order of placement. `cpu_milli` is the
     /// processor time of all workers, in thousandths of a core.
-    pub(super) fn ranks(&self, cpu_milli: u64, accounts: &Accounts, now: Millis) -> Vec<Rank> {
+    pub(super) fn ranks(
+        &self,
+        cpu_milli: u64,
+        accounts: &Accounts,
+        overruns: &Overruns,
+        now: Millis,
+    ) -> Vec<Rank> {
         let startable = self.steps.iter().enumerate().filter(|(_, c)| c.startable > 0);
-        let rank = |(at, c): (usize, &Candidate)| c.rank(at, &self.leads, accounts, now);
+        let rank = |(at, c): (usize, &Candidate)| c.rank(at, &self.leads, accounts, overruns, now);
         let mut ranks: Vec<Rank> = startable.map(rank).collect();
-        self.give_last_chances(&mut ranks, cpu_milli * LAST_CHANCES_PERCENT / 100, now);
+        self.give_last_chances(&mut ranks, cpu_milli * LAST_CHANCES_PERCENT / 100, overruns, now);
         ranks.sort_unstable();
         ranks
     }
@@ -131,10 +184,18 @@
     /// the next to lose it first: one, and further ones while `budget` is left, in thousandths of a core.
     /// While more work arrives than fits, no room is left for a wide step behind all work that can
     /// still be in time.
-    fn give_last_chances(&self, ranks: &mut [Rank], mut budget: u64, now: Millis) {
+    fn give_last_chances(
+        &self,
+        ranks: &mut [Rank],
+        mut budget: u64,
+        overruns: &Overruns,
+        now: Millis,
+    ) {
         let has_last_chance = |rank: &Rank| {
             let candidate = &self.steps[rank.at];
-            let is_near_end = candidate.last_chance_after.is_some_and(|limit| now > limit);
+            let overrun = candidate.overrun(overruns);
+            let is_near_end =
+                candidate.last_chance_after.is_some_and(|limit| now > limit.since(overrun));
             is_near_end && !rank.is_worthless && !rank.is_beyond
         };
         let mut late: Vec<&mut Rank> = ranks.iter_mut().filter(|r| has_last_chance(r)).collect();
@@ -157,17 +218,56 @@
         self.job.policy.team.as_ref()
     }
 
-    /// Returns the arrival of the job, if the job is of a team and this is its first step.
+    /// Returns whether this is the job's first step.
+    const fn is_first(&self) -> bool {
+        self.step_id.step == 0 && self.step_id.occurrence == 0
+    }
+
+    /// Returns the arrival of the job, if the job is of a team.
     fn arrival(&self) -> Option<Arrival> {
-        let is_first = self.step_id.step == 0 && self.step_id.occurrence == 0;
         let (at, job) = (self.seen, self.job.id);
-        self.team().filter(|_| is_first).map(|team| Arrival { at, job, team: team.clone() })
+        self.team().map(|team| Arrival { at, job, team: team.clone() })
+    }
+
+    /// Returns the work of the tasks that can start, in core milliseconds, thousandths, and of the steps that
+    /// are not open yet if this is the job's first open step.
+    fn work(&self, replica: &Replica, is_first: bool) -> u64 {
+        let steps = &self.job.steps;
+        let estimate =
+            steps.get(usize::from(self.step_id.step)).map_or(Millis::ZERO, |s| s.estimate_ms);
+        let each = self.needs.cpu_milli.saturating_mul(estimate.get());
+        let own = each.saturating_mul(u64::try_from(self.startable).unwrap_or(u64::MAX));
+        let occurrence = usize::try_from(self.step_id.occurrence).unwrap_or(usize::MAX);
+        let state = replica.job(self.step_id.job).filter(|_| is_first);
+        let Some(occurrence) = state.and_then(|state| state.occurrences.get(occurrence)) else {
+            return own;
+        };
+        let later = |(i, step): &(usize, &Step)| {
+            let is_done = occurrence.steps.get(*i).is_none_or(StepState::is_done);
+            !is_done && !occurrence.is_open(&self.job, *i) && !step.lasting
+        };
+        let later = steps.iter().enumerate().filter(later).map(|(_, step)| step.effort());
+        later.fold(own, u64::saturating_add)
+    }
+
+    /// Returns how much longer than estimated the rest of the job will probably take.
+    fn overrun(&self, overruns: &Overruns) -> Millis {
+        overruns.expected(&self.job.policy.queue, self.depth, self.slack)
     }
 
     /// A wide gang needs more time from its first turn to its start, so that its turn has to come
     /// earlier than that of a narrow one with the same latest start.
-    fn rank(&self, at: usize, leads: &Leads, accounts: &Accounts, now: Millis) -> Rank {
-        let is_after = |limit: Option<Millis>| limit.is_some_and(|limit| now > limit);
+    fn rank(
+        &self,
+        at: usize,
+        leads: &Leads,
+        accounts: &Accounts,
+        overruns: &Overruns,
+        now: Millis,
+    ) -> Rank {
+        let overrun = self.overrun(overruns);
+        let is_after =
+            |limit: Option<Millis>| limit.is_some_and(|limit| now > limit.since(overrun));
         let policy = &self.job.policy;
         let lead =
             if self.is_gang { leads.expected(&policy.queue, self.tasks) } else { Millis::ZERO };
@@ -177,7 +277,7 @@
             is_late: is_after(self.late_after),
             priority: policy.priority,
             is_over_share: accounts.is_over_share(self.team()),
-            latest_turn: self.latest_start.since(lead).max(self.seen),
+            latest_turn: self.latest_start.since(overrun).since(lead).max(self.seen),
             step_id: self.step_id,
             at,
         }
@@ -199,7 +299,10 @@
             let known = old.next_if(|c| c.step_id == *step_id);
             let added = known.is_none();
             steps.extend(known.or_else(|| self.candidate(replica, *step_id)));
-            arrivals.extend(steps.last().filter(|_| added).and_then(Candidate::arrival));
+            if let Some(candidate) = steps.last().filter(|c| added && c.is_first()) {
+                self.inflow.add(&candidate.job, candidate.seen);
+                arrivals.extend(candidate.arrival());
+            }
         }
         if !arrivals.is_empty() {
             self.accounts.judge(arrivals);
@@ -238,6 +341,8 @@
             last_chance_after: latest_start(WORTHLESS_OBJECTIVES - 1),
             worthless_after: latest_start(WORTHLESS_OBJECTIVES),
             latest_start: (state.seen + state.objective).since(left),
+            depth: state.job.depth(usize::from(step_id.step)),
+            slack: state.objective.since(state.chains.iter().copied().max().unwrap_or_default()),
             wait: Wait::default(),
         })
     }
--- a/crates/core/src/contract/owner/place.rs
+++ b/crates/core/src/contract/owner/place.rs
@@ -153,7 +153,7 @@
         if !self.accounts.is_empty() {
             self.accounts.update_shares(&round.capacity, self.backlog.waiting_teams());
         }
-        for rank in self.backlog.ranks(round.whole, &self.accounts, now) {
+        for rank in self.backlog.ranks(round.whole, &self.accounts, &self.overruns, now) {
             if round.count >= MAX_STARTS {
                 self.is_dirty = true;
                 break;
@@ -238,7 +238,7 @@
         if turn == Turn::Crowded {
             round.crowded.get_or_insert(rank);
         }
-        self.waited.extend(self.backlog.note_turn(rank.at, turn, now));
+        self.waited.extend(self.backlog.note_turn(rank.at, turn, &self.overruns, now));
     }
 
     fn round(&mut self, now: Millis) -> Round {
@@ -455,6 +455,7 @@
             stop_requested: false,
             reason: StopReason::Stray,
             stopping_since: None,
+            placed_at: Some(now),
             progress: (0, now),
             has_begun: false,
             has_open_order: false,
--- a/crates/core/src/contract/owner/poll.rs
+++ b/crates/core/src/contract/owner/poll.rs
@@ -160,12 +160,23 @@
         let incarnation = Arc::clone(&host.incarnation);
         if was_silent {
             self.is_dirty = true;
+            self.leave_unmeasured(on);
             self.resolve_previous_incarnations(&incarnation, now);
         }
         self.record_ends(on, report, now);
         self.reconcile(on, number, report, replica, now);
     }
 
+    /// Leaves the runs of a worker out of what runs take: it did not answer while they were there.
+    fn leave_unmeasured(&mut self, on: &Incarnation) {
+        let Some(host) = self.host(on) else { return };
+        for run in host.runs.clone() {
+            if let Ok(i) = self.run_index(&run) {
+                self.runs[i].placed_at = None;
+            }
+        }
+    }
+
     /// Records the reported ends that are neither recorded nor being recorded, and releases the
     /// capacity of their runs.
     fn record_ends(&mut self, on: &Incarnation, report: &Report, now: Millis) {
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -12,6 +12,7 @@
 
 use super::advice::{Allowed, Query};
 use super::order::{Order, Poll, Start, Stop, StopReason};
+use super::outlook;
 use super::{Effect, Limits, Notice, Owner, PollError, Progress, Report, StartAnswer, StopAnswer};
 use crate::clock::Millis;
 use crate::contract::work::tests::{job, step};
--- a/crates/core/src/contract/owner/tests/load.rs
+++ b/crates/core/src/contract/owner/tests/load.rs
@@ -2,6 +2,7 @@
 //! single tasks, and gangs, each with an advisor of its own. The tests check what callers get.
 
 use super::fleet::{Fleet, Site};
+use super::outlook::Outlook;
 use super::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -172,6 +173,12 @@
     /// Processor time in use, summed over the slices, in thousandths of the fleet.
     used: u64,
     slices: u64,
+    /// What the owner last said of its backlog, and when; `None` for callers whose jobs are never refused.
+    outlook: Option<(Millis, Option<Outlook>)>,
+    /// Refused jobs with the times of their return.
+    refused: Vec<(Millis, Job)>,
+    /// Number of refusals by kind.
+    refusals: [usize; 3],
 }
 
 impl Callers {
@@ -188,6 +195,9 @@
             completed: Vec::new(),
             used: 0,
             slices: 0,
+            outlook: None,
+            refused: Vec::new(),
+            refusals: [0; 3],
         }
     }
 
@@ -207,6 +217,7 @@
     }
 
     fn pass(&mut self) {
+        self.return_refused();
         self.fleet.pass(SLICE);
         let usage = self.fleet.owner.usage();
         self.used += usage.used * 1000 / usage.total.max(1);
@@ -241,7 +252,30 @@
         policy.advisor_timing = Some(KINDS[kind].advisor);
         let work = u64::from(count) * needs.cpu_milli * estimate_ms.get() / 1000;
         self.handed_in.push((id, work, self.fleet.now + job.objective()));
-        self.fleet.submit(job);
+        self.hand_in(job);
+    }
+
+    /// Hands a job in, or has it return later if the owner's last summary says that there is no room.
+    fn hand_in(&mut self, job: Job) {
+        let outlook = self.outlook.as_ref().and_then(|(_, outlook)| outlook.as_ref());
+        match outlook.map_or(Ok(()), |outlook| outlook.judge(&job)) {
+            Ok(()) => self.fleet.submit(job),
+            Err(refusal) => {
+                self.refusals[kind_of(job.id)] += 1;
+                self.refused.push((self.fleet.now + refusal.retry, job));
+            }
+        }
+    }
+
+    /// Reads the owner's summary once a second, and hands in refused jobs that are due again.
+    fn return_refused(&mut self) {
+        let now = self.fleet.now;
+        let Some((read_at, outlook)) = &mut self.outlook else { return };
+        if now.since(*read_at) >= Millis::from_secs(1) {
+            (*read_at, *outlook) = (now, self.fleet.owner.outlook(&self.fleet.replica, now));
+        }
+        let due: Vec<_> = self.refused.extract_if(.., |(at, _)| *at <= now).collect();
+        due.into_iter().for_each(|(_, job)| self.hand_in(job));
     }
 
     /// Waits for the remaining jobs, and returns what the callers of each kind got.
@@ -294,7 +328,11 @@
         for (kind, outcome) in KINDS.iter().zip(&outcomes) {
             println!("{}: {outcome}", kind.queue);
         }
-        println!("mean use of the workers: {} per mille", used / slices);
+        println!(
+            "mean use of the workers: {} per mille; refused: {:?}",
+            used / slices,
+            self.refusals
+        );
         outcomes
     }
 }
@@ -383,6 +421,51 @@
     }
 }
 
+/// Everything at 1.6 times the usual, with bursts of the short kind and then of the wide one.
+fn flood_with_bursts(mut callers: Callers) -> [Outcomes; 3] {
+    callers.play(Millis::from_secs(4), [160; 3]);
+    callers.play(Millis::from_secs(4), [352, 160, 160]);
+    callers.play(Millis::from_secs(5), [160; 3]);
+    callers.play(Millis::from_secs(4), [160, 288, 160]);
+    callers.play(Millis::from_secs(8), [160; 3]);
+    callers.outcomes()
+}
+
+/// The same after a flood that no priority but the first gets through.
+fn long_flood(mut callers: Callers) -> [Outcomes; 3] {
+    callers.play(Millis::from_secs(6), [160; 3]);
+    callers.play(Millis::from_secs(20), [300, 300, 200]);
+    callers.play(Millis::from_secs(10), [100; 3]);
+    callers.outcomes()
+}
+
+fn callers_that_return(seed: u64) -> Callers {
+    let mut callers = Callers::with_seed(seed);
+    callers.outlook = Some((Millis::ZERO, None));
+    callers
+}
+
+#[gtest]
+fn trial_bursts_1() {
+    flood_with_bursts(Callers::with_seed(1));
+}
+#[gtest]
+fn trial_bursts_2() {
+    flood_with_bursts(Callers::with_seed(2));
+}
+#[gtest]
+fn trial_long_1() {
+    long_flood(Callers::with_seed(1));
+}
+#[gtest]
+fn trial_refuse_1() {
+    flood_with_bursts(callers_that_return(1));
+}
+#[gtest]
+fn trial_refuse_long_1() {
+    long_flood(callers_that_return(1));
+}
+
 /// A day of a large site: a flood of reindexing, then of lookups, and later one of seals, while the
 /// shard loses its owner at the start of the first, before the last, and at the end.
 fn day_with_takeovers(seed: u64) -> [Outcomes; 3] {
--- a/crates/core/src/contract/owner/turnover.rs
+++ b/crates/core/src/contract/owner/turnover.rs
@@ -22,7 +22,13 @@
 }
 
 impl Turnover {
-    /// Adds processor time, in thousandths of a core, that a run has released.
+    /// Returns one whose first interval begins now.
+    pub(super) const fn starting(now: Millis) -> Self {
+        Self { since: now, released: 0, per_second: 0 }
+    }
+
+    /// Adds processor time, in thousandths of a core, that a run has released. The unit is free to
+    /// choose: all that counts is that what is expected has the same.
     pub(super) const fn release(&mut self, cpu_milli: u64) {
         self.released = self.released.saturating_add(cpu_milli);
     }
--- a/crates/core/src/contract/work.rs
+++ b/crates/core/src/contract/work.rs
@@ -137,6 +137,12 @@
 }
 
 impl Step {
+    /// Returns the estimated processor time of all tasks, in thousandths of a core times milliseconds.
+    pub const fn effort(&self) -> u64 {
+        let each = self.needs.cpu_milli.saturating_mul(self.estimate_ms.get());
+        each.saturating_mul(self.count as u64)
+    }
+
     /// Returns the part of a task's needs that counts against its worker and its team.
     pub const fn counted_needs(&self) -> Capacity {
         if self.fills { Capacity { cpu_milli: 0, ..self.needs } } else { self.needs }
@@ -227,6 +233,18 @@
         longest
     }
 
+    /// Returns the number of steps that follow each other from a step to the end of the job, this one
+    /// included: zero if there is no such step.
+    pub fn depth(&self, step: usize) -> u64 {
+        let mut depths = vec![0; self.steps.len()];
+        for i in (step..self.steps.len()).rev() {
+            let follows = |j: &usize| self.steps[*j].after.iter().any(|b| usize::from(*b) == i);
+            let next = (i + 1..self.steps.len()).filter(follows).map(|j| depths[j]).max();
+            depths[i] = 1 + next.unwrap_or(0);
+        }
+        depths.get(step).copied().unwrap_or_default()
+    }
+
     /// Returns the number of tasks of all steps.
     pub fn tasks(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
@@ -235,11 +253,7 @@
     /// Returns the estimated processor time of all tasks, in thousandths of a core times
     /// milliseconds.
     pub fn effort(&self) -> u64 {
-        let effort = |step: &Step| {
-            let each = step.needs.cpu_milli.saturating_mul(step.estimate_ms.get());
-            each.saturating_mul(u64::from(step.count))
-        };
-        self.steps.iter().map(effort).fold(0, u64::saturating_add)
+        self.steps.iter().map(Step::effort).fold(0, u64::saturating_add)
     }
 
     /// Returns the completion objective of the job, as a duration from its acceptance.
--- a/crates/daemon/src/shard/border.rs
+++ b/crates/daemon/src/shard/border.rs
@@ -215,6 +215,9 @@
     TooLarge(usize),
     /// The request had no effect; the caller may retry after this delay.
     NotDone(Millis),
+    /// The job can't be done while its result has value, and was not stored; there may be room for it
+    /// after this delay.
+    NoRoom(Millis),
     /// The request may have taken effect.
     Undecided,
 }
--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -6,9 +6,10 @@
 use super::inquiry::{Fact, Inquiries, Inquiry};
 use super::ledger::{Intake, Stored};
 use super::metrics::Metrics;
-use super::view::{self, Configuration, ShardStatus};
-use crate::ring::{self, Latest, Sender, Unanswered};
+use super::view::{self, Configuration, Prospect, ShardStatus};
+use crate::ring::{self, Latest, Publisher, Sender, Unanswered};
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::owner::outlook::Refusal;
 use pimentovalve_core::contract::work::{Id, Job, Status};
 use pimentovalve_core::ledger::shard::Entry;
 use pimentovalve_core::ledger::shard::replica::backlog::Backlog;
@@ -41,6 +42,10 @@
     pub metrics: Arc<Metrics>,
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
+    /// Publishes the number of submitted jobs, so that the owner is asked what waits.
+    pub submissions: Publisher<u64>,
+    /// What the owner last said of the waiting work.
+    pub prospect: Latest<Prospect>,
 }
 
 impl Handler for Front {
@@ -67,6 +72,7 @@
         Answer::Malformed(_) => "malformed",
         Answer::TooLarge(_) => "too large",
         Answer::NotDone(_) => "not done",
+        Answer::NoRoom(_) => "no room",
         Answer::Undecided => "undecided",
     }
 }
@@ -160,6 +166,15 @@
             tracing::info!(job = %id, version, "job already known");
             return Answer::Accepted;
         }
+        self.submissions.send_modify(|count| *count += 1);
+        if let Some(Refusal { start, retry }) = self.refusal(&job) {
+            let (queue, expected_start_ms, retry_ms) =
+                (&job.policy.queue, start.get(), retry.get());
+            tracing::info!(job = %id, %queue, version, expected_start_ms, retry_ms,
+                "job refused for want of room");
+            self.metrics.refused(start);
+            return Answer::NoRoom(retry);
+        }
         let queue = job.policy.queue.clone();
         let (tasks, core_ms) = (job.tasks(), job.effort() / 1000);
         let objective_ms = job.objective().get();
@@ -173,6 +188,13 @@
         }
     }
 
+    /// Returns why a job must be refused, by what the owner last said of the waiting work.
+    fn refusal(&self, job: &Job) -> Option<Refusal> {
+        let prospect = self.prospect.borrow();
+        let outlook = prospect.current(&self.shard_status.borrow(), view::now())?;
+        outlook.judge(job).err()
+    }
+
     async fn cancel(&self, id: Id, until: Millis) -> Answer {
         match self.find(id, until).await {
             Ok(Some(_)) => {}
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -12,7 +12,7 @@
 
 use super::border::{Chunk, Failure, Member, Store};
 use super::steward::Event;
-use super::view::{self, Configuration, Peers, ShardStatus};
+use super::view::{self, Configuration, Peers, Prospect, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
 use pimentovalve_core::clock::Millis;
@@ -34,6 +34,8 @@
 pub const INTAKE_PATH: &str = "/intake";
 /// Path on which a daemon says whether it owns the shard.
 pub const TENURE_PATH: &str = "/tenure";
+/// Path on which the owner says what waits.
+pub const OUTLOOK_PATH: &str = "/outlook";
 /// Capacity, in entries, of the ring for direct appends.
 const DIRECT_RING_CAPACITY: usize = 4096;
 /// Interval between two log reads of the owner, which needs entries that other daemons appended
@@ -138,6 +140,12 @@
     pub configuration: Publisher<Configuration>,
     /// Whether the last fenced append attempt of this daemon succeeded; `true` before the first one.
     pub appends_succeed: Arc<AtomicBool>,
+    /// Number of jobs that callers have submitted to this daemon.
+    pub submissions: Latest<u64>,
+    /// What waits, published by the steward while this daemon owns the shard.
+    pub own_prospect: Latest<Prospect>,
+    /// Publishes what the owner says of the waiting work.
+    pub prospect: Publisher<Prospect>,
 }
 
 impl Duty for Ledger {
@@ -160,6 +168,9 @@
                 shard_status,
                 configuration,
                 appends_succeed,
+                submissions,
+                own_prospect,
+                prospect,
             } = *self;
             let (direct, direct_intake) = ring::ring(DIRECT_RING_CAPACITY);
             let (answered, log_answered_at) = ring::latest(view::now());
@@ -208,6 +219,13 @@
                     steward.clone(),
                     shard_status.clone(),
                 )),
+                tokio::spawn(follow::outlook(
+                    Arc::clone(&client),
+                    shard_status.clone(),
+                    submissions,
+                    own_prospect,
+                    prospect,
+                )),
                 tokio::spawn(follow::successor(
                     client,
                     steward.clone(),
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -3,12 +3,13 @@
 //! [`owner`] learns whether the owner can go on, [`successor`] who owns the shard while the log can't
 //! be read.
 
-use super::{Backoff, OutageLog, TENURE_PATH};
+use super::{Backoff, OUTLOOK_PATH, OutageLog, TENURE_PATH};
 use crate::ring::{Latest, Publisher, Sender};
 use crate::shard::border::{self, Member, Store};
 use crate::shard::steward::Event;
-use crate::shard::view::{self, Configuration, Peers, ShardStatus};
+use crate::shard::view::{self, Configuration, Peers, Prospect, ShardStatus};
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::owner::outlook::Outlook;
 use pimentovalve_core::ledger::shard::succession::{self, Standing, Tenure};
 use pimentovalve_wire::http::client::{Client, Error};
 use std::sync::Arc;
@@ -35,6 +36,11 @@
 /// Interval between two questions for the owner while the replica lags.
 const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Minimum time between two questions for the waiting work.
+const OUTLOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time-out of such a question: twice the longest round trip between regions, and a margin.
+const OUTLOOK_TIMEOUT: Millis = Millis(300);
+
 /// Publishes each new version of the configuration, and when it was last read; older versions are
 /// ignored.
 pub(super) async fn catalog(store: Arc<dyn Store>, configuration: Publisher<Configuration>) {
@@ -214,3 +220,42 @@
         }
     }
 }
+
+/// Asks the owner what waits, while callers submit jobs to this daemon. Nobody waits for the answer; without one,
+/// the last summary becomes too old to refuse jobs by it.
+pub(super) async fn outlook(
+    client: Arc<Client>,
+    shard_status: Latest<ShardStatus>,
+    mut submissions: Latest<u64>,
+    own: Latest<Prospect>,
+    prospect: Publisher<Prospect>,
+) {
+    while submissions.changed().await.is_ok() {
+        let (epoch, owns, address) = {
+            let status = shard_status.borrow();
+            (status.claim, status.owns(), status.owner.clone())
+        };
+        if owns {
+            prospect.send_replace(own.borrow().clone());
+        } else if !address.is_empty() {
+            let asked = view::now();
+            let answer = client
+                .exchange::<_, Option<(Millis, Outlook)>>(
+                    &address,
+                    OUTLOOK_PATH,
+                    &epoch,
+                    OUTLOOK_TIMEOUT,
+                )
+                .await;
+            match answer {
+                Ok(said) => {
+                    let at = said.as_ref().map_or(asked, |(age, _)| asked.since(*age));
+                    let outlook = said.map(|(_, outlook)| Arc::new(outlook));
+                    prospect.send_replace(Prospect { epoch, at, outlook });
+                }
+                Err(error) => tracing::debug!(%address, %error, "owner did not say what waits"),
+            }
+        }
+        sleep(OUTLOOK_INTERVAL).await;
+    }
+}
--- a/crates/daemon/src/shard/metrics.rs
+++ b/crates/daemon/src/shard/metrics.rs
@@ -15,6 +15,9 @@
 /// the longest time that a caller waits.
 const BUCKETS_MS: [f64; 10] = [2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1000.0, 3000.0];
 
+/// Bucket bounds of the waits that jobs are refused for, in milliseconds.
+const WAIT_BUCKETS_MS: [f64; 6] = [2000.0, 5000.0, 10_000.0, 20_000.0, 40_000.0, 80_000.0];
+
 /// Instruments of one daemon.
 pub struct Metrics {
     export: Export,
@@ -25,6 +28,7 @@
     order_wait_ms: Histogram<u64>,
     stop_ms: Histogram<u64>,
     entries: Counter<u64>,
+    refused_wait_ms: Histogram<u64>,
 }
 
 impl Metrics {
@@ -92,6 +96,11 @@
                 "Time from the end of a job to the acknowledged stop of a run, in ms",
             ),
             entries: counter("pimentovalve_entries", "Own entries in the log, by kind"),
+            refused_wait_ms: meter
+                .u64_histogram("pimentovalve_refused_wait_ms")
+                .with_description("Expected wait of a job refused for want of room, in ms")
+                .with_boundaries(WAIT_BUCKETS_MS.to_vec())
+                .build(),
         })
     }
 
@@ -118,6 +127,11 @@
         self.stop_ms.record(took.get(), &[]);
     }
 
+    /// Records the expected wait of a job that was refused for want of room.
+    pub fn refused(&self, wait: Millis) {
+        self.refused_wait_ms.record(wait.get(), &[]);
+    }
+
     /// Counts entries of one kind that this daemon has recorded in the log.
     pub fn recorded(&self, kind: &'static str, count: usize) {
         self.entries.add(count as u64, &[KeyValue::new("entry", kind)]);
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -10,7 +10,7 @@
 use super::peer::Peer;
 use super::ready::Ready;
 use super::steward::Steward;
-use super::view::{Configuration, Peers, ShardStatus};
+use super::view::{Configuration, Peers, Prospect, ShardStatus};
 use crate::daemon::stage::ShutdownStage;
 use crate::duty;
 use crate::front;
@@ -115,6 +115,9 @@
         let (facts_in, shard_status) = ring::latest(ShardStatus::default());
         let (peers_in, peers) = ring::latest(Peers::default());
         let (configuration_in, configuration) = ring::latest(Configuration::default());
+        let (submissions_in, submissions) = ring::latest(0);
+        let (own_prospect_in, own_prospect) = ring::latest(Prospect::default());
+        let (prospect_in, prospect) = ring::latest(Prospect::default());
         let metrics = Arc::new(Metrics::new(
             shard_status.clone(),
             vec![
@@ -147,6 +150,8 @@
             inquiries: Inquiries::new(reader.clone(), peers.clone()),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
+            submissions: submissions_in,
+            prospect,
         };
         let peer = Peer {
             advisor: Arc::clone(&platform.advisor),
@@ -154,6 +159,7 @@
             appends_succeed: Arc::clone(&appends_succeed),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
+            prospect: own_prospect.clone(),
             reader,
         };
         let [mut caller_front, mut duties, ..] = ShutdownStage::all();
@@ -170,6 +176,9 @@
             shard_status,
             configuration: configuration_in,
             appends_succeed,
+            submissions,
+            own_prospect,
+            prospect: prospect_in,
         }))?;
         duties.start(Box::new(Steward {
             name: settings.name.clone(),
@@ -186,6 +195,7 @@
             advice: asks_in,
             metrics: Arc::clone(&metrics),
             shard_status: facts_in,
+            prospect: own_prospect_in,
             peer_addresses: peers_in,
         }))?;
         let workers = Arc::clone(&platform.workers);
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -8,10 +8,11 @@
 use super::inquiry::{self, Inquiry, Reader};
 use super::ledger::{self, Append, Intake, Stored};
 use super::metrics::Metrics;
-use super::view::{self, ShardStatus};
+use super::view::{self, MAX_OUTLOOK_AGE, Prospect, ShardStatus};
 use crate::ring::{Latest, Sender};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::Query;
+use pimentovalve_core::contract::owner::outlook::Outlook;
 use pimentovalve_core::finding::List;
 use pimentovalve_core::ledger::shard::Entry;
 use pimentovalve_core::ledger::shard::succession::Tenure;
@@ -38,6 +39,8 @@
     pub metrics: Arc<Metrics>,
     /// Ownership and log progress, published by the steward.
     pub shard_status: Latest<ShardStatus>,
+    /// What waits, published by the steward while this daemon owns the shard.
+    pub prospect: Latest<Prospect>,
     /// Answers peers' inquiries.
     pub reader: Reader,
 }
@@ -50,6 +53,7 @@
                 ledger::INTAKE_PATH => self.store(request.body).await,
                 inquiry::INQUIRY_PATH => self.answer(request.body).await,
                 ledger::TENURE_PATH => Response::pack(200, &self.tenure()),
+                ledger::OUTLOOK_PATH => Response::pack(200, &self.outlook()),
                 METRICS => self.metrics(),
                 _ => Response::findings(404, &List::one("path", "is not known")),
             }
@@ -86,6 +90,15 @@
         Tenure { epoch, claim, caught_up, appends_succeed, owner }
     }
 
+    /// Returns what waits, and the age of that; `None` while this daemon does not know it as the owner.
+    fn outlook(&self) -> Option<(Millis, Outlook)> {
+        let epoch = self.shard_status.borrow().epoch?;
+        let prospect = self.prospect.borrow();
+        let age = view::now().since(prospect.at);
+        let is_current = prospect.epoch == epoch && age <= MAX_OUTLOOK_AGE;
+        prospect.outlook.as_deref().filter(|_| is_current).map(|outlook| (age, outlook.clone()))
+    }
+
     fn metrics(&self) -> Response {
         match self.metrics.text() {
             Ok(text) => Response::text(200, text),
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod load;
 mod notices;
+mod outlook;
 mod peers;
 mod recorded;
 mod snapshots;
@@ -18,7 +19,7 @@
 use super::ledger::Append;
 use super::metrics::Metrics;
 use super::orders::Call;
-use super::view::{self, Configuration, Peers, ShardStatus};
+use super::view::{self, Configuration, Peers, Prospect, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{Latest, Publisher, Receiver, Reply, Sender};
 use effects::log_start;
@@ -157,6 +158,8 @@
     pub metrics: Arc<Metrics>,
     /// Publishes ownership and log progress to the other duties.
     pub shard_status: Publisher<ShardStatus>,
+    /// Publishes what waits, while this daemon owns the shard.
+    pub prospect: Publisher<Prospect>,
     /// Publishes the addresses of the other daemons.
     pub peer_addresses: Publisher<Peers>,
 }
@@ -232,6 +235,8 @@
     /// Size of the log after the last snapshot, or after the last attempt.
     unsaved_bytes: usize,
     load: Load,
+    /// When the waiting work was last summed up.
+    outlook_at: Millis,
     /// Runs of ended jobs that may still execute, by the last count as the owner.
     leftover: Leftover,
     recorded: recorded::Runs,
@@ -266,6 +271,7 @@
             snapshot_tried: 0,
             unsaved_bytes: 0,
             load: Load::default(),
+            outlook_at: Millis::ZERO,
             leftover: Leftover::default(),
             recorded: recorded::Runs::default(),
         }
@@ -531,6 +537,7 @@
         self.run_owner();
         self.load.add_work(0, began);
         self.log_load();
+        self.publish_outlook(now);
         self.consider_handover(now);
         let Some(tenure) = &self.tenure else { return };
         if tenure.owner.earlier_leases_expired(now) && !self.replica.old_leases_expired() {
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -3,6 +3,7 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::contract::owner::Leftover;
+use pimentovalve_core::contract::owner::outlook::Outlook;
 use pimentovalve_core::link::response_time::ResponseTime;
 use rustix::time::{ClockId, clock_gettime};
 use std::sync::Arc;
@@ -67,6 +68,30 @@
     }
 }
 
+/// Maximum age of what the owner said of the waiting work: on an older summary nobody is refused.
+pub const MAX_OUTLOOK_AGE: Millis = Millis::from_secs(2);
+
+/// What the owner last said of the waiting work.
+#[derive(Clone, Debug, Default)]
+pub struct Prospect {
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// When it was computed, or earlier.
+    pub at: Millis,
+    /// The summary, `None` if the owner gave none.
+    pub outlook: Option<Arc<Outlook>>,
+}
+
+impl Prospect {
+    /// Returns the summary if callers' jobs may be refused by it: it is recent, its owner is the present
+    /// one, and this daemon's replica would show whether the job was accepted before.
+    pub fn current(&self, status: &ShardStatus, now: Millis) -> Option<&Outlook> {
+        let is_recent = now.since(self.at) <= MAX_OUTLOOK_AGE;
+        let is_owners = self.epoch == status.claim && !status.owner.is_empty();
+        self.outlook.as_deref().filter(|_| is_recent && is_owners && !status.lags(now))
+    }
+}
+
 /// Addresses of the other daemons, published by the steward.
 pub type Peers = Arc<[Box<str>]>;
 
--- a/crates/daemon/src/shard/view/tests.rs
+++ b/crates/daemon/src/shard/view/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of the clocks, and of the age of the replica.
 
-use super::{FIRST_READING_MS, MAX_LAG, ShardStatus, now};
+use super::{FIRST_READING_MS, MAX_LAG, MAX_OUTLOOK_AGE, Prospect, ShardStatus, now};
 use googletest::prelude::*;
 use pimentovalve_core::clock::Millis;
+use pimentovalve_core::contract::owner::outlook::Outlook;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Returns the time since the machine started, suspensions included (source: `/proc/uptime`).
@@ -47,3 +49,30 @@
     expect_that!(status.lags(NOW), eq(false));
     expect_that!(ShardStatus { owned_until: Millis::ZERO, ..status }.lags(NOW), eq(true));
 }
+
+/// Nobody is refused by a summary of an owner that is lost, replaced or silent, or while this daemon can't know
+/// whether it has accepted the job before.
+#[gtest]
+fn jobs_are_refused_only_by_a_recent_summary_of_the_present_owner() {
+    let status = ShardStatus {
+        claim: 7,
+        owner: "10.0.0.1:1".into(),
+        caught_up: true,
+        covered_until: NOW,
+        ..ShardStatus::default()
+    };
+    let outlook = Some(Arc::new(Outlook::default()));
+    let prospect = Prospect { epoch: 7, at: NOW.since(MAX_OUTLOOK_AGE), outlook };
+    let is_used =
+        |prospect: &Prospect, status: &ShardStatus, now| prospect.current(status, now).is_some();
+    expect_that!(is_used(&prospect, &status, NOW), eq(true));
+    expect_that!(is_used(&prospect, &status, NOW + Millis(1)), eq(false));
+    let successor = ShardStatus { claim: 8, ..status.clone() };
+    expect_that!(is_used(&prospect, &successor, NOW), eq(false));
+    let released = ShardStatus { owner: "".into(), ..status.clone() };
+    expect_that!(is_used(&prospect, &released, NOW), eq(false));
+    let lagging = ShardStatus { covered_until: NOW.since(Millis(1000)), ..status.clone() };
+    expect_that!(is_used(&prospect, &lagging, NOW), eq(false));
+    expect_that!(is_used(&Prospect { outlook: None, ..prospect }, &status, NOW), eq(false));
+    expect_that!(is_used(&Prospect::default(), &status, NOW), eq(false));
+}
--- a/src/commands/explain/cause.rs
+++ b/src/commands/explain/cause.rs
@@ -16,6 +16,8 @@
 /// Messages of a submission: the present text, and that of earlier builds. During an upgrade, the
 /// logs of both are read together.
 const JOB_SUBMITTED: [&str; 2] = ["job submitted", "job handed in"];
+/// Message of a job that was refused because it could not end while its result has value.
+const NO_ROOM: &str = "job refused for want of room";
 /// Messages of a finished advisor call: the present text, and that of earlier builds.
 const ADVISOR_CALL_FINISHED: [&str; 2] = ["advisor call finished", "advice"];
 
@@ -29,6 +31,7 @@
     }
     let submissions = || own.iter().filter(|l| JOB_SUBMITTED.contains(&l.message.as_str()));
     let mut causes: Vec<String> = submissions().filter_map(|line| refusal(lines, line)).collect();
+    causes.extend(own.iter().filter_map(|line| no_room(line)));
     if submissions().any(|l| l.field("outcome") == Some("Yes")) {
         causes.extend(never_started(&own));
         causes.extend(run_failures(&own));
@@ -68,6 +71,24 @@
     Some(format!("{when}: {why}"))
 }
 
+/// Explains a refusal for want of room.
+fn no_room(line: &Line) -> Option<String> {
+    if line.message != NO_ROOM {
+        return None;
+    }
+    let start = line.number("expected_start_ms")?;
+    let mut expected = line.clone();
+    expected.at = line.at + Millis(start);
+    let retry = line.number("retry_ms").unwrap_or_default();
+    Some(format!(
+        "at {} {} refused the job for want of room: its first start was expected at {}, in {start} ms; \
+         its caller was told to return after {retry} ms",
+        line.time(),
+        line.process,
+        expected.time()
+    ))
+}
+
 /// Explains what a job was waiting for that was stored but never started.
 fn never_started(own: &[&Line]) -> Option<String> {
     if own.iter().any(|l| l.message == "start recorded") {
--- a/src/commands/explain/tests.rs
+++ b/src/commands/explain/tests.rs
@@ -255,3 +255,12 @@
         expect_that!(causes, not(contains(contains_substring("after the cancellation"))));
     }
 }
+
+#[gtest]
+fn refusal_for_want_of_room_names_the_expected_first_start() {
+    let refused = r#"{"timestamp":"2026-09-02T20:53:44.500000Z","level":"INFO","message":"job refused for want of room","job":"16cfbbbb4ac26d3c","queue":"q","version":2,"expected_start_ms":61500,"retry_ms":3200,"target":"x"}"#;
+    let explained = causes(&lines(&[refused]), "16cfbbbb4ac26d3c");
+    let cause = "file refused the job for want of room: its first start was expected at \
+                 2026-09-02T20:54:46.000Z, in 61500 ms; its caller was told to return after 3200 ms";
+    expect_that!(explained, elements_are![contains_substring(cause)]);
+}
