--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -25,6 +25,8 @@
 mod lead;
 mod notice;
 pub mod order;
+pub mod outlook;
+mod overrun;
 mod place;
 mod poll;
 pub mod preview;
@@ -49,6 +51,8 @@
 use backlog::Backlog;
 use haste::Paces;
 use order::{Order, Start, StopReason};
+use outlook::Inflow;
+use overrun::Overruns;
 use runs::Runs;
 use std::sync::Arc;
 use turnover::Turnover;
@@ -135,6 +139,8 @@
     reason: StopReason,
     /// When its stop was first ordered.
     stopping_since: Option<Millis>,
+    /// When it was placed; `None` if an earlier owner placed it or its worker did not answer meanwhile.
+    placed_at: Option<Millis>,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
     /// Whether the incarnation `on` has certainly accepted the start order, or listed the run.
@@ -216,6 +222,8 @@
     usage: Usage,
     turnover: Turnover,
     paces: Paces,
+    overruns: Overruns,
+    inflow: Inflow,
     /// Gangs that became late or started since [`Self::waited`] was last called.
     waited: Vec<Waited>,
     /// Number of releases of capacity so far.
@@ -247,6 +255,8 @@
             usage: Usage::default(),
             turnover: Turnover::default(),
             paces: Paces::default(),
+            overruns: Overruns::default(),
+            inflow: Inflow::new(now),
             waited: Vec::new(),
             releases: 0,
             is_dirty: true,
@@ -326,6 +336,9 @@
                 for end in ends {
                     // Also if the run is not open: a late end can complete a waiting task.
                     self.backlog.mark_changed(end.run.task.step_id);
+                    if end.outcome == Outcome::Done {
+                        self.measure_overrun(&end.run, on, replica, now);
+                    }
                     self.remove(&end.run, on);
                     self.handle_end(&end.run, end.outcome, on, replica, now);
                 }
@@ -381,7 +394,7 @@
     fn ranks(&self, now: Millis) -> Vec<backlog::Rank> {
         let hosts = self.hosts.iter().filter(|host| host.takes_work(now));
         let cpu_milli = hosts.map(|host| host.entry.capacity.cpu_milli).sum();
-        self.backlog.ranks(cpu_milli, &self.accounts, now)
+        self.backlog.ranks(cpu_milli, &self.accounts, &self.overruns, now)
     }
 
     /// Drains the effects produced since the last call.
@@ -522,6 +535,20 @@
         }
     }
 
+    /// Records how much longer than estimated a run took that is done.
+    fn measure_overrun(&mut self, run: &Run, on: &Incarnation, replica: &Replica, now: Millis) {
+        let Ok(i) = self.run_index(run) else { return };
+        let Running { on: placed_on, placed_at: Some(placed_at), .. } = &self.runs[i] else {
+            return;
+        };
+        let Some(state) = replica.job(run.task.step_id.job) else { return };
+        let step = state.job.steps.get(usize::from(run.task.step_id.step));
+        if let Some(step) = step.filter(|step| !step.lasting && **placed_on == *on) {
+            let took = now.since(*placed_at);
+            self.overruns.record(&state.job.policy.queue, step.estimate_ms, took);
+        }
+    }
+
     fn host_index(&self, worker: &str) -> Result<usize, usize> {
         self.hosts.binary_search_by(|h| (*h.incarnation.worker).cmp(worker))
     }
@@ -636,6 +663,7 @@
             stop_requested: false,
             reason: StopReason::Stray,
             stopping_since: None,
+            placed_at: None,
             progress: (0, now),
             has_begun: false,
             has_open_order: false,
--- a/crates/core/src/contract/owner/haste.rs
+++ b/crates/core/src/contract/owner/haste.rs
@@ -24,7 +24,7 @@
 pub(super) const SHUNNED: u64 = u64::MAX;
 
 /// The speeds of the pools' workers.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Paces {
     /// Sorted by pool.
     pools: Vec<(Box<str>, Pace)>,
--- a/crates/daemon/src/shard/ledger/follow.rs
+++ b/crates/daemon/src/shard/ledger/follow.rs
@@ -4,20 +4,24 @@
 //! [`owner`] learns whether the owner can go on, [`successor`] who owns the shard while the log can't
 //! be read.
 
-use super::{ANNOUNCE_INTERVAL, Backoff, CATALOG_WAIT, OutageLog, TENURE_PATH};
+use super::{
+    ANNOUNCE_INTERVAL, Backoff, CATALOG_WAIT, OUTLOOK_PATH, OutageLog, TENURE_PATH, handover,
+};
 use crate::ring::{Latest, Publisher, Sender};
 use crate::shard::border::{self, Member, Store};
 use crate::shard::relay::{self, CONFIGURATION_PATH, Offer, Search};
 use crate::shard::steward::Event;
-use crate::shard::view::{self, Configuration, Peers, ShardStatus};
+use crate::shard::view::{self, Configuration, Peers, Prospect, ShardStatus};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
+use pimentovalve_core::contract::owner::outlook::Outlook;
 use pimentovalve_core::ledger::shard::succession::{self, Standing, Tenure};
 use pimentovalve_wire::http::client::{Client, Error};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 /// Interval between two reads of the list of workers by the owner.
@@ -36,9 +40,80 @@
 /// Interval between two questions for the owner while the replica lags.
 const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Minimum time between two questions for the waiting work.
+const OUTLOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time-out of such a question: twice the longest round trip between regions, and a margin.
+const OUTLOOK_TIMEOUT: Millis = Millis(300);
+
+/// The loops of this module, with what they read and publish.
+pub(super) struct Follow {
+    /// Platform adapter for the store.
+    pub(super) store: Arc<dyn Store>,
+    /// Announcement of this daemon to its peers.
+    pub(super) member: Member,
+    /// HTTP client for questions to peers.
+    pub(super) client: Arc<Client>,
+    /// Addresses of the other daemons.
+    pub(super) peers: Latest<Peers>,
+    /// Ring to the steward.
+    pub(super) steward: Sender<Event>,
+    /// Ownership and log progress, published by the steward.
+    pub(super) shard_status: Latest<ShardStatus>,
+    /// Publishes the newest configuration.
+    pub(super) configuration: Publisher<Configuration>,
+    /// Number of jobs that callers have submitted to this daemon.
+    pub(super) submissions: Latest<u64>,
+    /// What waits, published by the steward while this daemon owns the shard.
+    pub(super) own_prospect: Latest<Prospect>,
+    /// Publishes what the owner says of the waiting work.
+    pub(super) prospect: Publisher<Prospect>,
+    /// Notified when the store answers again.
+    pub(super) regained: Arc<Notify>,
+}
+
+impl Follow {
+    /// Starts the loops.
+    pub(super) fn spawn(self) -> [JoinHandle<()>; 8] {
+        let Self { store, client, steward, shard_status, configuration, regained, .. } = self;
+        let catalog_failed = Arc::new(AtomicBool::new(false));
+        [
+            tokio::spawn(catalog(
+                Arc::clone(&store),
+                configuration.clone(),
+                Arc::clone(&regained),
+                Arc::clone(&catalog_failed),
+            )),
+            tokio::spawn(relayed_catalog(
+                Arc::clone(&client),
+                configuration,
+                catalog_failed,
+                self.peers.clone(),
+                shard_status.clone(),
+            )),
+            tokio::spawn(workers(
+                Arc::clone(&store),
+                steward.clone(),
+                shard_status.clone(),
+                regained,
+            )),
+            tokio::spawn(owner(Arc::clone(&client), steward.clone(), shard_status.clone())),
+            tokio::spawn(handover::invite(Arc::clone(&client), shard_status.clone())),
+            tokio::spawn(outlook(
+                Arc::clone(&client),
+                shard_status.clone(),
+                self.submissions,
+                self.own_prospect,
+                self.prospect,
+            )),
+            tokio::spawn(successor(client, steward.clone(), self.peers, shard_status.clone())),
+            tokio::spawn(members(store, self.member, steward, shard_status)),
+        ]
+    }
+}
+
 /// Publishes each new version of the configuration, and when it was last read; older versions are
 /// ignored. `has_failed` tells whether the last read failed.
-pub(super) async fn catalog(
+async fn catalog(
     store: Arc<dyn Store>,
     configuration: Publisher<Configuration>,
     regained: Arc<Notify>,
@@ -90,7 +165,7 @@
 
 /// Asks peers for the configuration while this daemon's own reads of it fail. By an old one, callers
 /// whose keys were withdrawn would be served, or all callers refused.
-pub(super) async fn relayed_catalog(
+async fn relayed_catalog(
     client: Arc<Client>,
     configuration: Publisher<Configuration>,
     has_failed: Arc<AtomicBool>,
@@ -134,7 +209,7 @@
 }
 
 /// Sends the list of workers to the steward, at once when this daemon becomes owner.
-pub(super) async fn workers(
+async fn workers(
     store: Arc<dyn Store>,
     steward: Sender<Event>,
     mut shard_status: Latest<ShardStatus>,
@@ -173,7 +248,7 @@
 }
 
 /// Announces this daemon, and sends the members to the steward while this daemon is the owner.
-pub(super) async fn members(
+async fn members(
     store: Arc<dyn Store>,
     mut member: Member,
     steward: Sender<Event>,
@@ -223,11 +298,7 @@
 /// Asks the owner for its standing while no record of it is read, and once after the start: the owner
 /// may have ended before this daemon could notice a silence. After a takeover the earlier owner is
 /// asked until it is known to grant no leases any more.
-pub(super) async fn owner(
-    client: Arc<Client>,
-    steward: Sender<Event>,
-    mut shard_status: Latest<ShardStatus>,
-) {
+async fn owner(client: Arc<Client>, steward: Sender<Event>, mut shard_status: Latest<ShardStatus>) {
     let mut has_asked = false;
     loop {
         let asked = |s: &ShardStatus| {
@@ -259,7 +330,7 @@
 /// Asks peers for the owner while this daemon's replica lags: the shard may have changed hands, and
 /// callers' entries have to reach the present owner. The owner that is known is asked whether the store
 /// accepts its appends: it can store what this daemon can't.
-pub(super) async fn successor(
+async fn successor(
     client: Arc<Client>,
     steward: Sender<Event>,
     peers: Latest<Peers>,
@@ -304,3 +375,42 @@
         }
     }
 }
+
+/// Asks the owner what waits, while callers submit jobs to this daemon. Nobody waits for the answer; without one,
+/// the last summary becomes too old to refuse jobs by it.
+async fn outlook(
+    client: Arc<Client>,
+    shard_status: Latest<ShardStatus>,
+    mut submissions: Latest<u64>,
+    own: Latest<Prospect>,
+    prospect: Publisher<Prospect>,
+) {
+    while submissions.changed().await.is_ok() {
+        let (epoch, owns, address) = {
+            let status = shard_status.borrow();
+            (status.claim, status.owns(), status.owner.clone())
+        };
+        if owns {
+            prospect.send_replace(own.borrow().clone());
+        } else if !address.is_empty() {
+            let asked = view::now();
+            let answer = client
+                .exchange::<_, Option<(Millis, Outlook)>>(
+                    &address,
+                    OUTLOOK_PATH,
+                    &epoch,
+                    OUTLOOK_TIMEOUT,
+                )
+                .await;
+            match answer {
+                Ok(said) => {
+                    let at = said.as_ref().map_or(asked, |(age, _)| asked.since(*age));
+                    let outlook = said.map(|(_, outlook)| Arc::new(outlook));
+                    prospect.send_replace(Prospect { epoch, at, outlook });
+                }
+                Err(error) => tracing::debug!(%address, %error, "owner did not say what waits"),
+            }
+        }
+        sleep(OUTLOOK_INTERVAL).await;
+    }
+}
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -11,10 +11,11 @@
 use super::peer::Peer;
 use super::ready::Ready;
 use super::steward::Steward;
-use super::view::{Configuration, Peers, ShardStatus};
+use super::view::{Configuration, Peers, Prospect, ShardStatus};
 use crate::daemon::stage::ShutdownStage;
 use crate::duty;
 use crate::front;
+use crate::metrics::Depth;
 use crate::ring;
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::Limits;
@@ -117,33 +118,26 @@
         let (peers_in, peers) = ring::latest(Peers::default());
         let (configuration_in, configuration) = ring::latest(Configuration::default());
         let counts = Arc::new(Counts::default());
-        let metrics = Arc::new(Metrics::new(
-            shard_status.clone(),
-            vec![
-                ("intake", Box::new(intake_in.clone())),
-                ("steward", Box::new(events_in.clone())),
-                ("ledger", Box::new(appends_in.clone())),
-                ("orders", Box::new(orders_in.clone())),
-                ("advice", Box::new(asks_in.clone())),
-            ],
-            platform.workers.traffic(),
-            Arc::clone(&counts),
-        )?);
+        let (submissions_in, submissions) = ring::latest(0);
+        let (own_prospect_in, own_prospect) = ring::latest(Prospect::default());
+        let (prospect_in, prospect) = ring::latest(Prospect::default());
+        let depths: [(&'static str, Box<dyn Depth>); 5] = [
+            ("intake", Box::new(intake_in.clone())),
+            ("steward", Box::new(events_in.clone())),
+            ("ledger", Box::new(appends_in.clone())),
+            ("orders", Box::new(orders_in.clone())),
+            ("advice", Box::new(asks_in.clone())),
+        ];
+        let (status, traffic) = (shard_status.clone(), platform.workers.traffic());
+        let metrics = Arc::new(Metrics::new(status, depths.into(), traffic, Arc::clone(&counts))?);
         let drain = CancellationToken::new();
         let appends_succeed = Arc::new(AtomicBool::new(true));
-        let member = Member {
-            name: settings.name.clone(),
-            address: settings.peers.to_string().into(),
-            beat: 0,
-            takeover: settings.allotment.takeover(),
-        };
         let ready = Ready {
             shard_status: shard_status.clone(),
             configuration: configuration.clone(),
             draining: drain.clone(),
         };
         let reader = Reader::new(events_in.clone(), shard_status.clone());
-        let read_wanted = Arc::clone(&reader.read_wanted);
         let callers = Front {
             callers: Arc::clone(&platform.callers),
             configuration: configuration.clone(),
@@ -151,6 +145,8 @@
             inquiries: Inquiries::new(reader.clone(), peers.clone()),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
+            submissions: submissions_in,
+            prospect,
         };
         let peer = Peer {
             advisor: Arc::clone(&platform.advisor),
@@ -158,6 +154,7 @@
             appends_succeed: Arc::clone(&appends_succeed),
             metrics: Arc::clone(&metrics),
             shard_status: shard_status.clone(),
+            prospect: own_prospect.clone(),
             reader,
             callers: Arc::clone(&platform.callers),
             configuration: configuration.clone(),
@@ -165,7 +162,7 @@
         let [mut caller_front, mut duties, ..] = ShutdownStage::all();
         duties.start(Box::new(Ledger {
             store: Arc::clone(&platform.store),
-            member,
+            member: member(settings),
             replay_delay: settings.allotment.replay_delay(),
             intake,
             appends,
@@ -173,11 +170,14 @@
             client: Arc::new(Client::new()),
             peers,
             steward: events_in.clone(),
-            read_wanted,
+            read_wanted: Arc::clone(&peer.reader.read_wanted),
             shard_status,
             configuration: configuration_in,
             appends_succeed,
             counts,
+            submissions,
+            own_prospect,
+            prospect: prospect_in,
         }))?;
         duties.start(Box::new(Steward {
             name: settings.name.clone(),
@@ -194,22 +194,18 @@
             advice: asks_in,
             metrics: Arc::clone(&metrics),
             shard_status: facts_in,
+            prospect: own_prospect_in,
             peer_addresses: peers_in,
         }))?;
-        let workers = Arc::clone(&platform.workers);
+        let (workers, advisor) = (Arc::clone(&platform.workers), Arc::clone(&platform.advisor));
         duties.start(Box::new(Orders { workers, orders, metrics, steward: events_in.clone() }))?;
-        let advisor = Arc::clone(&platform.advisor);
-        let client = Arc::new(Client::new());
-        duties.start(Box::new(Advice { advisor, client, asks, steward: events_in }))?;
+        let advice = Advice { advisor, client: Arc::default(), asks, steward: events_in };
+        duties.start(Box::new(advice))?;
         let bounds = settings.bounds;
         duties.start(Box::new(listen("ready", settings.ready, bounds, Arc::new(ready))?))?;
         duties.start(Box::new(listen("peers", settings.peers, bounds, Arc::new(peer))?))?;
-        caller_front.start(Box::new(listen(
-            "callers",
-            settings.callers,
-            bounds,
-            Arc::new(callers),
-        )?))?;
+        let front = listen("callers", settings.callers, bounds, Arc::new(callers))?;
+        caller_front.start(Box::new(front))?;
         Ok(Self { drain, caller_front, duties })
     }
 
@@ -235,6 +231,16 @@
     }
 }
 
+/// Returns the announcement of a daemon that has not announced itself yet.
+fn member(settings: &Settings) -> Member {
+    Member {
+        name: settings.name.clone(),
+        address: settings.peers.to_string().into(),
+        beat: 0,
+        takeover: settings.allotment.takeover(),
+    }
+}
+
 /// Binds an address and returns the front that serves it.
 fn listen(
     name: &'static str,
--- a/crates/daemon/src/shard/peer.rs
+++ b/crates/daemon/src/shard/peer.rs
@@ -10,10 +10,11 @@
 use super::metrics::Metrics;
 use super::relay::{CONFIGURATION_PATH, Offer};
 use super::steward::Event;
-use super::view::{self, Configuration, ShardStatus};
+use super::view::{self, Configuration, MAX_OUTLOOK_AGE, Prospect, ShardStatus};
 use crate::ring::{self, Latest, Sender};
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::owner::advice::Query;
+use pimentovalve_core::contract::owner::outlook::Outlook;
 use pimentovalve_core::finding::List;
 use pimentovalve_core::ledger::shard::Entry;
 use pimentovalve_core::ledger::shard::succession::Tenure;
@@ -49,6 +50,8 @@
     pub shard_status: Latest<ShardStatus>,
     /// Configuration in force, for peers that the store turns away.
     pub configuration: Latest<Configuration>,
+    /// What waits, published by the steward while this daemon owns the shard.
+    pub prospect: Latest<Prospect>,
     /// Answers peers' inquiries.
     pub reader: Reader,
     /// Platform adapter for the callers' protocol, in which operators ask for previews.
@@ -66,6 +69,7 @@
                 ledger::SUCCESSION_PATH => self.succeed(request.body),
                 ledger::TENURE_PATH => Response::pack(200, &self.tenure()),
                 CONFIGURATION_PATH => self.configuration(request.body),
+                ledger::OUTLOOK_PATH => Response::pack(200, &self.outlook()),
                 METRICS => self.metrics(),
                 path if path.starts_with(PREVIEW_PATH) => {
                     let path = &path[PREVIEW_PATH.len()..];
@@ -157,6 +161,15 @@
         }
     }
 
+    /// Returns what waits, and the age of that; `None` while this daemon does not know it as the owner.
+    fn outlook(&self) -> Option<(Millis, Outlook)> {
+        let epoch = self.shard_status.borrow().epoch?;
+        let prospect = self.prospect.borrow();
+        let age = view::now().since(prospect.at);
+        let is_current = prospect.epoch == epoch && age <= MAX_OUTLOOK_AGE;
+        prospect.outlook.as_deref().filter(|_| is_current).map(|outlook| (age, outlook.clone()))
+    }
+
     fn metrics(&self) -> Response {
         match self.metrics.text() {
             Ok(text) => Response::text(200, text),
