--- a/crates/core/src/contract/owner.rs
+++ b/crates/core/src/contract/owner.rs
@@ -20,10 +20,13 @@
 mod backlog;
 mod crash;
 mod gang;
+mod haste;
 mod incarnation;
 mod lead;
 mod notice;
 pub mod order;
+pub mod outlook;
+mod overrun;
 mod place;
 mod poll;
 pub mod preview;
@@ -41,16 +44,21 @@
 use crate::ledger::shard::{Entry, Incarnation, Run};
 use crate::machine::capacity::Capacity;
 use crate::machine::host::{self, Host, WorkerEntry};
+use crate::machine::speed::Timed;
 use crate::name::Name;
 use account::Accounts;
 use advice::Queries;
 use backlog::Backlog;
+use haste::Paces;
 use order::{Order, Start, StopReason};
+use outlook::Inflow;
+use overrun::Overruns;
 use runs::Runs;
 use std::sync::Arc;
 use turnover::Turnover;
 
 pub use answer::{StartAnswer, StopAnswer};
+pub use haste::Speeds;
 pub use notice::{Leftover, Notice, Tally};
 pub use poll::{PollError, Progress, Report};
 pub use wait::{Wait, Waited};
@@ -131,6 +139,8 @@
     reason: StopReason,
     /// When its stop was first ordered.
     stopping_since: Option<Millis>,
+    /// When it was placed; `None` if an earlier owner placed it or its worker did not answer meanwhile.
+    placed_at: Option<Millis>,
     /// Completed share of the work in percent, and when it last rose.
     progress: (u64, Millis),
     /// Whether the incarnation `on` has certainly accepted the start order, or listed the run.
@@ -140,6 +150,8 @@
     /// Whether the end of its worker's incarnation is accounted for: the worker left, or its crash is
     /// recorded.
     is_accounted: bool,
+    /// When it was ordered, if its time shows the speed of its worker.
+    timed: Option<Timed>,
 }
 
 /// An action that the caller of [`Owner`] must carry out.
@@ -209,6 +221,9 @@
     /// Usage after the last placement pass.
     usage: Usage,
     turnover: Turnover,
+    paces: Paces,
+    overruns: Overruns,
+    inflow: Inflow,
     /// Gangs that became late or started since [`Self::waited`] was last called.
     waited: Vec<Waited>,
     /// Number of releases of capacity so far.
@@ -239,6 +254,9 @@
             effort: Effort::default(),
             usage: Usage::default(),
             turnover: Turnover::default(),
+            paces: Paces::default(),
+            overruns: Overruns::default(),
+            inflow: Inflow::new(now),
             waited: Vec::new(),
             releases: 0,
             is_dirty: true,
@@ -318,6 +336,9 @@
                 for end in ends {
                     // Also if the run is not open: a late end can complete a waiting task.
                     self.backlog.mark_changed(end.run.task.step_id);
+                    if end.outcome == Outcome::Done {
+                        self.measure_overrun(&end.run, on, replica, now);
+                    }
                     self.remove(&end.run, on);
                     self.handle_end(&end.run, end.outcome, on, replica, now);
                 }
@@ -373,7 +394,7 @@
     fn ranks(&self, now: Millis) -> Vec<backlog::Rank> {
         let hosts = self.hosts.iter().filter(|host| host.takes_work(now));
         let cpu_milli = hosts.map(|host| host.entry.capacity.cpu_milli).sum();
-        self.backlog.ranks(cpu_milli, &self.accounts, now)
+        self.backlog.ranks(cpu_milli, &self.accounts, &self.overruns, now)
     }
 
     /// Drains the effects produced since the last call.
@@ -473,8 +494,11 @@
         host.next_poll = host.next_poll.min(now + lease);
         let Some(state) = replica.job(run.task.step_id.job) else { return };
         let saved = state.task(&run.task).map(|t| t.saved.clone()).unwrap_or_default();
+        let step = state.job.steps.get(usize::from(run.task.step_id.step));
+        let timed = step.and_then(|s| self.timed(&self.runs[i], s, !saved.is_empty(), now));
         let running = &mut self.runs[i];
         running.phase = Phase::Ordered;
+        running.timed = timed;
         let (on, ticket) = (Arc::clone(&running.on), running.ticket.clone());
         let job = Arc::clone(&state.job);
         let start = Start { on, address, run, job, lease_end, saved, ticket };
@@ -511,6 +535,20 @@
         }
     }
 
+    /// Records how much longer than estimated a run took that is done.
+    fn measure_overrun(&mut self, run: &Run, on: &Incarnation, replica: &Replica, now: Millis) {
+        let Ok(i) = self.run_index(run) else { return };
+        let Running { on: placed_on, placed_at: Some(placed_at), .. } = &self.runs[i] else {
+            return;
+        };
+        let Some(state) = replica.job(run.task.step_id.job) else { return };
+        let step = state.job.steps.get(usize::from(run.task.step_id.step));
+        if let Some(step) = step.filter(|step| !step.lasting && **placed_on == *on) {
+            let took = now.since(*placed_at);
+            self.overruns.record(&state.job.policy.queue, step.estimate_ms, took);
+        }
+    }
+
     fn host_index(&self, worker: &str) -> Result<usize, usize> {
         self.hosts.binary_search_by(|h| (*h.incarnation.worker).cmp(worker))
     }
@@ -625,10 +663,12 @@
             stop_requested: false,
             reason: StopReason::Stray,
             stopping_since: None,
+            placed_at: None,
             progress: (0, now),
             has_begun: false,
             has_open_order: false,
             is_accounted: false,
+            timed: None,
         }
     }
 }
--- a/crates/core/src/contract/owner/tests.rs
+++ b/crates/core/src/contract/owner/tests.rs
@@ -10,9 +10,11 @@
 mod notices;
 mod quotas;
 mod restarts;
+mod speeds;
 
 use super::advice::{Allowed, Query};
 use super::order::{Order, Poll, Start, Stop, StopReason};
+use super::outlook;
 use super::{Effect, Limits, Notice, Owner, PollError, Progress, Report, StartAnswer, StopAnswer};
 use crate::clock::Millis;
 use crate::contract::work::tests::{job, step};
--- a/crates/daemon/src/shard/ledger.rs
+++ b/crates/daemon/src/shard/ledger.rs
@@ -12,10 +12,11 @@
 mod own;
 mod probe;
 mod snapshots;
+mod tail;
 
-use super::border::{Chunk, Failure, Member, Store};
+use super::border::{Failure, Member, Store};
 use super::steward::Event;
-use super::view::{self, Configuration, Peers, ShardStatus};
+use super::view::{self, Configuration, Peers, Prospect, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{self, Latest, Publisher, Receiver, Reply, Sender};
 use counts::Counts;
@@ -31,6 +32,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -47,15 +49,10 @@
 pub const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(3);
 /// Long-poll timeout of one configuration read.
 pub const CATALOG_WAIT: Millis = Millis(1000);
+/// Path on which the owner says what waits.
+pub const OUTLOOK_PATH: &str = "/outlook";
 /// Capacity, in entries, of the ring for direct appends.
 const DIRECT_RING_CAPACITY: usize = 4096;
-/// Interval between two log reads of the owner, which needs entries that other daemons appended
-/// directly.
-const OWNER_READ_INTERVAL: Duration = Duration::from_millis(80);
-/// Interval between two log reads of other daemons; the job states that they report are this stale.
-const READ_INTERVAL: Duration = Duration::from_millis(200);
-/// Minimum interval between two log reads of a daemon whose callers wait for a newer replica.
-const WANTED_READ_INTERVAL: Duration = Duration::from_millis(60);
 /// Timeout of an append. An append may queue behind others for two seconds in the store; retrying on
 /// another connection is usually faster.
 const APPEND_TIMEOUT: Millis = Millis(1000);
@@ -157,6 +154,12 @@
     pub appends_succeed: Arc<AtomicBool>,
     /// Counts of entries that wait for the store.
     pub counts: Arc<Counts>,
+    /// Number of jobs that callers have submitted to this daemon.
+    pub submissions: Latest<u64>,
+    /// What waits, published by the steward while this daemon owns the shard.
+    pub own_prospect: Latest<Prospect>,
+    /// Publishes what the owner says of the waiting work.
+    pub prospect: Publisher<Prospect>,
 }
 
 impl Duty for Ledger {
@@ -181,6 +184,9 @@
                 configuration,
                 appends_succeed,
                 counts,
+                submissions,
+                own_prospect,
+                prospect,
             } = *self;
             let (direct, direct_intake) = ring::ring(DIRECT_RING_CAPACITY);
             let (answered, log_answered_at) = ring::latest(view::now());
@@ -216,57 +222,37 @@
                 shard_status.clone(),
                 log_answered_at.clone(),
             ));
-            let catalog_failed = Arc::new(AtomicBool::new(false));
-            let loops = [
-                tokio::spawn(tail(
-                    Arc::clone(&store),
-                    replay_delay,
-                    steward.clone(),
-                    shard_status.clone(),
-                    claimed,
-                    read_wanted,
-                    Arc::clone(&regained),
-                    answered,
-                )),
-                tokio::spawn(probe::watch(
-                    Arc::clone(&store),
-                    log_answered_at,
-                    shard_status.clone(),
-                    Arc::clone(&regained),
-                )),
-                tokio::spawn(follow::catalog(
-                    Arc::clone(&store),
-                    configuration.clone(),
-                    Arc::clone(&regained),
-                    Arc::clone(&catalog_failed),
-                )),
-                tokio::spawn(follow::relayed_catalog(
-                    Arc::clone(&client),
-                    configuration,
-                    catalog_failed,
-                    peers.clone(),
-                    shard_status.clone(),
-                )),
-                tokio::spawn(follow::workers(
-                    Arc::clone(&store),
-                    steward.clone(),
-                    shard_status.clone(),
-                    regained,
-                )),
-                tokio::spawn(follow::owner(
-                    Arc::clone(&client),
-                    steward.clone(),
-                    shard_status.clone(),
-                )),
-                tokio::spawn(handover::invite(Arc::clone(&client), shard_status.clone())),
-                tokio::spawn(follow::successor(
-                    client,
-                    steward.clone(),
-                    peers,
-                    shard_status.clone(),
-                )),
-                tokio::spawn(follow::members(store, member, steward, shard_status)),
-            ];
+            let tail = tail::Tail {
+                store: Arc::clone(&store),
+                replay_delay,
+                steward: steward.clone(),
+                shard_status: shard_status.clone(),
+                claimed,
+                read_wanted,
+                regained: Arc::clone(&regained),
+                answered,
+            };
+            let tail = tokio::spawn(tail.run());
+            let probe = tokio::spawn(probe::watch(
+                Arc::clone(&store),
+                log_answered_at,
+                shard_status.clone(),
+                Arc::clone(&regained),
+            ));
+            let follow = follow::Follow {
+                store,
+                member,
+                client,
+                peers,
+                steward,
+                shard_status,
+                configuration,
+                submissions,
+                own_prospect,
+                prospect,
+                regained,
+            };
+            let follow = follow.spawn();
             stop.cancelled().await;
             // A ring closes when its senders are dropped, so entries queued in it are still appended.
             for ending in [relay, own, direct] {
@@ -276,7 +262,7 @@
                     Err(_) => tracing::warn!("stopping with unfinished appends: store unavailable"),
                 }
             }
-            loops.iter().for_each(tokio::task::JoinHandle::abort);
+            follow.iter().chain([&tail, &probe]).for_each(JoinHandle::abort);
         })
     }
 }
@@ -327,143 +313,6 @@
     }
 }
 
-/// What a daemon has read of the log since it started, until it has caught up.
-struct Replay {
-    began: Millis,
-    reads: usize,
-    records: usize,
-    bytes: usize,
-}
-
-impl Replay {
-    fn new() -> Self {
-        Self { began: view::now(), reads: 0, records: 0, bytes: 0 }
-    }
-
-    /// Adds a chunk. Logs the sums and returns `None` when it is the last one.
-    fn add(self, chunk: &Chunk, caught_up: bool) -> Option<Self> {
-        let reads = self.reads + 1;
-        let records = self.records + chunk.records.len();
-        let bytes = self.bytes + chunk.records.iter().map(Vec::len).sum::<usize>();
-        if caught_up {
-            let took_ms = view::now().since(self.began).get();
-            tracing::info!(reads, records, bytes, took_ms, "log replayed");
-            return None;
-        }
-        Some(Self { reads, records, bytes, ..self })
-    }
-}
-
-/// Reads the log from the newest snapshot, or from its start, after `replay_delay`, and follows it. When the store has
-/// trimmed unread records, resumes from the newest snapshot.
-async fn tail(
-    store: Arc<dyn Store>,
-    replay_delay: Millis,
-    steward: Sender<Event>,
-    mut shard_status: Latest<ShardStatus>,
-    claimed: Arc<Notify>,
-    read_wanted: Arc<Notify>,
-    regained: Arc<Notify>,
-    answered: Publisher<Millis>,
-) {
-    sleep(replay_delay.into()).await;
-    let mut from = 0;
-    let (mut outage, mut backoff) = (OutageLog::new("log"), Backoff::new());
-    let mut replay = Some(Replay::new());
-    let mut has_started = false;
-    loop {
-        if !has_started {
-            match snapshots::load(&*store, from).await {
-                Ok(Some((event, offset))) => {
-                    if steward.push(event).await.is_err() {
-                        return;
-                    }
-                    (from, has_started) = (offset, true);
-                }
-                Ok(None) => has_started = true,
-                // The log may be readable nevertheless.
-                Err(failure) => outage.lost(&failure),
-            }
-        }
-        let began = view::now();
-        let read = tokio::select! {
-            read = store.read(from) => read,
-            () = regained.notified() => continue,
-        };
-        match read {
-            Ok(chunk) => {
-                if outage.regained() {
-                    regained.notify_waiters();
-                }
-                backoff.reset();
-                answered.send_replace(view::now());
-                has_started = true;
-                let count = u64::try_from(chunk.records.len()).unwrap_or_default();
-                let bytes = chunk.records.iter().map(Vec::len).sum();
-                let records = chunk.records.iter().filter_map(|bytes| decode(bytes)).collect();
-                from += count;
-                let caught_up = from >= chunk.end;
-                replay = replay.and_then(|r| r.add(&chunk, caught_up));
-                let event = Event::Read { records, bytes, next: from, caught_up, began };
-                if steward.push(event).await.is_err() {
-                    return;
-                }
-                if !caught_up {
-                    continue;
-                }
-                let pause =
-                    if shard_status.borrow().owns() { OWNER_READ_INTERVAL } else { READ_INTERVAL };
-                tokio::select! {
-                    () = sleep(pause) => {}
-                    () = claimed.notified() => {}
-                    () = async { sleep(WANTED_READ_INTERVAL).await; read_wanted.notified().await } => {}
-                    _ = shard_status.wait_for(|f| f.owns() && pause > OWNER_READ_INTERVAL) => {}
-                }
-            }
-            Err(Failure::Gone { first }) => {
-                match snapshots::load(&*store, first).await {
-                    Ok(Some((event, offset))) => {
-                        if steward.push(event).await.is_err() {
-                            return;
-                        }
-                        from = offset;
-                    }
-                    Ok(None) => {
-                        // The trimmed records can't be recovered; continue with the first one left.
-                        tracing::error!(
-                            from,
-                            first,
-                            "log trimmed before it was read, and no snapshot covers the gap"
-                        );
-                        from = first;
-                    }
-                    Err(failure) => {
-                        outage.lost(&failure);
-                        backoff.pause().await;
-                    }
-                }
-            }
-            Err(failure) => {
-                outage.lost(&failure);
-                tokio::select! {
-                    () = backoff.pause() => {}
-                    () = regained.notified() => {}
-                }
-            }
-        }
-    }
-}
-
-fn decode(bytes: &[u8]) -> Option<Record> {
-    match codec::unpack(bytes) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            tracing::error!(%error, bytes = bytes.len(), "log record can't be decoded; skipped");
-            None
-        }
-    }
-}
-
 fn encode(record: &Record) -> Option<Vec<u8>> {
     match codec::pack(record) {
         Ok(bytes) => Some(bytes),
--- a/crates/daemon/src/shard/steward.rs
+++ b/crates/daemon/src/shard/steward.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod load;
 mod notices;
+mod outlook;
 mod peers;
 mod recorded;
 mod snapshots;
@@ -19,7 +20,7 @@
 use super::ledger::Append;
 use super::metrics::Metrics;
 use super::orders::Call;
-use super::view::{self, Configuration, Peers, ShardStatus};
+use super::view::{self, Configuration, Peers, Prospect, ShardStatus};
 use crate::duty::Duty;
 use crate::ring::{Latest, Publisher, Receiver, Reply, Sender};
 use effects::log_start;
@@ -124,6 +125,11 @@
         /// Peer address of the owner.
         address: Box<str>,
     },
+    /// The owner says that the store accepts its appends.
+    OwnerServes {
+        /// When it was asked, on the steady clock.
+        asked: Millis,
+    },
     /// The owner of the claim with this epoch has released the shard and asks this daemon to claim it.
     Invited {
         /// Epoch of the claim.
@@ -167,6 +173,8 @@
     pub metrics: Arc<Metrics>,
     /// Publishes ownership and log progress to the other duties.
     pub shard_status: Publisher<ShardStatus>,
+    /// Publishes what waits, while this daemon owns the shard.
+    pub prospect: Publisher<Prospect>,
     /// Publishes the addresses of the other daemons.
     pub peer_addresses: Publisher<Peers>,
 }
@@ -209,6 +217,8 @@
     earlier_owner: Option<(u64, Box<str>)>,
     /// Newest claim that a peer has read, and the address of the owner that it names.
     found_owner: (u64, Box<str>),
+    /// When the owner was last asked and said that the store accepts its appends.
+    owner_served_at: Millis,
     /// When the log was last read to its end.
     log_read_at: Millis,
     /// When that read was sent: the replica contains everything appended before.
@@ -248,6 +258,8 @@
     /// Size of the log after the last snapshot, or after the last attempt.
     unsaved_bytes: usize,
     load: Load,
+    /// When the waiting work was last summed up.
+    outlook_at: Millis,
     /// Runs of ended jobs that may still execute, by the last count as the owner.
     leftover: Leftover,
     recorded: recorded::Runs,
@@ -265,6 +277,7 @@
             standing: (0, Standing::Unknown),
             earlier_owner: None,
             found_owner: (0, "".into()),
+            owner_served_at: Millis::ZERO,
             log_read_at: Millis::ZERO,
             covered_until: Millis::ZERO,
             append_sent_at: Millis::ZERO,
@@ -286,6 +299,7 @@
             snapshot_tried: 0,
             unsaved_bytes: 0,
             load: Load::default(),
+            outlook_at: Millis::ZERO,
             leftover: Leftover::default(),
             recorded: recorded::Runs::default(),
             stages: Stages::default(),
@@ -377,6 +391,10 @@
                 self.found_owner = (claim, address);
                 self.publish();
             }
+            Event::OwnerServes { asked } => {
+                self.owner_served_at = asked;
+                self.publish();
+            }
             Event::Invited { claim } => {
                 self.invited = self.invited.max(claim);
                 self.consider_claim(now);
@@ -582,6 +600,7 @@
         self.run_owner();
         self.load.add_work(0, began);
         self.log_load();
+        self.publish_outlook(now);
         self.consider_handover(now);
         let Some(tenure) = &self.tenure else { return };
         if tenure.owner.earlier_leases_expired(now) && !self.replica.old_leases_expired() {
@@ -638,7 +657,7 @@
         let Self { caught_up, owner_seen_at, log_read_at, covered_until, response_time, .. } =
             *self;
         let can_own = caught_up && !self.is_draining;
-        let owned_until = self.append_sent_at;
+        let (owned_until, owner_served_at) = (self.append_sent_at, self.owner_served_at);
         let is_waiting = epoch.is_some() && !self.replica.old_leases_expired();
         let earlier_owner = self.earlier_owner.clone().filter(|_| is_waiting);
         let distance = self.distance();
@@ -652,6 +671,7 @@
             owner,
             earlier_owner,
             owner_seen_at,
+            owner_served_at,
             caught_up,
             log_read_at,
             covered_until,
--- a/crates/daemon/src/shard/view.rs
+++ b/crates/daemon/src/shard/view.rs
@@ -3,6 +3,7 @@
 use pimentovalve_core::clock::Millis;
 use pimentovalve_core::contract::catalog::Catalog;
 use pimentovalve_core::contract::owner::Leftover;
+use pimentovalve_core::contract::owner::outlook::Outlook;
 use pimentovalve_core::link::patience::SILENT_AFTER;
 use pimentovalve_core::link::response_time::ResponseTime;
 use rustix::time::{ClockId, clock_gettime};
@@ -32,6 +33,8 @@
     pub earlier_owner: Option<(u64, Box<str>)>,
     /// When a record of the owner was last read, on the steady clock.
     pub owner_seen_at: Millis,
+    /// When the owner was last asked and said that the store accepts its appends, on the steady clock.
+    pub owner_served_at: Millis,
     /// Whether the log has been read to its end since the start, or since a snapshot was restored.
     pub caught_up: bool,
     /// When the log was last read to its end, on the steady clock.
@@ -67,9 +70,10 @@
         !self.caught_up || now.since(current_until) > MAX_LAG + self.response_time.typical()
     }
 
-    /// Returns for how long the store has answered no read of the log, if that is longer than usual.
+    /// Returns for how long the store has answered neither this daemon's reads of the log nor the owner, if
+    /// that is longer than usual.
     pub fn store_silence(&self, now: Millis) -> Option<Millis> {
-        let silence = now.since(self.log_read_at);
+        let silence = now.since(self.log_read_at.max(self.owner_served_at));
         let usual = SILENT_AFTER + self.response_time.typical();
         Some(silence).filter(|silence| self.caught_up && *silence > usual)
     }
@@ -80,6 +84,30 @@
     }
 }
 
+/// Maximum age of what the owner said of the waiting work: on an older summary nobody is refused.
+pub const MAX_OUTLOOK_AGE: Millis = Millis::from_secs(2);
+
+/// What the owner last said of the waiting work.
+#[derive(Clone, Debug, Default)]
+pub struct Prospect {
+    /// Epoch of the owner.
+    pub epoch: u64,
+    /// When it was computed, or earlier.
+    pub at: Millis,
+    /// The summary, `None` if the owner gave none.
+    pub outlook: Option<Arc<Outlook>>,
+}
+
+impl Prospect {
+    /// Returns the summary if callers' jobs may be refused by it: it is recent, its owner is the present
+    /// one, and this daemon's replica would show whether the job was accepted before.
+    pub fn current(&self, status: &ShardStatus, now: Millis) -> Option<&Outlook> {
+        let is_recent = now.since(self.at) <= MAX_OUTLOOK_AGE;
+        let is_owners = self.epoch == status.claim && !status.owner.is_empty();
+        self.outlook.as_deref().filter(|_| is_recent && is_owners && !status.lags(now))
+    }
+}
+
 /// Addresses of the other daemons, published by the steward.
 pub type Peers = Arc<[Box<str>]>;
 
