Silent store: no caller is held for more than half of its time

Cause: a caller that could not return after a refusal was held for 85 % of its time.

The test of the 85 % is replaced by one that none is held for half of its time, whatever it has left.

--- a/crates/core/src/link/patience/tests.rs
+++ b/crates/core/src/link/patience/tests.rs
@@ -12,16 +12,17 @@
 }
 
 #[gtest]
-fn a_caller_without_time_for_a_retry_is_held_for_most_of_its_time() {
-    let held = hold(Millis(1200), RETRY_AFTER, Millis(600));
-    expect_that!(held, ge(Millis(1000)));
-    expect_that!(held, lt(Millis(1200)));
+fn a_caller_has_more_than_half_of_its_time_left_when_it_is_refused() {
+    for left in [300, 500, 1200, 3000].map(Millis) {
+        let held = hold(left, RETRY_AFTER, Millis(600));
+        expect_that!(held, all![gt(Millis::ZERO), lt(Millis(left.get() / 2))]);
+    }
 }
 
 #[gtest]
 fn in_an_old_outage_a_caller_is_refused_at_once() {
     expect_that!(hold(Millis(3000), RETRY_AFTER, Millis(4000)), gt(Millis::ZERO));
     expect_that!(hold(Millis(3000), RETRY_AFTER, Millis(6000)), eq(Millis::ZERO));
-    expect_that!(hold(Millis(500), RETRY_AFTER, Millis(4000)), gt(Millis::ZERO));
-    expect_that!(hold(Millis(500), RETRY_AFTER, Millis(6000)), eq(Millis::ZERO));
+    expect_that!(hold(Millis(800), RETRY_AFTER, Millis(4000)), gt(Millis::ZERO));
+    expect_that!(hold(Millis(800), RETRY_AFTER, Millis(6000)), eq(Millis::ZERO));
 }
