--- a/crates/core/src/contract/owner/outlook.rs
+++ b/crates/core/src/contract/owner/outlook.rs
@@ -2,8 +2,8 @@
 //! for it.
 //!
 //! The owner computes the summary from its backlog, in the order of
-//! [`Rank`](super::backlog::Rank), and the daemons that take callers' jobs judge each job by it. A job
-//! is refused only if it can't even end within [`WORTHLESS_OBJECTIVES`] objectives, by a margin. Every
+//! `Rank`, and the daemons that take callers' jobs judge each job by it. A job
+//! is refused only if it can't even end within `WORTHLESS_OBJECTIVES` objectives, by a margin. Every
 //! estimate errs towards acceptance: the workers are assumed to do nothing but work, and at least a
 //! part of them to be left over by what arrives later.
 
--- a/crates/core/src/machine/speed.rs
+++ b/crates/core/src/machine/speed.rs
@@ -231,7 +231,7 @@
     }
 
     /// Returns the time within which nearly all runs end on a slow worker of the pool: that of a worker
-    /// that is slower by the standard deviation between workers, with an error of [`SLOW_ERRORS`] of those
+    /// that is slower by the standard deviation between workers, with an error of `SLOW_ERRORS` of those
     /// between runs.
     pub fn slow(&self, estimate: Millis) -> Millis {
         let ratio = TYPICAL + self.spread.isqrt() + SLOW_ERRORS * self.noise.isqrt();
