Too little room: jobs are refused only where the settings call for it

Cause: jobs were refused for want of room on every deployment.

Change: a daemon refuses by the outlook only if its settings have the contract of callers that compete for too little room.

--- a/crates/daemon/src/shard/front.rs
+++ b/crates/daemon/src/shard/front.rs
@@ -47,6 +47,8 @@
     pub submissions: Publisher<u64>,
     /// What the owner last said of the waiting work.
     pub prospect: Latest<Prospect>,
+    /// Whether jobs are refused by it.
+    pub refuses_for_room: bool,
 }
 
 impl Handler for Front {
@@ -203,6 +205,9 @@
 
     /// Returns why a job must be refused, by what the owner last said of the waiting work.
     fn refusal(&self, job: &Job) -> Option<Refusal> {
+        if !self.refuses_for_room {
+            return None;
+        }
         let prospect = self.prospect.borrow();
         let outlook = prospect.current(&self.shard_status.borrow(), view::now())?;
         outlook.judge(job).err()
--- a/crates/daemon/src/shard/node.rs
+++ b/crates/daemon/src/shard/node.rs
@@ -78,6 +78,9 @@
     pub retention: Millis,
     /// Share of the machine that the daemon may use.
     pub allotment: Allotment,
+    /// Whether a job that can't end while its result has value is refused at once, because callers
+    /// compete for too little room.
+    pub refuses_for_room: bool,
 }
 
 /// The interfaces of a platform adapter.
@@ -147,6 +150,7 @@
             shard_status: shard_status.clone(),
             submissions: submissions_in,
             prospect,
+            refuses_for_room: settings.refuses_for_room,
         };
         let peer = Peer {
             advisor: Arc::clone(&platform.advisor),
