--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -11,6 +11,7 @@
 mod http;
 mod json;
 mod lasting;
+mod moved;
 mod pending;
 mod record;
 mod runners;
@@ -52,6 +53,7 @@
         "lasting" => lasting::run(&record, trouble),
         "entry" => entry::run(&record, trouble),
         "pending" => pending::run(&record, trouble),
+        "moved" => moved::run(&record, trouble),
         "gap" => gap::run(&record, trouble),
         other => Err(format!("there is no scenario {other}")),
     };
--- a/review/rig-3/runners.rs
+++ b/review/rig-3/runners.rs
@@ -92,6 +92,8 @@
     is_up: bool,
     /// Whether it has lost power for good: nothing answers, and connections hang.
     is_dark: bool,
+    /// Whether it has reported that it drains.
+    is_draining: bool,
     /// Number of the incarnation, which marks its connections.
     life: u64,
     born: u64,
@@ -122,6 +124,8 @@
 pub struct Runner {
     index: usize,
     id: String,
+    /// The service that it belongs to.
+    service: &'static str,
     address: SocketAddr,
     state: Mutex<State>,
     changed: Condvar,
@@ -138,13 +142,23 @@
 impl Fleet {
     /// Starts runners, which register themselves in `store`.
     pub fn start(count: usize, store: &Arc<Store>, record: &Arc<Record>) -> Self {
+        Self::of_services(&vec!["engine"; count], store, record)
+    }
+
+    /// As [`Self::start`], with the service of each runner.
+    pub fn of_services(
+        services: &[&'static str],
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Self {
         let seen = Arc::new(Mutex::new(Seen::default()));
-        let runners = (0..count).map(|index| {
+        let runners = (0..).zip(services).map(|(index, service)| {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
             let address = listener.local_addr().expect("an address");
             let runner = Arc::new(Runner {
                 index,
                 id: format!("i-{index:08x}"),
+                service,
                 address,
                 state: Mutex::default(),
                 changed: Condvar::new(),
@@ -175,6 +189,20 @@
         });
     }
 
+    /// Lets a runner report that it drains, and leave after `drain`.
+    pub fn leave(&self, index: usize, drain: Duration) {
+        let runner = Arc::clone(&self.runners[index]);
+        runner.state.lock().unwrap().is_draining = true;
+        runner.record.note(&format!("runner {} drains", runner.id));
+        self.store.put("keyed.servers", &runner.id, &runner.entry());
+        let store = Arc::clone(&self.store);
+        std::thread::spawn(move || {
+            std::thread::sleep(drain);
+            runner.end_life();
+            store.put("keyed.servers", &runner.id, "");
+        });
+    }
+
     /// Takes the power from a runner for good.
     pub fn darken(&self, index: usize) {
         let runner = &self.runners[index];
@@ -283,17 +311,19 @@
         }
         drop(state);
         self.changed.notify_all();
-        self.record.note(&format!("runner {} crashes; it ran {}", self.id, lost.join(" ")));
+        self.record.note(&format!("runner {} ends; it ran {}", self.id, lost.join(" ")));
     }
 
     fn entry(&self) -> String {
         let state = self.state.lock().unwrap();
         format!(
-            "{{\"service\":\"engine\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
-             \"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{{\"cpu\":32000,\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
+             \"slots\":8,\"state\":\"{}\",\"coldLeftMs\":0,\"capacity\":{{\"cpu\":32000,\
              \"memMb\":131072,\"gpus\":0}},\"labels\":[\"a\",\"r1-1\"],\"clockMs\":{},\"born\":{},\
              \"seqNo\":{}}}",
+            self.service,
             self.address,
+            if state.is_draining { "draining" } else { "ready" },
             state.clock_ms(),
             state.born,
             state.clock_ms() / 100,
